Lay out the workspace, the decision core's types and its facade

Cause: every part needs common rows, messages and one facade to build on. The thin core admits by slots, picks one of two backend servers and judges attempts.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# make demo: create the environment and run the main job.
+# make test: create the environment and run every check.
+VENV ?= .venv
+BIN := $(VENV)/bin
+ROOT := $(CURDIR)
+export PYTHONPATH := $(ROOT)/packages/rhubarbwell-core/src:$(ROOT)/packages/rhubarbwell-platform/src:$(ROOT)/packages/rhubarbwell-entry/src:$(ROOT)/packages/rhubarbwell-ops/src
+export PYTHONHASHSEED := 0
+
+.PHONY: demo test check format
+
+demo: $(VENV)/.ready
+	$(BIN)/rhubarbwell demo
+
+test: $(VENV)/.ready
+	$(MAKE) check
+
+check:
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/*/src
+	$(BIN)/python -m pytest
+
+format:
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+$(VENV)/.ready: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(foreach p,core platform entry ops,-e packages/rhubarbwell-$(p))
+	touch $@
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/slots.py
@@ -0,0 +1,66 @@
+"""Admission by the number of endpoint slots, first come first served."""
+
+from collections import deque
+
+from rhubarbwell_core.admission.decisions import Admission, Admitted, Queued, Refused
+from rhubarbwell_core.messages import RequestArrived
+from rhubarbwell_core.model import Configuration, Reason
+
+__all__ = ["SlotAdmission"]
+
+
+class SlotAdmission(Admission):
+    """Admit as many requests of a service as its regional slots."""
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        self._limits: dict[str, int] = {}
+        self._running: dict[int, str] = {}
+        self._queue: deque[RequestArrived] = deque()
+
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Take the slots of the region's backend servers as limits."""
+        zones = {
+            zone.name
+            for zone in configuration.deployment.zones
+            if zone.region == self._region
+        }
+        for name, service in configuration.services.items():
+            slots = [b.slots for b in service.backends if b.zone in zones]
+            self._limits[name] = sum(slots)
+
+    def offer(self, req: RequestArrived, now_ms: int) -> Admitted | Queued | Refused:
+        """Admit while a slot is free, else queue."""
+        if self._has_room(req.service):
+            self._running[req.request_id] = req.service
+            return Admitted(req.request_id)
+        self._queue.append(req)
+        return Queued(req.request_id)
+
+    def drain(self, now_ms: int) -> list[Admitted | Refused]:
+        """Admit queued requests in order and refuse those past their deadline."""
+        decisions: list[Admitted | Refused] = []
+        waiting: deque[RequestArrived] = deque()
+        for req in self._queue:
+            if now_ms >= req.deadline_ms:
+                decisions.append(Refused(req.request_id, Reason.DEADLINE))
+            elif self._has_room(req.service):
+                self._running[req.request_id] = req.service
+                decisions.append(Admitted(req.request_id))
+            else:
+                waiting.append(req)
+        self._queue = waiting
+        return decisions
+
+    def withdraw(self, request_id: int, now_ms: int) -> None:
+        """Take a request out of the queue."""
+        kept = (req for req in self._queue if req.request_id != request_id)
+        self._queue = deque(kept)
+
+    def release(self, request_id: int, now_ms: int) -> None:
+        """Free the slot of a request."""
+        self._running.pop(request_id, None)
+
+    def _has_room(self, service: str) -> bool:
+        running = sum(1 for name in self._running.values() if name == service)
+        return running < self._limits.get(service, 0)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -0,0 +1,140 @@
+"""The facade that drives every decision of one entry instance."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from rhubarbwell_core.admission import Admission, SlotAdmission
+from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
+from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.lookups import (
+    LookUpAnswer,
+    LookUpQuery,
+    PrefixIndex,
+    answer_look_up,
+    index_blocks,
+)
+from rhubarbwell_core.messages import (
+    BackendLeaving,
+    ConfigReceived,
+    LoadReported,
+    PeerHeard,
+    PeerState,
+)
+from rhubarbwell_core.model import (
+    Configuration,
+    Identity,
+    region_of_zone,
+    zones_of_region,
+)
+from rhubarbwell_core.requests import RequestPart
+from rhubarbwell_core.routing import (
+    BackendTable,
+    RegionalRouteChooser,
+    RetryBudget,
+    RouteChooser,
+)
+
+__all__ = ["Core"]
+
+
+class Core:
+    """Decide for one entry instance; drive it with events and the time in ms.
+
+    >>> from rhubarbwell_core.model import Address
+    >>> here = Address("127.0.0.1", 1)
+    >>> core = Core(Identity("i", "i-1", "r-a", "r", here, here), Random(1))
+    >>> core.advance(1_000)
+    []
+    >>> core.configuration is None
+    True
+    """
+
+    def __init__(self, identity: Identity, rng: Random, *, now_ms: int = 0) -> None:
+        self.identity = identity
+        self.configuration: Configuration | None = None
+        self.state = PeerState.JOINING
+        self.timers = TimerService(now_ms=now_ms)
+        self.peers = Table[str, PeerHeard]("peers")
+        self.backends = BackendTable(identity.region, rng)
+        self.admission: Admission = SlotAdmission(identity.region)
+        self.routes: RouteChooser = RegionalRouteChooser(
+            identity.zone, identity.region, self.backends
+        )
+        self.requests = RequestPart(
+            identity.incarnation, self.admission, self.routes, RetryBudget()
+        )
+        self._rng = rng
+        self._blocks: PrefixIndex = index_blocks(())
+        self._handlers: dict[type, EventHandler] = {
+            ConfigReceived: self._on_config,
+            PeerHeard: self._on_peer,
+            LoadReported: self.backends.on_load,
+            BackendLeaving: self.backends.on_leaving,
+        }
+        self._add_part(self.requests)
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Take in an event; raise KeyError for a type that no part handles."""
+        return list(self._handlers[type(event)](event, now_ms))
+
+    def advance(self, now_ms: int) -> list[Action]:
+        """Run the systems that are due at now_ms."""
+        return self.timers.advance(now_ms)
+
+    def next_due_ms(self) -> int | None:
+        """Return the time in ms at which a system is due next."""
+        return self.timers.next_due_ms()
+
+    def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
+        """Answer which entry instances the caller should use."""
+        cfg = self.configuration
+        ttl_ms = 0 if cfg is None else cfg.deployment.look_up_ttl_ms
+        return answer_look_up(
+            self.peers.rows(),
+            self._zone_preference(query),
+            ttl_ms=ttl_ms,
+            rng=self._rng,
+        )
+
+    def _add_part(self, part: Part) -> None:
+        self._handlers.update(part.handlers())
+        for system in part.systems():
+            self.timers.subscribe(system.period_ms, _run_of(system))
+
+    def _on_config(self, event: ConfigReceived, now_ms: int) -> list[Action]:
+        cfg = event.configuration
+        if self.configuration and cfg.version <= self.configuration.version:
+            return []
+        self.configuration = cfg
+        self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self.admission.configure(cfg, now_ms)
+        self.routes.configure(cfg, now_ms)
+        if self.state is PeerState.JOINING:
+            self.state = PeerState.READY
+        return []
+
+    def _on_peer(self, event: PeerHeard, now_ms: int) -> list[Action]:
+        known = self.peers.get(event.instance_id)
+        same = known is not None and known.incarnation == event.incarnation
+        if same and known is not None and event.sequence <= known.sequence:
+            return []
+        self.peers.put(event.instance_id, event)
+        return []
+
+    def _zone_preference(self, query: LookUpQuery) -> tuple[str, ...]:
+        cfg = self.configuration
+        if cfg is None:
+            return (self.identity.zone,)
+        if query.address is not None and query.zone is None:
+            name = self._blocks.site_of(query.address)
+            for site in cfg.deployment.sites:
+                if site.name == name:
+                    return site.zones
+        zone = query.zone or self.identity.zone
+        region = region_of_zone(cfg.deployment, zone) or self.identity.region
+        sisters = zones_of_region(cfg.deployment, region)
+        return (zone, *(sister for sister in sisters if sister != zone))
+
+
+def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
+    return system.run
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/engine/systems.py
@@ -0,0 +1,33 @@
+"""Systems that run over the tables and parts that bring them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from rhubarbwell_core.engine.messages import Action
+
+__all__ = ["EventHandler", "Part", "System"]
+
+EventHandler = Callable[[Any, int], Sequence[Action]]
+
+
+class System(ABC):
+    """Run over the tables of its part every period_ms."""
+
+    period_ms: int = 100
+
+    @abstractmethod
+    def run(self, now_ms: int) -> Sequence[Action]:
+        """Bring the tables up to now_ms and return what is to be done."""
+
+
+class Part(ABC):
+    """Bring a subject's tables, event handlers and systems into a core."""
+
+    def handlers(self) -> Mapping[type, EventHandler]:
+        """Return the handler of each event type that the part takes."""
+        return {}
+
+    def systems(self) -> Sequence[System]:
+        """Return the systems that run each tick."""
+        return ()
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/__init__.py
@@ -0,0 +1,4 @@
+"""Look-ups: which entry instances a caller should use."""
+
+from rhubarbwell_core.lookups.answers import *
+from rhubarbwell_core.lookups.prefixes import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/__init__.py
@@ -0,0 +1,6 @@
+"""Typed events that enter the core and typed actions that leave it."""
+
+from rhubarbwell_core.messages.backends import *
+from rhubarbwell_core.messages.configuration import *
+from rhubarbwell_core.messages.peers import *
+from rhubarbwell_core.messages.requests import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/peers.py
@@ -0,0 +1,31 @@
+"""Events and actions between entry instances."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from rhubarbwell_core.model import Address
+
+__all__ = ["PeerHeard", "PeerState"]
+
+
+class PeerState(Enum):
+    """Tell where an entry instance is in its life."""
+
+    JOINING = "joining"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class PeerHeard(NamedTuple):
+    """Report what an entry instance says of itself."""
+
+    instance_id: str
+    incarnation: str
+    zone: str
+    region: str
+    callers: Address
+    peers: Address
+    state: PeerState
+    config_version: int
+    sequence: int
+    load: float = 0.0
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
@@ -0,0 +1,124 @@
+"""Events and actions of a request's way through the core."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from rhubarbwell_core.model.identity import Address
+from rhubarbwell_core.model.outcomes import Outcome, Reason
+from rhubarbwell_core.model.ranks import Rank
+
+__all__ = [
+    "AttemptEnd",
+    "AttemptEnded",
+    "AttemptHeadersReceived",
+    "CallerGone",
+    "CancelAttempt",
+    "EndRequest",
+    "ForwardedFrom",
+    "RequestArrived",
+    "SendAttempt",
+    "Target",
+]
+
+
+class ForwardedFrom(NamedTuple):
+    """Tell which peer forwarded a request and under which grant."""
+
+    instance_id: str
+    grant_id: str
+    attempt_id: str
+    hops: int
+
+
+class RequestArrived(NamedTuple):
+    """Report that the head of a request has been read."""
+
+    request_id: int
+    service: str
+    kind: str
+    caller: str
+    deadline_ms: int
+    rank: Rank
+    idempotent: bool
+    key: str | None = None
+    body_bytes: int | None = None
+    body_digest: str | None = None
+    forwarded: ForwardedFrom | None = None
+
+
+class CallerGone(NamedTuple):
+    """Report that the caller closed its connection."""
+
+    request_id: int
+
+
+class AttemptHeadersReceived(NamedTuple):
+    """Report that the status line and headers of an answer have been read."""
+
+    attempt_id: str
+    status: int
+
+
+class AttemptEnd(Enum):
+    """Tell how an attempt ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    CONNECT_REFUSED = "connect_refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    RESET_BEFORE_ANSWER = "reset_before_answer"
+    RESET_AFTER_HEADERS = "reset_after_headers"
+    RESET_MID_BODY = "reset_mid_body"
+    CUT_SHORT = "cut_short"
+    CROSSED = "crossed"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+    CALLER_GONE = "caller_gone"
+    STOPPED = "stopped"
+    PEER_LOST = "peer_lost"
+    PEER_NOT_RUN = "peer_not_run"
+    PEER_UNKNOWN = "peer_unknown"
+
+
+class AttemptEnded(NamedTuple):
+    """Report the end of an attempt; bytes_sent counts head and body."""
+
+    attempt_id: str
+    end: AttemptEnd
+    bytes_sent: int
+    latency_ms: int
+    status: int | None = None
+    connection_was_fresh: bool = True
+
+
+class Target(NamedTuple):
+    """Name the backend server or, with a grant, the peer that gets an attempt."""
+
+    target_id: str
+    address: Address
+    grant_id: str | None = None
+
+
+class SendAttempt(NamedTuple):
+    """Ask the shell to send the request to the target until deadline_ms."""
+
+    request_id: int
+    attempt_id: str
+    target: Target
+    deadline_ms: int
+    fresh_connection: bool = False
+
+
+class CancelAttempt(NamedTuple):
+    """Ask the shell to cancel a running attempt."""
+
+    attempt_id: str
+
+
+class EndRequest(NamedTuple):
+    """Ask the shell to tell the caller the outcome of its request."""
+
+    request_id: int
+    outcome: Outcome
+    reason: Reason
+    retry_after_ms: int | None = None
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/__init__.py
@@ -0,0 +1,8 @@
+"""Plain data that every part of rhubarbwell shares."""
+
+from rhubarbwell_core.model.configuration import *
+from rhubarbwell_core.model.deployment import *
+from rhubarbwell_core.model.identity import *
+from rhubarbwell_core.model.outcomes import *
+from rhubarbwell_core.model.ranks import *
+from rhubarbwell_core.model.services import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/outcomes.py
@@ -0,0 +1,34 @@
+"""Outcomes of requests and the reasons for them."""
+
+from enum import Enum
+
+__all__ = ["Outcome", "Reason"]
+
+
+class Outcome(Enum):
+    """Tell what a caller may believe about its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Reason(Enum):
+    """Tell why a request ended as it did."""
+
+    SERVED = "served"
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    NO_BACKEND = "no_backend"
+    NO_CAPACITY = "no_capacity"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_KIND = "unknown_kind"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REUSED = "key_reused"
+    STORE_UNAVAILABLE = "store_unavailable"
+    OWNER_LOST = "owner_lost"
+    BACKEND_FAILED = "backend_failed"
+    BACKEND_SHED = "backend_shed"
+    CALLER_GONE = "caller_gone"
+    STOPPING = "stopping"
+    NOT_READY = "not_ready"
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/services.py
@@ -0,0 +1,72 @@
+"""Services, their kinds of work and their backend servers."""
+
+from typing import NamedTuple
+
+from rhubarbwell_core.model.ranks import Rank
+
+__all__ = ["BackendSpec", "ServiceSpec", "WorkKind", "match_kind"]
+
+DEFAULT_SLOTS = 3
+DEFAULT_CONNECTIONS = 400
+DEFAULT_MAX_BODY_BYTES = 1 << 30
+DEFAULT_DEADLINE_MS = 2_000
+
+
+class WorkKind(NamedTuple):
+    """Describe one kind of work of a service."""
+
+    name: str
+    method: str
+    path_prefix: str
+    rank: Rank = Rank.STANDARD
+    idempotent: bool = False
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    worth: float = 1.0
+    objective: float = 0.99
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class BackendSpec(NamedTuple):
+    """Describe one backend server of a service."""
+
+    backend_id: str
+    zone: str
+    host: str
+    port: int
+    slots: int = DEFAULT_SLOTS
+    connections: int = DEFAULT_CONNECTIONS
+    draining: bool = False
+
+
+class ServiceSpec(NamedTuple):
+    """Describe one service as its team's file states it."""
+
+    name: str
+    kinds: tuple[WorkKind, ...]
+    backends: tuple[BackendSpec, ...]
+    description: str = ""
+    health_path: str = "/health"
+    load_path: str = "/load"
+
+
+def match_kind(service: ServiceSpec, method: str, path: str) -> WorkKind | None:
+    """Return the kind with the longest path prefix that fits, None if none does.
+
+    >>> kinds = (WorkKind("page", "GET", "/"), WorkKind("slot", "GET", "/slots"))
+    >>> spec = ServiceSpec("slotsvc", kinds, ())
+    >>> match_kind(spec, "GET", "/slots/7").name
+    'slot'
+    """
+    fitting = [
+        kind
+        for kind in service.kinds
+        if kind.method == method and _has_prefix(path, kind.path_prefix)
+    ]
+    return max(fitting, key=lambda kind: len(kind.path_prefix), default=None)
+
+
+def _has_prefix(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    ends_whole = prefix.endswith("/") or len(path) == len(prefix)
+    return ends_whole or path[len(prefix)] in "/?"
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
@@ -0,0 +1,76 @@
+"""The choice of a target: a zone of the region, or another region by grant."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection
+
+from rhubarbwell_core.engine import Table
+from rhubarbwell_core.messages import AttemptEnded, RequestArrived, Target
+from rhubarbwell_core.model import Configuration, zones_of_region
+from rhubarbwell_core.routing.backends import BackendTable
+
+__all__ = ["RegionalRouteChooser", "RouteChooser"]
+
+
+class RouteChooser(ABC):
+    """Choose the target of each attempt."""
+
+    @abstractmethod
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Take a configuration into force."""
+
+    @abstractmethod
+    def choose(
+        self,
+        req: RequestArrived,
+        attempt_id: str,
+        *,
+        exclude: Collection[str],
+        now_ms: int,
+    ) -> Target | None:
+        """Return the target of an attempt and count it there, None without room."""
+
+    @abstractmethod
+    def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
+        """Take in how an attempt ended."""
+
+
+class RegionalRouteChooser(RouteChooser):
+    """Choose the own zone first, then the sister zones of the region."""
+
+    def __init__(self, zone: str, region: str, backends: BackendTable) -> None:
+        self._zone = zone
+        self._region = region
+        self._backends = backends
+        self._sister_zones: tuple[str, ...] = ()
+        self._attempts = Table[str, str]("attempt targets")
+
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Learn the sister zones and the region's backend servers."""
+        zones = zones_of_region(configuration.deployment, self._region)
+        self._sister_zones = tuple(zone for zone in zones if zone != self._zone)
+        self._backends.configure(configuration, now_ms)
+
+    def choose(
+        self,
+        req: RequestArrived,
+        attempt_id: str,
+        *,
+        exclude: Collection[str],
+        now_ms: int,
+    ) -> Target | None:
+        """Return a backend server of the own zone, else of a sister zone."""
+        from rhubarbwell_core.messages import Target
+
+        for zones in ((self._zone,), self._sister_zones):
+            row = self._backends.choose(req.service, zones, exclude)
+            if row is not None:
+                self._backends.started(row.backend_id)
+                self._attempts.insert(attempt_id, row.backend_id)
+                return Target(row.backend_id, row.address)
+        return None
+
+    def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
+        """Free the backend server's slot."""
+        backend_id = self._attempts.remove(ended.attempt_id)
+        if backend_id is not None:
+            self._backends.ended(backend_id)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance."""
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Platform adapters, stand-ins, service files and publishing."""
