--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/driver.py
@@ -0,0 +1,57 @@
+"""Drive a core on the event loop: events in, actions out."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from rhubarbwell_core import Core
+from rhubarbwell_core.engine import Action, Event
+
+__all__ = ["ActionExecutor", "CoreDriver", "monotonic_ms"]
+
+_log = logging.getLogger(__name__)
+
+ActionExecutor = Callable[[Any], None]
+IDLE_SLEEP_MS = 1_000
+
+
+def monotonic_ms() -> int:
+    """Return the monotonic clock in ms."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class CoreDriver:
+    """Feed one core and pass its actions to the executors of their types."""
+
+    def __init__(
+        self, core: Core, *, clock_ms: Callable[[], int] = monotonic_ms
+    ) -> None:
+        self.core = core
+        self.clock_ms = clock_ms
+        self._executors: dict[type, ActionExecutor] = {}
+
+    def register(self, action_type: type, executor: ActionExecutor) -> None:
+        """Run the executor for each action of the type."""
+        self._executors[action_type] = executor
+
+    def handle(self, event: Event) -> None:
+        """Feed an event and carry out what the core decides."""
+        self._execute(self.core.handle(event, self.clock_ms()))
+
+    async def run(self) -> None:
+        """Advance the core whenever a timer is due, until cancelled."""
+        while True:
+            self._execute(self.core.advance(self.clock_ms()))
+            due_ms = self.core.next_due_ms()
+            wait_ms = IDLE_SLEEP_MS if due_ms is None else due_ms - self.clock_ms()
+            await asyncio.sleep(max(wait_ms, 1) / 1_000)
+
+    def _execute(self, actions: list[Action]) -> None:
+        for action in actions:
+            executor = self._executors.get(type(action))
+            if executor is None:
+                _log.error("no executor for action %s", type(action).__name__)
+                continue
+            executor(action)
