Count service-level burn in the core

Cause: the report on service-level burn needs counts by cause over several windows in bounded memory.

--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/observer.py
@@ -0,0 +1,97 @@
+"""Observation of requests for the report on service-level burn."""
+
+from typing import NamedTuple
+
+from rhubarbwell_core.burn.series import BurnSeries
+from rhubarbwell_core.engine import Table
+from rhubarbwell_core.messages import EndRequest, RequestArrived
+from rhubarbwell_core.model import Configuration, Outcome, Rank, Reason, WorkKind
+
+__all__ = ["BurnObserver", "EndedRequest", "SeriesKey"]
+
+FIRST_SERVER_ERROR = 500
+UNKNOWN_OBJECTIVE = 0.99
+
+
+class SeriesKey(NamedTuple):
+    """Name the service and rank that a series counts."""
+
+    service: str
+    rank: Rank
+
+
+class EndedRequest(NamedTuple):
+    """Describe an ended request; cause is None for a good one."""
+
+    key: SeriesKey
+    outcome: Outcome
+    reason: Reason
+    cause: Reason | None
+    latency_ms: int
+
+
+class _OpenRequest(NamedTuple):
+    key: SeriesKey
+    arrived_ms: int
+    deadline_ms: int
+    allowed_bad: float
+
+
+class BurnObserver:
+    """Count each request once, when it ends, as good or by the cause it is bad."""
+
+    def __init__(self) -> None:
+        self.series = Table[SeriesKey, BurnSeries]("burn series")
+        self._open = Table[int, _OpenRequest]("observed requests")
+        self._kinds: dict[tuple[str, str], WorkKind] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the objectives of the configuration and forget services it drops."""
+        self._kinds = {
+            (service.name, kind.name): kind
+            for service in configuration.services.values()
+            for kind in service.kinds
+        }
+        for key, _ in self.series.items():
+            if key.service not in configuration.services:
+                self.series.remove(key)
+
+    def request_arrived(self, event: RequestArrived, now_ms: int) -> None:
+        """Note the arrival of a request; one forwarded by a peer counts there."""
+        kind = self._kinds.get((event.service, event.kind))
+        if event.forwarded is not None or kind is None:
+            return
+        key = SeriesKey(event.service, event.rank)
+        allowed_bad = 1.0 - kind.objective
+        row = _OpenRequest(key, now_ms, event.deadline_ms, allowed_bad)
+        self._open.put(event.request_id, row)
+
+    def request_ended(
+        self, end: EndRequest, now_ms: int, *, status: int | None = None
+    ) -> EndedRequest | None:
+        """Count an ended request; return None for one that is not counted here."""
+        row = self._open.remove(end.request_id)
+        if row is None:
+            return None
+        latency_ms = now_ms - row.arrived_ms
+        cause = _bad_cause(end, row.deadline_ms, now_ms, status)
+        series = self.series.get(row.key)
+        if series is None:
+            series = BurnSeries()
+            self.series.insert(row.key, series)
+        series.add(
+            cause, allowed_bad=row.allowed_bad, latency_ms=latency_ms, now_ms=now_ms
+        )
+        return EndedRequest(row.key, end.outcome, end.reason, cause, latency_ms)
+
+
+def _bad_cause(
+    end: EndRequest, deadline_ms: int, now_ms: int, status: int | None
+) -> Reason | None:
+    if end.reason is Reason.CALLER_GONE:
+        return None
+    if end.outcome is not Outcome.ANSWERED:
+        return end.reason
+    if status is not None and status >= FIRST_SERVER_ERROR:
+        return Reason.BACKEND_FAILED
+    return Reason.DEADLINE if now_ms > deadline_ms else None
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/report.py
@@ -0,0 +1,90 @@
+"""The report on service-level burn and its merging over entry instances."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ddsketch import DDSketch
+
+from rhubarbwell_core.burn.observer import BurnObserver, SeriesKey
+from rhubarbwell_core.burn.series import LATENCY_ACCURACY, Tally
+from rhubarbwell_core.model import Reason
+
+__all__ = [
+    "BurnReport",
+    "BurnRow",
+    "budget_left",
+    "burn_rate",
+    "burn_rows",
+    "merge_rows",
+]
+
+
+class BurnRow(NamedTuple):
+    """Hold the tallies by window in ms and the recent latencies of a series."""
+
+    key: SeriesKey
+    windows: dict[int, Tally]
+    latencies: DDSketch
+
+
+class BurnReport(NamedTuple):
+    """Join the rows of all instances that answered and name those that did not."""
+
+    rows: tuple[BurnRow, ...]
+    answered: tuple[str, ...]
+    unreachable: tuple[str, ...]
+
+
+def burn_rate(tally: Tally) -> float:
+    """Return the speed at which the error budget burns; 1 uses it up exactly.
+
+    >>> burn_rate(Tally(total=100, bad=2, allowed_bad=1.0))
+    2.0
+    """
+    if tally.bad == 0:
+        return 0.0
+    return tally.bad / tally.allowed_bad if tally.allowed_bad else float("inf")
+
+
+def budget_left(tally: Tally) -> float:
+    """Return the unspent share of the error budget, below 0 when overspent.
+
+    >>> budget_left(Tally(total=100, bad=2, allowed_bad=4.0))
+    0.5
+    """
+    return 1.0 - burn_rate(tally)
+
+
+def burn_rows(observer: BurnObserver, now_ms: int) -> list[BurnRow]:
+    """Return a row for each series that the observer counts."""
+    return [
+        BurnRow(key, series.tallies(now_ms), series.latencies(now_ms))
+        for key, series in observer.series.items()
+    ]
+
+
+def merge_rows(rows: Iterable[BurnRow]) -> tuple[BurnRow, ...]:
+    """Add up the rows of the same service and rank, in the order of their keys."""
+    merged: dict[SeriesKey, BurnRow] = {}
+    for row in rows:
+        known = merged.get(row.key)
+        if known is None:
+            known = BurnRow(row.key, {}, DDSketch(LATENCY_ACCURACY))
+            merged[row.key] = known
+        known.latencies.merge(row.latencies)
+        for window_ms, tally in row.windows.items():
+            total = known.windows.get(window_ms, Tally())
+            known.windows[window_ms] = _add(total, tally)
+    return tuple(merged[key] for key in sorted(merged))
+
+
+def _add(first: Tally, second: Tally) -> Tally:
+    causes: Counter[Reason] = Counter(first.causes)
+    causes.update(second.causes)
+    return Tally(
+        first.total + second.total,
+        first.bad + second.bad,
+        first.allowed_bad + second.allowed_bad,
+        dict(causes),
+    )
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from rhubarbwell_core.admission import Admission, SlotAdmission
+from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
 from rhubarbwell_core.lookups import (
@@ -14,11 +15,14 @@
     index_blocks,
 )
 from rhubarbwell_core.messages import (
+    AttemptEnded,
     BackendLeaving,
     ConfigReceived,
+    EndRequest,
     LoadReported,
     PeerHeard,
     PeerState,
+    RequestArrived,
 )
 from rhubarbwell_core.model import (
     Configuration,
@@ -49,7 +53,14 @@
     True
     """
 
-    def __init__(self, identity: Identity, rng: Random, *, now_ms: int = 0) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        rng: Random,
+        *,
+        now_ms: int = 0,
+        on_ended: Callable[[EndedRequest], None] | None = None,
+    ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
         self.state = PeerState.JOINING
@@ -63,6 +74,8 @@
         self.requests = RequestPart(
             identity.incarnation, self.admission, self.routes, RetryBudget()
         )
+        self.burn = BurnObserver()
+        self._on_ended = on_ended
         self._rng = rng
         self._blocks: PrefixIndex = index_blocks(())
         self._handlers: dict[type, EventHandler] = {
@@ -75,11 +88,18 @@
 
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
-        return list(self._handlers[type(event)](event, now_ms))
+        if isinstance(event, RequestArrived):
+            self.burn.request_arrived(event, now_ms)
+        actions = list(self._handlers[type(event)](event, now_ms))
+        status = event.status if isinstance(event, AttemptEnded) else None
+        self._observe_ends(actions, now_ms, status)
+        return actions
 
     def advance(self, now_ms: int) -> list[Action]:
         """Run the systems that are due at now_ms."""
-        return self.timers.advance(now_ms)
+        actions = self.timers.advance(now_ms)
+        self._observe_ends(actions, now_ms, None)
+        return actions
 
     def next_due_ms(self) -> int | None:
         """Return the time in ms at which a system is due next."""
@@ -96,6 +116,16 @@
             rng=self._rng,
         )
 
+    def _observe_ends(
+        self, actions: Sequence[Action], now_ms: int, status: int | None
+    ) -> None:
+        for action in actions:
+            if not isinstance(action, EndRequest):
+                continue
+            ended = self.burn.request_ended(action, now_ms, status=status)
+            if ended is not None and self._on_ended is not None:
+                self._on_ended(ended)
+
     def _add_part(self, part: Part) -> None:
         self._handlers.update(part.handlers())
         for system in part.systems():
@@ -107,6 +137,7 @@
             return []
         self.configuration = cfg
         self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self.burn.configure(cfg)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
         if self.state is PeerState.JOINING:
