--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
@@ -0,0 +1,111 @@
+"""The HTTP endpoints for operators."""
+
+import base64
+
+from aiohttp import web
+from ddsketch import DDSketch
+from ddsketch.pb.proto import DDSketchProto
+from rhubarbwell_core import Core
+from rhubarbwell_core.burn import BurnRow, burn_rows
+from rhubarbwell_core.messages import PeerState
+from rhubarbwell_core.model import rank_name
+
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.metrics import InstanceMetrics
+
+__all__ = ["OperatorHandler", "encode_sketch"]
+
+
+class OperatorHandler:
+    """Tell operators how the instance does."""
+
+    def __init__(self, driver: CoreDriver, metrics: InstanceMetrics) -> None:
+        self._driver = driver
+        self._metrics = metrics
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve the endpoints from the application."""
+        app.router.add_get("/ready", self.ready)
+        app.router.add_get("/status", self.status)
+        app.router.add_get("/metrics", self.metrics)
+        app.router.add_get("/report", self.report)
+
+    async def ready(self, _: web.Request) -> web.Response:
+        """Answer 200 when the instance takes work, 503 otherwise."""
+        state = self._driver.core.state
+        status = 200 if state is PeerState.READY else 503
+        return web.json_response({"state": state.value}, status=status)
+
+    async def status(self, _: web.Request) -> web.Response:
+        """Tell the identity, the state and the configuration in force."""
+        return web.json_response(_describe(self._driver.core))
+
+    async def metrics(self, _: web.Request) -> web.Response:
+        """Give all metrics in the text format of Prometheus."""
+        return web.Response(body=self._metrics.render(), content_type="text/plain")
+
+    async def report(self, _: web.Request) -> web.Response:
+        """Give the counts for the report on service-level burn."""
+        core = self._driver.core
+        rows = burn_rows(core.burn, self._driver.clock_ms())
+        body = {
+            "instance_id": core.identity.instance_id,
+            "rows": [_row_json(row) for row in rows],
+        }
+        return web.json_response(body)
+
+
+def encode_sketch(sketch: DDSketch) -> str:
+    """Return the sketch as base64 of its protobuf message."""
+    message = DDSketchProto.to_proto(sketch)
+    return base64.b64encode(message.SerializeToString()).decode("ascii")
+
+
+def _describe(core: Core) -> dict[str, object]:
+    cfg = core.configuration
+    return {
+        "instance_id": core.identity.instance_id,
+        "incarnation": core.identity.incarnation,
+        "zone": core.identity.zone,
+        "region": core.identity.region,
+        "state": core.state.value,
+        "config_version": 0 if cfg is None else cfg.version,
+        "config_digest": "" if cfg is None else cfg.digest,
+        "peers": [
+            {
+                "instance_id": peer.instance_id,
+                "zone": peer.zone,
+                "state": peer.state.value,
+                "config_version": peer.config_version,
+            }
+            for peer in core.peers.rows()
+        ],
+        "backends": [
+            {
+                "backend_id": row.backend_id,
+                "service": row.service,
+                "in_flight": row.in_flight,
+                "draining": row.draining,
+            }
+            for row in core.backends.rows.rows()
+        ],
+    }
+
+
+def _row_json(row: BurnRow) -> dict[str, object]:
+    windows = [
+        {
+            "window_ms": window_ms,
+            "total": tally.total,
+            "bad": tally.bad,
+            "allowed_bad": tally.allowed_bad,
+            "causes": {reason.value: n for reason, n in tally.causes.items()},
+        }
+        for window_ms, tally in row.windows.items()
+    ]
+    return {
+        "service": row.key.service,
+        "rank": rank_name(row.key.rank),
+        "windows": windows,
+        "latencies": encode_sketch(row.latencies),
+    }
