--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/__init__.py
@@ -0,0 +1,3 @@
+"""Adoption of published configurations: versions only upwards, proven by a chain."""
+
+from rhubarbwell_core.adoption.log import *
