Report attempt ends to admission, silent connections and returned servers to routing

Admission needs the latency and end of each attempt to find the real capacity. Retries are earned by first attempts that were sent, not by arrivals, so that refused requests of a flood earn none. A request without a target ends without draining the queue, which recursed once per queued request.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/decisions.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/decisions.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from rhubarbwell_core.messages import RequestArrived
+from rhubarbwell_core.messages import AttemptEnded, RequestArrived
 from rhubarbwell_core.model import Configuration, Reason
 
 __all__ = ["Admission", "Admitted", "Queued", "Refused"]
@@ -47,6 +47,10 @@
     def withdraw(self, request_id: int, now_ms: int) -> None:
         """Forget a queued request whose caller has gone."""
 
+    @abstractmethod
+    def observe(self, request_id: int, ended: AttemptEnded, now_ms: int) -> None:
+        """Learn from the end of an attempt of an admitted request."""
+
     @abstractmethod
     def release(self, request_id: int, now_ms: int) -> None:
         """Return the capacity of an admitted request that has ended."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/slots.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/slots.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from rhubarbwell_core.admission.decisions import Admission, Admitted, Queued, Refused
-from rhubarbwell_core.messages import RequestArrived
+from rhubarbwell_core.messages import AttemptEnded, RequestArrived
 from rhubarbwell_core.model import Configuration, Reason
 
 __all__ = ["SlotAdmission"]
@@ -57,6 +57,9 @@
         kept = (req for req in self._queue if req.request_id != request_id)
         self._queue = deque(kept)
 
+    def observe(self, request_id: int, ended: AttemptEnded, now_ms: int) -> None:
+        """Leave the limits as they are."""
+
     def release(self, request_id: int, now_ms: int) -> None:
         """Free the slot of a request."""
         self._running.pop(request_id, None)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -15,7 +15,9 @@
 )
 from rhubarbwell_core.messages import (
     BackendLeaving,
+    BackendReturned,
     ConfigReceived,
+    ConnectionSilent,
     LoadReported,
     PeerHeard,
     PeerState,
@@ -70,6 +72,8 @@
             PeerHeard: self._on_peer,
             LoadReported: self.backends.on_load,
             BackendLeaving: self.backends.on_leaving,
+            BackendReturned: self.backends.on_returned,
+            ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/backends.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["BackendLeaving", "LoadReported"]
+__all__ = ["BackendLeaving", "BackendReturned", "ConnectionSilent", "LoadReported"]
 
 
 class LoadReported(NamedTuple):
@@ -20,3 +20,16 @@
 
     backend_id: str
     source: str
+
+
+class BackendReturned(NamedTuple):
+    """Report that the source no longer says that the backend server is leaving."""
+
+    backend_id: str
+    source: str
+
+
+class ConnectionSilent(NamedTuple):
+    """Report a connection without progress, which the shell has retired."""
+
+    backend_id: str
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
@@ -97,6 +97,7 @@
     target_id: str
     address: Address
     grant_id: str | None = None
+    fresh_connection: bool = False
 
 
 class SendAttempt(NamedTuple):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
@@ -72,7 +72,6 @@
 
     def _on_arrived(self, event: RequestArrived, now_ms: int) -> list[Action]:
         self.requests.insert(event.request_id, RequestRow(event))
-        self._retries.first_attempt(event.service)
         decision = self._admission.offer(event, now_ms)
         if isinstance(decision, Refused):
             return self._refuse(decision)
@@ -86,6 +85,7 @@
         if request_id is None or row is None:
             return []
         self._routes.attempt_ended(event, now_ms)
+        self._admission.observe(request_id, event, now_ms)
         verdict = judge_attempt(event, idempotent=row.arrived.idempotent)
         if verdict.may_retry and self._may_send_again(row, now_ms):
             return self._send(request_id, now_ms)
@@ -112,13 +112,18 @@
             row.arrived, attempt_id, exclude=row.tried, now_ms=now_ms
         )
         if target is None:
-            return self._end(request_id, Outcome.NOT_RUN, Reason.NO_BACKEND, now_ms)
+            return [
+                self._finish(request_id, Outcome.NOT_RUN, Reason.NO_BACKEND, now_ms)
+            ]
+        if not row.tried:
+            self._retries.first_attempt(row.arrived.service)
         self._next_attempt += 1
         tried = (*row.tried, target.target_id)
         self.requests.put(request_id, RequestRow(row.arrived, attempt_id, tried))
         self.attempts.insert(attempt_id, request_id)
         deadline_ms = row.arrived.deadline_ms
-        return [SendAttempt(request_id, attempt_id, target, deadline_ms)]
+        fresh = target.fresh_connection
+        return [SendAttempt(request_id, attempt_id, target, deadline_ms, fresh)]
 
     def _refuse(self, refused: Refused) -> list[Action]:
         self.requests.remove(refused.request_id)
@@ -128,10 +133,15 @@
     def _end(
         self, request_id: int, outcome: Outcome, reason: Reason, now_ms: int
     ) -> list[Action]:
+        end = self._finish(request_id, outcome, reason, now_ms)
+        return [end, *self.drain_queue(now_ms)]
+
+    def _finish(
+        self, request_id: int, outcome: Outcome, reason: Reason, now_ms: int
+    ) -> Action:
         self.requests.remove(request_id)
         self._admission.release(request_id, now_ms)
-        end: Action = EndRequest(request_id, outcome, reason)
-        return [end, *self.drain_queue(now_ms)]
+        return EndRequest(request_id, outcome, reason)
 
 
 class _QueueSystem(System):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -5,11 +5,18 @@
 from typing import NamedTuple
 
 from rhubarbwell_core.engine import Action, Table
-from rhubarbwell_core.messages import BackendLeaving, LoadReported
+from rhubarbwell_core.messages import (
+    BackendLeaving,
+    BackendReturned,
+    ConnectionSilent,
+    LoadReported,
+)
 from rhubarbwell_core.model import Address, Configuration
 
 __all__ = ["BackendRow", "BackendTable"]
 
+FRESH_CONNECTIONS_MS = 5_000
+
 
 class BackendRow(NamedTuple):
     """Hold what is known of one backend server."""
@@ -22,6 +29,7 @@
     in_flight: int = 0
     reported: LoadReported | None = None
     draining: bool = False
+    fresh_until_ms: int = 0
 
 
 class BackendTable:
@@ -75,6 +83,23 @@
             self.rows.put(row.backend_id, row._replace(draining=True))
         return []
 
+    def on_returned(self, event: BackendReturned, now_ms: int) -> list[Action]:
+        """Use a backend server again."""
+        row = self.rows.get(event.backend_id)
+        if row is not None:
+            self.rows.put(row.backend_id, row._replace(draining=False))
+        return []
+
+    def on_connection_silent(
+        self, event: ConnectionSilent, now_ms: int
+    ) -> list[Action]:
+        """Use new connections to the backend server for a while."""
+        row = self.rows.get(event.backend_id)
+        if row is not None:
+            until_ms = now_ms + FRESH_CONNECTIONS_MS
+            self.rows.put(row.backend_id, row._replace(fresh_until_ms=until_ms))
+        return []
+
     def choose(
         self, service: str, zones: Collection[str], exclude: Collection[str]
     ) -> BackendRow | None:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
@@ -59,14 +59,13 @@
         now_ms: int,
     ) -> Target | None:
         """Return a backend server of the own zone, else of a sister zone."""
-        from rhubarbwell_core.messages import Target
-
         for zones in ((self._zone,), self._sister_zones):
             row = self._backends.choose(req.service, zones, exclude)
             if row is not None:
                 self._backends.started(row.backend_id)
                 self._attempts.insert(attempt_id, row.backend_id)
-                return Target(row.backend_id, row.address)
+                fresh = now_ms < row.fresh_until_ms
+                return Target(row.backend_id, row.address, fresh_connection=fresh)
         return None
 
     def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
