Let requests go to another region before or after local admission

A request that local admission refuses could not use capacity elsewhere. The route chooser is asked before admission, where a traffic shift may send the request away, and again after a refusal. A request that a peer refused passes admission again instead of running beside it, and a forwarded one makes no second hop.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
@@ -12,6 +12,7 @@
     EndRequest,
     RequestArrived,
     SendAttempt,
+    Target,
 )
 from rhubarbwell_core.model import Outcome, Reason
 from rhubarbwell_core.requests.judgement import judge_attempt
@@ -28,6 +29,7 @@
     arrived: RequestArrived
     attempt_id: str | None = None
     tried: tuple[str, ...] = ()
+    is_admitted: bool = False
 
 
 class RequestPart(Part):
@@ -65,19 +67,19 @@
         actions: list[Action] = []
         for decision in self._admission.drain(now_ms):
             if isinstance(decision, Admitted):
-                actions += self._send(decision.request_id, now_ms)
+                actions += self._start(decision.request_id, now_ms)
             else:
-                actions += self._refuse(decision)
+                actions += self._forward_or_refuse(decision, now_ms)
         return actions
 
     def _on_arrived(self, event: RequestArrived, now_ms: int) -> list[Action]:
+        if event.forwarded and not self._routes.accept_forwarded(event, now_ms):
+            return [EndRequest(event.request_id, Outcome.NOT_RUN, Reason.NO_CAPACITY)]
         self.requests.insert(event.request_id, RequestRow(event))
-        decision = self._admission.offer(event, now_ms)
-        if isinstance(decision, Refused):
-            return self._refuse(decision)
-        if isinstance(decision, Admitted):
-            return self._send(event.request_id, now_ms)
-        return []
+        forwarding = self._forward(event.request_id, now_ms, refused=False)
+        if forwarding:
+            return forwarding
+        return self._admit(event, now_ms)
 
     def _on_attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Action]:
         request_id = self.attempts.remove(event.attempt_id)
@@ -85,10 +87,11 @@
         if request_id is None or row is None:
             return []
         self._routes.attempt_ended(event, now_ms)
-        self._admission.observe(request_id, event, now_ms)
+        if row.is_admitted:
+            self._admission.observe(request_id, event, now_ms)
         verdict = judge_attempt(event, idempotent=row.arrived.idempotent)
         if verdict.may_retry and self._may_send_again(row, now_ms):
-            return self._send(request_id, now_ms)
+            return self._send_again(row, now_ms)
         return self._end(request_id, verdict.outcome, verdict.reason, now_ms)
 
     def _on_caller_gone(self, event: CallerGone, now_ms: int) -> list[Action]:
@@ -105,28 +108,72 @@
             return False
         return self._retries.try_spend(row.arrived.service, row.arrived.rank)
 
+    def _send_again(self, row: RequestRow, now_ms: int) -> list[Action]:
+        if row.is_admitted:
+            return self._send(row.arrived.request_id, now_ms)
+        self.requests.put(row.arrived.request_id, row._replace(attempt_id=None))
+        return self._admit(row.arrived, now_ms)
+
+    def _admit(self, req: RequestArrived, now_ms: int) -> list[Action]:
+        decision = self._admission.offer(req, now_ms)
+        if isinstance(decision, Refused):
+            return self._forward_or_refuse(decision, now_ms)
+        if isinstance(decision, Admitted):
+            return self._start(req.request_id, now_ms)
+        return []
+
+    def _start(self, request_id: int, now_ms: int) -> list[Action]:
+        row = self.requests[request_id]
+        self.requests.put(request_id, row._replace(is_admitted=True))
+        return self._send(request_id, now_ms)
+
     def _send(self, request_id: int, now_ms: int) -> list[Action]:
         row = self.requests[request_id]
-        attempt_id = f"{self._incarnation}-{self._next_attempt}"
         target = self._routes.choose(
-            row.arrived, attempt_id, exclude=row.tried, now_ms=now_ms
+            row.arrived, self._attempt_id(), exclude=row.tried, now_ms=now_ms
         )
         if target is None:
-            return [
+            forwarding = self._forward(request_id, now_ms, refused=True)
+            return forwarding or [
                 self._finish(request_id, Outcome.NOT_RUN, Reason.NO_BACKEND, now_ms)
             ]
+        return self._send_to(target, request_id)
+
+    def _forward(self, request_id: int, now_ms: int, *, refused: bool) -> list[Action]:
+        row = self.requests[request_id]
+        if row.arrived.forwarded is not None:
+            return []
+        target = self._routes.forward(
+            row.arrived,
+            self._attempt_id(),
+            exclude=row.tried,
+            refused=refused,
+            now_ms=now_ms,
+        )
+        return [] if target is None else self._send_to(target, request_id)
+
+    def _forward_or_refuse(self, refused: Refused, now_ms: int) -> list[Action]:
+        forwarding = self._forward(refused.request_id, now_ms, refused=True)
+        return forwarding or self._refuse(refused, now_ms)
+
+    def _attempt_id(self) -> str:
+        return f"{self._incarnation}-{self._next_attempt}"
+
+    def _send_to(self, target: Target, request_id: int) -> list[Action]:
+        row = self.requests[request_id]
         if not row.tried:
             self._retries.first_attempt(row.arrived.service)
+        attempt_id = self._attempt_id()
         self._next_attempt += 1
         tried = (*row.tried, target.target_id)
-        self.requests.put(request_id, RequestRow(row.arrived, attempt_id, tried))
+        self.requests.put(request_id, row._replace(attempt_id=attempt_id, tried=tried))
         self.attempts.insert(attempt_id, request_id)
         deadline_ms = row.arrived.deadline_ms
         fresh = target.fresh_connection
         return [SendAttempt(request_id, attempt_id, target, deadline_ms, fresh)]
 
-    def _refuse(self, refused: Refused) -> list[Action]:
-        self.requests.remove(refused.request_id)
+    def _refuse(self, refused: Refused, now_ms: int) -> list[Action]:
+        self._forget(refused.request_id, now_ms)
         end = EndRequest(refused.request_id, Outcome.NOT_RUN, refused.reason)
         return [end]
 
@@ -139,10 +186,18 @@
     def _finish(
         self, request_id: int, outcome: Outcome, reason: Reason, now_ms: int
     ) -> Action:
-        self.requests.remove(request_id)
-        self._admission.release(request_id, now_ms)
+        row = self._forget(request_id, now_ms)
+        if row.is_admitted:
+            self._admission.release(request_id, now_ms)
         return EndRequest(request_id, outcome, reason)
 
+    def _forget(self, request_id: int, now_ms: int) -> RequestRow:
+        row = self.requests[request_id]
+        self.requests.remove(request_id)
+        if row.arrived.forwarded is not None:
+            self._routes.forwarded_ended(row.arrived, now_ms)
+        return row
+
 
 class _QueueSystem(System):
     period_ms = 10
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
@@ -33,6 +33,29 @@
     def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
         """Take in how an attempt ended."""
 
+    def forward(
+        self,
+        req: RequestArrived,
+        attempt_id: str,
+        *,
+        exclude: Collection[str],
+        refused: bool,
+        now_ms: int,
+    ) -> Target | None:
+        """Return a peer of another region that is to serve the request, if any.
+
+        Asked before admission, and once more with refused after its refusal.
+        """
+        return None
+
+    def accept_forwarded(self, req: RequestArrived, now_ms: int) -> bool:
+        """Count a forwarded request within its grant; return False without one."""
+        return False
+
+    def forwarded_ended(self, req: RequestArrived, now_ms: int) -> None:
+        """Count the end of a forwarded request that was accepted."""
+        return None
+
 
 class RegionalRouteChooser(RouteChooser):
     """Choose the own zone first, then the sister zones of the region."""
--- /dev/null
+++ b/tests/core/requests/test_forwarding.py
@@ -0,0 +1,94 @@
+"""The lifecycle's use of other regions, against a scripted route chooser."""
+
+from rhubarbwell_core.admission import SlotAdmission
+from rhubarbwell_core.messages import (
+    AttemptEnd,
+    AttemptEnded,
+    EndRequest,
+    ForwardedFrom,
+    RequestArrived,
+    SendAttempt,
+    Target,
+)
+from rhubarbwell_core.model import Address, Outcome, Rank, Reason
+from rhubarbwell_core.requests import RequestPart
+from rhubarbwell_core.routing import RetryBudget, RouteChooser
+
+HERE = Address("127.0.0.1", 1)
+
+
+class ScriptedRoutes(RouteChooser):
+    def __init__(self, peers=(), local=None, accepts=False):
+        self.peers = list(peers)
+        self.local = local
+        self.accepts = accepts
+        self.ended = []
+
+    def configure(self, configuration, now_ms):
+        return None
+
+    def choose(self, req, attempt_id, *, exclude, now_ms):
+        return self.local
+
+    def attempt_ended(self, ended, now_ms):
+        return None
+
+    def forward(self, req, attempt_id, *, exclude, refused, now_ms):
+        return self.peers.pop(0) if refused and self.peers else None
+
+    def accept_forwarded(self, req, now_ms):
+        return self.accepts
+
+    def forwarded_ended(self, req, now_ms):
+        self.ended.append(req.request_id)
+
+
+def make_part(**options):
+    routes = ScriptedRoutes(**options)
+    return RequestPart("i-1", SlotAdmission("r"), routes, RetryBudget()), routes
+
+
+def arrive(part, forwarded=None):
+    event = RequestArrived(
+        1, "slotsvc", "page", "c", 900, Rank.URGENT, True, forwarded=forwarded
+    )
+    return list(part.handlers()[RequestArrived](event, 0))
+
+
+def end(part, attempt_id, how):
+    event = AttemptEnded(attempt_id, how, 0, 1)
+    return list(part.handlers()[AttemptEnded](event, 1))
+
+
+def test_request_refused_after_its_wait_goes_to_a_peer():
+    part, _ = make_part(peers=[Target("p", HERE, "g")])
+    assert arrive(part) == []
+    (sent,) = part.drain_queue(900)
+    assert isinstance(sent, SendAttempt) and sent.target.grant_id == "g"
+    (ended,) = end(part, sent.attempt_id, AttemptEnd.ANSWERED)
+    assert ended.outcome is Outcome.ANSWERED
+
+
+def test_request_that_the_peer_refused_passes_admission_again():
+    part, _ = make_part(peers=[Target("p", HERE, "g")])
+    for _ in range(10):
+        part._retries.first_attempt("slotsvc")
+    arrive(part)
+    (sent,) = part.drain_queue(900)
+    assert end(part, sent.attempt_id, AttemptEnd.PEER_NOT_RUN) == []
+    assert part.requests[1].attempt_id is None
+
+
+def test_forwarded_request_without_grant_is_not_run():
+    part, routes = make_part(accepts=False)
+    actions = arrive(part, ForwardedFrom("p", "g", "a", 1))
+    assert actions == [EndRequest(1, Outcome.NOT_RUN, Reason.NO_CAPACITY)]
+    assert routes.ended == []
+
+
+def test_forwarded_request_is_not_forwarded_again_and_its_end_is_counted():
+    part, routes = make_part(peers=[Target("p", HERE, "g")], accepts=True)
+    arrive(part, ForwardedFrom("p", "g", "a", 1))
+    (ended,) = part.drain_queue(900)
+    assert ended.outcome is Outcome.NOT_RUN
+    assert routes.ended == [1]
