--- a/packages/rhubarbwell-core/src/rhubarbwell_core/burn/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/__init__.py
@@ -3,3 +3,4 @@
 from rhubarbwell_core.burn.observer import *
 from rhubarbwell_core.burn.report import *
 from rhubarbwell_core.burn.series import *
+from rhubarbwell_core.burn.sketches import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/sketches.py
@@ -0,0 +1,31 @@
+"""Text form of latency sketches, for reports that cross processes."""
+
+import base64
+
+from ddsketch import DDSketch
+from ddsketch.pb.ddsketch_pb2 import DDSketch as SketchMessage
+from ddsketch.pb.proto import DDSketchProto
+
+__all__ = ["decode_sketch", "encode_sketch"]
+
+
+def encode_sketch(sketch: DDSketch) -> str:
+    """Return the sketch as base64 of its protobuf message.
+
+    >>> sketch = DDSketch(0.02)
+    >>> sketch.add(8)
+    >>> decode_sketch(encode_sketch(sketch)).count
+    1.0
+    """
+    message = DDSketchProto.to_proto(sketch)
+    return base64.b64encode(message.SerializeToString()).decode("ascii")
+
+
+def decode_sketch(text: str) -> DDSketch:
+    """Return the sketch; raise ValueError for malformed text."""
+    message = SketchMessage()
+    try:
+        message.ParseFromString(base64.b64decode(text, validate=True))
+    except Exception as exc:
+        raise ValueError(f"malformed sketch: {exc}") from exc
+    return DDSketchProto.from_proto(message)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
@@ -1,19 +1,15 @@
 """The HTTP endpoints for operators."""
 
-import base64
-
 from aiohttp import web
-from ddsketch import DDSketch
-from ddsketch.pb.proto import DDSketchProto
 from rhubarbwell_core import Core
-from rhubarbwell_core.burn import BurnRow, burn_rows
+from rhubarbwell_core.burn import BurnRow, burn_rows, encode_sketch
 from rhubarbwell_core.messages import PeerState
 from rhubarbwell_core.model import rank_name
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.metrics import InstanceMetrics
 
-__all__ = ["OperatorHandler", "encode_sketch"]
+__all__ = ["OperatorHandler"]
 
 
 class OperatorHandler:
@@ -55,12 +51,6 @@
         return web.json_response(body)
 
 
-def encode_sketch(sketch: DDSketch) -> str:
-    """Return the sketch as base64 of its protobuf message."""
-    message = DDSketchProto.to_proto(sketch)
-    return base64.b64encode(message.SerializeToString()).decode("ascii")
-
-
 def _describe(core: Core) -> dict[str, object]:
     cfg = core.configuration
     return {
