--- a/packages/rhubarbwell-core/src/rhubarbwell_core/burn/sketches.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/sketches.py
@@ -5,6 +5,7 @@
 from ddsketch import DDSketch
 from ddsketch.pb.ddsketch_pb2 import DDSketch as SketchMessage
 from ddsketch.pb.proto import DDSketchProto
+from google.protobuf.message import DecodeError
 
 __all__ = ["decode_sketch", "encode_sketch"]
 
@@ -26,6 +27,7 @@
     message = SketchMessage()
     try:
         message.ParseFromString(base64.b64decode(text, validate=True))
-    except Exception as exc:
+    except (DecodeError, ValueError) as exc:
         raise ValueError(f"malformed sketch: {exc}") from exc
-    return DDSketchProto.from_proto(message)
+    sketch: DDSketch = DDSketchProto.from_proto(message)
+    return sketch
