--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -0,0 +1,73 @@
+"""HTTP listeners of an entry instance."""
+
+import socket
+import ssl
+
+from aiohttp import web
+from rhubarbwell_core.model import Address
+
+from rhubarbwell_entry.settings import TlsSettings
+
+__all__ = ["Listener", "address_of", "bind_address", "tls_context"]
+
+BACKLOG = 1_024
+
+
+def bind_address(address: Address) -> socket.socket:
+    """Return a socket bound to the address; raise OSError if it is taken."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+def address_of(sock: socket.socket) -> Address:
+    """Return the address that the socket is bound to."""
+    host, port = sock.getsockname()[:2]
+    return Address(host, port)
+
+
+def tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return the server side's TLS context; raise OSError for unreadable files."""
+    if settings is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.certificate, settings.private_key)
+    return context
+
+
+class Listener:
+    """Serve one runner's application from one bound socket."""
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        sock: socket.socket,
+        *,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._runner = runner
+        self._sock = sock
+        self._tls = tls
+
+    @property
+    def address(self) -> Address:
+        """Return the address that is listened on."""
+        return address_of(self._sock)
+
+    async def start(self) -> None:
+        """Accept connections."""
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._sock, ssl_context=self._tls).start()
+
+    async def stop(self) -> None:
+        """Close the socket and every connection."""
+        await self._runner.cleanup()
+        self._sock.close()
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings_files.py
@@ -0,0 +1,135 @@
+"""Reading of settings files: JSON with comments, all findings at once."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.model import Address
+from rhubarbwell_platform.documents import (
+    FieldReader,
+    Finding,
+    FindingLog,
+    Range,
+    SyntaxFault,
+    format_findings,
+    read_source,
+)
+
+from rhubarbwell_entry.settings import (
+    DEFAULT_STOP_MAX_S,
+    PlatformSettings,
+    Settings,
+    TlsSettings,
+)
+
+__all__ = ["SettingsError", "parse_settings", "read_settings"]
+
+MIN_KEY_LENGTH = 32
+MAX_PEER_KEYS = 2
+PORTS = Range(0, 65_535)
+LOG_FORMATS = ("json", "plain")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+STOP_MAX_RANGE_S = Range(1, 86_400, "s")
+
+
+class SettingsError(RhubarbwellError):
+    """Tell all that is wrong with a settings file."""
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__(format_findings(findings))
+        self.findings = findings
+
+
+class _Parsed(NamedTuple):
+    settings: Settings
+    findings: tuple[Finding, ...]
+
+
+def read_settings(path: Path) -> Settings:
+    """Read a settings file; raise SettingsError or OSError."""
+    return parse_settings(path.read_text(encoding="utf-8"), file=str(path))
+
+
+def parse_settings(text: str, *, file: str = "settings") -> Settings:
+    """Return the settings; raise SettingsError with every finding."""
+    log = FindingLog(file)
+    try:
+        node = read_source(text)
+    except SyntaxFault as exc:
+        log.add(exc.place, "", exc.message)
+        raise SettingsError(log.findings()) from exc
+    settings = _read_fields(FieldReader(node, "", log))
+    if log.findings():
+        raise SettingsError(log.findings())
+    return settings
+
+
+def _read_fields(reader: FieldReader) -> Settings:
+    settings = Settings(
+        instance_id=reader.name("instance_id"),
+        zone=reader.name("zone"),
+        region=reader.name("region"),
+        callers=_read_address(reader, "callers"),
+        operators=_read_address(reader, "operators"),
+        peers=_read_address(reader, "peers"),
+        platform=_read_platform(reader),
+        seeds=tuple(_address_of(seed) for seed in reader.objects("seeds")),
+        peer_keys=_read_peer_keys(reader),
+        log_format=reader.choice("log_format", LOG_FORMATS, default="json"),
+        log_level=reader.choice("log_level", LOG_LEVELS, default="info"),
+        tls=_read_tls(reader),
+        stop_max_s=reader.number(
+            "stop_max_s", STOP_MAX_RANGE_S, default=DEFAULT_STOP_MAX_S
+        ),
+    )
+    reader.finish()
+    return settings
+
+
+def _read_address(reader: FieldReader, name: str) -> Address:
+    inner = reader.object(name)
+    if inner is None:
+        reader.add(name, 'is missing: {"host": ..., "port": ...}')
+        return Address("", 0)
+    return _address_of(inner)
+
+
+def _address_of(reader: FieldReader) -> Address:
+    address = Address(reader.text("host"), reader.integer("port", PORTS))
+    reader.finish()
+    return address
+
+
+def _read_platform(reader: FieldReader) -> PlatformSettings:
+    inner = reader.object("platform")
+    if inner is None:
+        reader.add("platform", "is missing: the base URLs of the platform")
+        return PlatformSettings("", "", "")
+    urls = [_read_url(inner, name) for name in PlatformSettings._fields]
+    inner.finish()
+    return PlatformSettings(*urls)
+
+
+def _read_url(reader: FieldReader, name: str) -> str:
+    url = reader.text(name)
+    if url and not url.startswith(("http://", "https://")):
+        reader.add(name, f"{url!r} must begin with http:// or https://")
+    return url.rstrip("/")
+
+
+def _read_peer_keys(reader: FieldReader) -> tuple[str, ...]:
+    keys = reader.texts("peer_keys", required=True)
+    if len(keys) > MAX_PEER_KEYS:
+        reader.add("peer_keys", f"at most {MAX_PEER_KEYS} keys are valid at once")
+    if any(len(key) < MIN_KEY_LENGTH for key in keys):
+        reader.add("peer_keys", f"keys need at least {MIN_KEY_LENGTH} characters")
+    return keys
+
+
+def _read_tls(reader: FieldReader) -> TlsSettings | None:
+    inner = reader.object("tls")
+    if inner is None:
+        return None
+    tls = TlsSettings(inner.text("certificate"), inner.text("private_key"))
+    inner.finish()
+    return tls
