Admit by rank, floor, deadline and adaptive limit; choose servers by own evidence

The thin admission let requests in first come first served and scanned all running requests. Each service now has one queue per rank, guaranteed floors in slot seconds, refusal once the expected wait passes the deadline, newest first under standing overload, and a limit that moves between the instance's even part of the region's slots and all of them. Backend servers are indexed by service and zone; own attempts outvote reports; failing, new and returned servers ramp.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/__init__.py
@@ -1,4 +1,9 @@
 """Admission of requests by rank, limits and deadlines."""
 
 from rhubarbwell_core.admission.decisions import *
+from rhubarbwell_core.admission.limits import *
+from rhubarbwell_core.admission.queues import *
+from rhubarbwell_core.admission.ranks import *
+from rhubarbwell_core.admission.services import *
+from rhubarbwell_core.admission.shares import *
 from rhubarbwell_core.admission.slots import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -0,0 +1,155 @@
+"""Adaptive limits on concurrent requests, from latencies and sheds."""
+
+from math import log
+from typing import NamedTuple
+
+__all__ = ["AdaptiveLimit", "LatencyFloors"]
+
+MIN_WINDOW_MS = 500
+MAX_WINDOW_MS = 3_000
+MIN_SAMPLES = 20
+MIN_SAMPLES_OF_LONG_WINDOW = 5
+CONGESTED_LOG_RATIO = log(1.5)
+CALM_LOG_RATIO = log(1.25)
+CONGESTED_SHED_SHARE = 0.05
+DECREASE = 0.75
+GROWTH = 0.1
+FLOOR_FALL = 0.3
+FLOOR_RISE = 0.02
+SAME_LOG_RATIO = 0.1
+
+
+class _Decrease(NamedTuple):
+    value: float
+    log_ratio: float
+
+
+class LatencyFloors:
+    """Follow the lowest latency of each kind, fast downwards and slowly upwards.
+
+    >>> floors = LatencyFloors()
+    >>> floors.add("page", 40)
+    >>> floors.close_window()
+    0.0
+    >>> floors.add("page", 80)
+    >>> round(floors.close_window(), 2)
+    0.69
+    """
+
+    def __init__(self) -> None:
+        self._floors: dict[str, float] = {}
+        self._window: dict[str, tuple[float, int]] = {}
+
+    def add(self, kind: str, latency_ms: int) -> None:
+        """Add a latency to the window."""
+        total, count = self._window.get(kind, (0.0, 0))
+        self._window[kind] = total + log(max(latency_ms, 1)), count + 1
+
+    def close_window(self) -> float:
+        """Return the mean log of latency over floor and begin a new window."""
+        excess = 0.0
+        samples = 0
+        for kind, (total, count) in self._window.items():
+            mean = total / count
+            floor = self._floors.setdefault(kind, mean)
+            excess += count * (mean - floor)
+            samples += count
+            gain = FLOOR_FALL if mean < floor else FLOOR_RISE
+            self._floors[kind] = floor + gain * (mean - floor)
+        self._window.clear()
+        return excess / samples if samples else 0.0
+
+    def raise_all(self, log_ratio: float) -> None:
+        """Take a latency that no lower limit improves as the new floor."""
+        for kind in self._floors:
+            self._floors[kind] += log_ratio
+
+
+class AdaptiveLimit:
+    """Limit the concurrent requests of a service from one entry instance.
+
+    The share is what the instance may use while the other instances use theirs;
+    it takes more, up to the ceiling, while nobody else does.
+    """
+
+    def __init__(self, *, now_ms: int) -> None:
+        self.value = 0.0
+        self._share = 0
+        self._ceiling = 0
+        self._floors = LatencyFloors()
+        self._opened_ms = now_ms
+        self._samples = 0
+        self._sheds = 0
+        self._was_full = False
+        self._decrease: _Decrease | None = None
+
+    @property
+    def slots(self) -> int:
+        """Return the limit in whole requests."""
+        return min(max(int(self.value), 1), self._ceiling)
+
+    def set_bounds(self, *, share: int, ceiling: int) -> None:
+        """Keep the limit's place between the share and the ceiling as they change."""
+        if share != self._share:
+            scale = share / self._share if self._share else 0.0
+            self.value = self.value * scale if scale else float(share)
+        self._share = share
+        self._ceiling = ceiling
+        self.value = min(self.value, float(ceiling))
+
+    def note_full(self) -> None:
+        """Note that a request had to wait for the limit."""
+        self._was_full = True
+
+    def observe_answer(self, kind: str, latency_ms: int | None) -> None:
+        """Take in an answer; None stands for a latency that size decides."""
+        self._samples += 1
+        if latency_ms is not None:
+            self._floors.add(kind, latency_ms)
+
+    def observe_shed(self) -> None:
+        """Take in an attempt that was shed or timed out."""
+        self._samples += 1
+        self._sheds += 1
+
+    def adjust(self, now_ms: int, *, others_need_room: bool) -> None:
+        """Move the limit once enough attempts have ended."""
+        age_ms = now_ms - self._opened_ms
+        needed = MIN_SAMPLES if age_ms < MAX_WINDOW_MS else MIN_SAMPLES_OF_LONG_WINDOW
+        if age_ms < MIN_WINDOW_MS or self._samples < needed:
+            return
+        self._move(self._floors.close_window(), others_need_room)
+        self._opened_ms = now_ms
+        self._samples = self._sheds = 0
+        self._was_full = False
+
+    def _move(self, log_ratio: float, others_need_room: bool) -> None:
+        if self._sheds > CONGESTED_SHED_SHARE * self._samples:
+            self._decrease = None
+            self._lower()
+        elif log_ratio > CONGESTED_LOG_RATIO:
+            self._lower_for_latency(log_ratio)
+        elif self.value > self._share and others_need_room:
+            self.value = max(float(self._share), self.value - 1.0)
+        elif self._was_full and log_ratio < CALM_LOG_RATIO:
+            self._decrease = None
+            self._raise(others_need_room)
+
+    def _lower_for_latency(self, log_ratio: float) -> None:
+        last = self._decrease
+        if last is not None and log_ratio > last.log_ratio - SAME_LOG_RATIO:
+            self._floors.raise_all(log_ratio)
+            self.value = last.value
+            self._decrease = None
+            return
+        self._decrease = _Decrease(self.value, log_ratio)
+        self._lower()
+
+    def _lower(self) -> None:
+        lowest = self._share if self.value > self._share else 1
+        self.value = max(float(lowest), self.value * DECREASE)
+
+    def _raise(self, others_need_room: bool) -> None:
+        top = self._share if others_need_room else self._ceiling
+        grown = self.value + max(1.0, GROWTH * self.value)
+        self.value = max(self.value, min(float(top), grown))
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
@@ -0,0 +1,134 @@
+"""Admission by rank, deadline and adaptive limits."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from rhubarbwell_core.admission.decisions import Admission, Admitted, Queued, Refused
+from rhubarbwell_core.admission.services import ServiceAdmission
+from rhubarbwell_core.engine import Action, System, Table
+from rhubarbwell_core.messages import AttemptEnd, AttemptEnded, RequestArrived
+from rhubarbwell_core.model import Configuration, RankFloors, Reason
+from rhubarbwell_core.routing.backends import BackendTable
+
+__all__ = ["AdjustLimits", "RankAdmission"]
+
+_CONGESTED_ENDS = frozenset({AttemptEnd.SHED, AttemptEnd.TIMEOUT})
+
+
+class _Running(NamedTuple):
+    req: RequestArrived
+    since_ms: int
+
+
+class RankAdmission(Admission):
+    """Admit the requests of each service within the region's slots in use."""
+
+    def __init__(self, backends: BackendTable, *, now_ms: int = 0) -> None:
+        self._backends = backends
+        self._floors = RankFloors()
+        self._services: dict[str, ServiceAdmission] = {}
+        self._running = Table[int, _Running]("admitted requests")
+        self._queued = Table[int, RequestArrived]("queued requests")
+        self._now_ms = now_ms
+
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Take the services and the ranks' floors into force."""
+        self._floors = configuration.deployment.floors
+        for name in configuration.services:
+            service = self._services.get(name)
+            if service is None:
+                service = ServiceAdmission(self._floors, now_ms=now_ms)
+                self._services[name] = service
+            service.set_floors(self._floors)
+
+    def offer(self, req: RequestArrived, now_ms: int) -> Admitted | Queued | Refused:
+        """Admit, queue or refuse a request that has just arrived."""
+        service = self._services.get(req.service)
+        if service is None:
+            return Refused(req.request_id, Reason.UNKNOWN_SERVICE)
+        self._set_bounds(req.service, service)
+        if not self._backends.usable_slots(req.service):
+            return Refused(req.request_id, Reason.NO_BACKEND)
+        typical_ms = self._backends.latencies.typical_ms(req.service, req.kind)
+        decision = service.offer(req, typical_ms, now_ms)
+        if isinstance(decision, Admitted):
+            self._running.insert(req.request_id, _Running(req, now_ms))
+        elif isinstance(decision, Queued):
+            self._queued.insert(req.request_id, req)
+        return decision
+
+    def drain(self, now_ms: int) -> list[Admitted | Refused]:
+        """Return the decisions that queued requests have come to."""
+        decisions: list[Admitted | Refused] = []
+        if not self._queued:
+            return decisions
+        for name, service in self._services.items():
+            if not service.has_waiting:
+                continue
+            self._set_bounds(name, service)
+            if self._backends.usable_slots(name):
+                decisions += service.drain(now_ms)
+            else:
+                decisions += service.refuse_all(Reason.NO_BACKEND)
+        for decision in decisions:
+            req = self._queued.remove(decision.request_id)
+            if req is not None and isinstance(decision, Admitted):
+                self._running.insert(req.request_id, _Running(req, now_ms))
+        return decisions
+
+    def withdraw(self, request_id: int, now_ms: int) -> None:
+        """Forget a queued request whose caller has gone."""
+        req = self._queued.remove(request_id)
+        if req is not None:
+            self._services[req.service].withdraw(req)
+
+    def observe(self, request_id: int, ended: AttemptEnded, now_ms: int) -> None:
+        """Learn from the end of an attempt of an admitted request."""
+        running = self._running.get(request_id)
+        if running is None:
+            return
+        limit = self._services[running.req.service].limit
+        if ended.end is AttemptEnd.ANSWERED:
+            latency_ms = None if running.req.body_bytes else ended.latency_ms
+            limit.observe_answer(running.req.kind, latency_ms)
+        elif ended.end in _CONGESTED_ENDS:
+            limit.observe_shed()
+
+    def release(self, request_id: int, now_ms: int) -> None:
+        """Return the capacity of an admitted request that has ended."""
+        running = self._running.remove(request_id)
+        if running is None:
+            return
+        service = self._services[running.req.service]
+        service.release(running.req.rank, now_ms - running.since_ms, now_ms)
+
+    def adjust(self, now_ms: int) -> None:
+        """Move the limits of services that have seen enough attempts."""
+        for name, service in self._services.items():
+            self._set_bounds(name, service)
+            is_full = self._backends.is_reported_full(name, now_ms)
+            service.limit.adjust(now_ms, others_need_room=is_full)
+
+    def limit_of(self, service: str) -> int:
+        """Return the concurrent requests that the instance may send, 0 if unknown."""
+        known = self._services.get(service)
+        return 0 if known is None else known.limit.slots
+
+    def _set_bounds(self, name: str, service: ServiceAdmission) -> None:
+        share = self._backends.home_slots(name)
+        ceiling = self._backends.usable_slots(name)
+        service.limit.set_bounds(share=max(share, 1), ceiling=ceiling)
+
+
+class AdjustLimits(System):
+    """Adjust the limits of all services."""
+
+    period_ms = 100
+
+    def __init__(self, admission: RankAdmission) -> None:
+        self._admission = admission
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        """Adjust the limits that are due."""
+        self._admission.adjust(now_ms)
+        return ()
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
@@ -0,0 +1,108 @@
+"""Admission to one service of a region."""
+
+from rhubarbwell_core.admission.decisions import Admitted, Queued, Refused
+from rhubarbwell_core.admission.limits import AdaptiveLimit
+from rhubarbwell_core.admission.queues import RankQueue, Waiting
+from rhubarbwell_core.admission.shares import RankShares
+from rhubarbwell_core.messages import RequestArrived
+from rhubarbwell_core.model import Rank, RankFloors, Reason
+
+__all__ = ["ServiceAdmission"]
+
+HOLD_GAIN = 0.05
+
+
+class ServiceAdmission:
+    """Queue and admit the requests of one service."""
+
+    def __init__(self, floors: RankFloors, *, now_ms: int) -> None:
+        self.limit = AdaptiveLimit(now_ms=now_ms)
+        self.shares = RankShares(floors, now_ms=now_ms)
+        self._floors = floors
+        self._queues = tuple(RankQueue() for _ in Rank)
+        self._hold_ms = 0.0
+
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether a request waits."""
+        return any(self._queues)
+
+    def set_floors(self, floors: RankFloors) -> None:
+        """Take other floors into force."""
+        self._floors = floors
+        self.shares.set_floors(floors)
+
+    def offer(
+        self, req: RequestArrived, typical_ms: int, now_ms: int
+    ) -> Admitted | Queued | Refused:
+        """Admit while there is room, queue while the wait fits the deadline."""
+        last_start_ms = req.deadline_ms - typical_ms
+        if now_ms >= last_start_ms:
+            return Refused(req.request_id, Reason.DEADLINE)
+        if not self.has_waiting and self.shares.in_flight < self.limit.slots:
+            return self._admit(req, now_ms)
+        self.limit.note_full()
+        queue = self._queues[req.rank]
+        newest_first = queue.is_overloaded(now_ms)
+        if not newest_first and now_ms + self._wait_ms(req.rank) >= last_start_ms:
+            return Refused(req.request_id, Reason.OVERLOAD)
+        queue.push(Waiting(req, now_ms, last_start_ms))
+        return Queued(req.request_id)
+
+    def drain(self, now_ms: int) -> list[Admitted | Refused]:
+        """Return what has been decided of waiting requests."""
+        decisions: list[Admitted | Refused] = []
+        for queue in self._queues:
+            for waiting in queue.pop_hopeless(now_ms):
+                decisions.append(Refused(waiting.req.request_id, Reason.DEADLINE))
+            for waiting in queue.pop_excess(now_ms):
+                decisions.append(Refused(waiting.req.request_id, Reason.OVERLOAD))
+        while self.shares.in_flight < self.limit.slots:
+            waiting_ranks = self._waiting_ranks()
+            self._advance(waiting_ranks, now_ms)
+            rank = self.shares.next_rank(waiting_ranks)
+            if rank is None:
+                break
+            waiting = self._queues[rank].pop(now_ms)
+            decisions.append(self._admit(waiting.req, now_ms))
+        return decisions
+
+    def refuse_all(self, reason: Reason) -> list[Admitted | Refused]:
+        """Refuse every waiting request."""
+        refused: list[Admitted | Refused] = []
+        for queue in self._queues:
+            while queue:
+                refused.append(Refused(queue.pop(0).req.request_id, reason))
+        return refused
+
+    def withdraw(self, req: RequestArrived) -> None:
+        """Forget a waiting request."""
+        self._queues[req.rank].withdraw(req.request_id)
+
+    def release(self, rank: Rank, held_ms: int, now_ms: int) -> None:
+        """Take back the slot of a request that held it for held_ms."""
+        self._advance(self._waiting_ranks(), now_ms)
+        self.shares.ended(rank)
+        gain = HOLD_GAIN if self._hold_ms else 1.0
+        self._hold_ms += gain * (max(held_ms, 1) - self._hold_ms)
+
+    def _admit(self, req: RequestArrived, now_ms: int) -> Admitted:
+        self._advance(self._waiting_ranks(), now_ms)
+        self.shares.started(req.rank)
+        return Admitted(req.request_id)
+
+    def _advance(self, waiting_ranks: list[Rank], now_ms: int) -> None:
+        self.shares.advance(now_ms, limit=self.limit.slots, waiting=waiting_ranks)
+
+    def _waiting_ranks(self) -> list[Rank]:
+        return [rank for rank in Rank if self._queues[rank]]
+
+    def _wait_ms(self, rank: Rank) -> float:
+        free_share = 1.0
+        for other in Rank:
+            if other < rank and self._queues[other]:
+                free_share -= self._floors.of(other)
+        share = max(self._floors.of(rank), free_share if rank == 0 else 0.0)
+        if not any(self._queues[other] for other in Rank if other != rank):
+            share = 1.0
+        return len(self._queues[rank]) * self._hold_ms / (share * self.limit.slots)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/shares.py
@@ -0,0 +1,66 @@
+"""Guaranteed shares of the ranks in a service's slots."""
+
+from collections.abc import Sequence
+
+from rhubarbwell_core.model import Rank, RankFloors
+
+__all__ = ["RankShares"]
+
+MAX_CREDIT_S = 1.0
+MAX_DEBT_S = 10.0
+
+
+class RankShares:
+    """Say whose turn it is: a rank below its floor first, else the most urgent.
+
+    Credits count slot seconds below (positive) or above the floor while ranks
+    compete.
+
+    >>> shares = RankShares(RankFloors(0.5, 0.2, 0.1), now_ms=0)
+    >>> for _ in range(10):
+    ...     shares.started(Rank.URGENT)
+    >>> shares.advance(1_000, limit=10, waiting=(Rank.URGENT, Rank.BULK))
+    >>> shares.next_rank((Rank.URGENT, Rank.BULK))
+    <Rank.BULK: 2>
+    """
+
+    def __init__(self, floors: RankFloors, *, now_ms: int) -> None:
+        self._floors = floors
+        self._now_ms = now_ms
+        self._in_flight = [0 for _ in Rank]
+        self._credits_s = [0.0 for _ in Rank]
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests in flight of all ranks."""
+        return sum(self._in_flight)
+
+    def set_floors(self, floors: RankFloors) -> None:
+        """Take other floors into force."""
+        self._floors = floors
+
+    def started(self, rank: Rank) -> None:
+        """Count a request that starts."""
+        self._in_flight[rank] += 1
+
+    def ended(self, rank: Rank) -> None:
+        """Count a request that has ended."""
+        self._in_flight[rank] -= 1
+
+    def advance(self, now_ms: int, *, limit: int, waiting: Sequence[Rank]) -> None:
+        """Earn the floors and charge the slots used since the last call."""
+        elapsed_s = (now_ms - self._now_ms) / 1_000
+        self._now_ms = now_ms
+        for rank in Rank:
+            floor = self._floors.of(rank) * limit
+            used = self._in_flight[rank] if waiting else 0
+            credit_s = self._credits_s[rank] + (floor - used) * elapsed_s
+            most_s = floor * MAX_CREDIT_S
+            self._credits_s[rank] = max(-MAX_DEBT_S * floor, min(most_s, credit_s))
+
+    def next_rank(self, waiting: Sequence[Rank]) -> Rank | None:
+        """Return the waiting rank whose turn it is; ranks come most urgent first."""
+        for rank in waiting:
+            if self._credits_s[rank] > 0.0:
+                return rank
+        return waiting[0] if waiting else None
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from rhubarbwell_core.admission import Admission, SlotAdmission
+from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
 from rhubarbwell_core.lookups import (
@@ -34,6 +34,7 @@
     RegionalRouteChooser,
     RetryBudget,
     RouteChooser,
+    ShareBackends,
 )
 
 __all__ = ["Core"]
@@ -57,8 +58,12 @@
         self.state = PeerState.JOINING
         self.timers = TimerService(now_ms=now_ms)
         self.peers = Table[str, PeerHeard]("peers")
-        self.backends = BackendTable(identity.region, rng)
-        self.admission: Admission = SlotAdmission(identity.region)
+        self.backends = BackendTable(
+            identity.region, rng, instance_id=identity.instance_id
+        )
+        admission = RankAdmission(self.backends, now_ms=now_ms)
+        self.admission: Admission = admission
+        self._members = ShareBackends(identity, self.peers, self.backends)
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
@@ -76,6 +81,8 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_system(self._members)
+        self._add_system(AdjustLimits(admission))
 
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
@@ -103,7 +110,10 @@
     def _add_part(self, part: Part) -> None:
         self._handlers.update(part.handlers())
         for system in part.systems():
-            self.timers.subscribe(system.period_ms, _run_of(system))
+            self._add_system(system)
+
+    def _add_system(self, system: System) -> None:
+        self.timers.subscribe(system.period_ms, _run_of(system))
 
     def _on_config(self, event: ConfigReceived, now_ms: int) -> list[Action]:
         cfg = event.configuration
@@ -113,6 +123,7 @@
         self._blocks = index_blocks(cfg.deployment.client_blocks)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
+        self._members.configure(cfg, now_ms)
         if self.state is PeerState.JOINING:
             self.state = PeerState.READY
         return []
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -1,93 +1,142 @@
 """The table of the region's backend servers and the choice among them."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from random import Random
 from typing import NamedTuple
 
 from rhubarbwell_core.engine import Action, Table
 from rhubarbwell_core.messages import (
+    AttemptEnd,
+    AttemptEnded,
     BackendLeaving,
     BackendReturned,
     ConnectionSilent,
     LoadReported,
+    RequestArrived,
 )
-from rhubarbwell_core.model import Address, Configuration
-
-__all__ = ["BackendRow", "BackendTable"]
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    Configuration,
+    zones_of_region,
+)
+from rhubarbwell_core.routing.latencies import KindLatencies
+from rhubarbwell_core.routing.loads import (
+    BackendRow,
+    effective_slots,
+    load_score,
+    other_load,
+    take_report,
+)
+from rhubarbwell_core.routing.recovery import (
+    FRESH_CONNECTIONS_MS,
+    after_attempt,
+    is_usable,
+)
+from rhubarbwell_core.routing.subsets import home_slots, rendezvous_subset
 
-FRESH_CONNECTIONS_MS = 5_000
+__all__ = ["BackendTable"]
 
+SUBSET_SIZE = 24
+MAX_DRAWS = 4
+CONFIG_SOURCE = "configuration"
+HEALTH_SOURCE = "health"
 
-class BackendRow(NamedTuple):
-    """Hold what is known of one backend server."""
 
+class _Attempt(NamedTuple):
     backend_id: str
     service: str
-    zone: str
-    address: Address
-    slots: int
-    in_flight: int = 0
-    reported: LoadReported | None = None
-    draining: bool = False
-    fresh_until_ms: int = 0
+    kind: str
+    is_timed: bool
 
 
 class BackendTable:
     """Know the region's backend servers and choose among them."""
 
-    def __init__(self, region: str, rng: Random) -> None:
+    def __init__(self, region: str, rng: Random, *, instance_id: str = "") -> None:
         self.rows = Table[str, BackendRow]("backends")
+        self.latencies = KindLatencies()
+        self._attempts = Table[str, _Attempt]("attempts at backend servers")
         self._region = region
         self._rng = rng
+        self._instance_id = instance_id
+        self._member = 0
+        self._members = 1
+        self._growth_per_s = 0.1
+        self._listed: dict[str, tuple[str, ...]] = {}
+        self._used: dict[tuple[str, str], list[str]] = {}
+        self._slots: dict[str, int] = {}
+        self._homes: dict[str, dict[str, int]] = {}
 
     def configure(self, configuration: Configuration, now_ms: int) -> None:
         """Take the region's backend servers from the configuration."""
-        zones = {
-            zone.name
-            for zone in configuration.deployment.zones
-            if zone.region == self._region
-        }
-        known = {row.backend_id: row for row in self.rows.rows()}
+        self._growth_per_s = configuration.deployment.cold_start_growth_per_s
+        zones = zones_of_region(configuration.deployment, self._region)
+        known = dict(self.rows.items())
         for backend_id in known:
             self.rows.remove(backend_id)
+        self._listed.clear()
         for name, service in configuration.services.items():
-            for spec in service.backends:
-                if spec.zone not in zones:
-                    continue
-                address = Address(spec.host, spec.port)
-                row = BackendRow(spec.backend_id, name, spec.zone, address, spec.slots)
-                old = known.get(spec.backend_id, row)
+            specs = [spec for spec in service.backends if spec.zone in zones]
+            specs.sort(key=lambda spec: (spec.zone, spec.backend_id))
+            has_served = name in self._slots
+            for spec in specs:
+                row = _row_of(spec, name, now_ms if has_served else None)
                 self.rows.insert(
-                    spec.backend_id,
-                    row._replace(
-                        in_flight=old.in_flight,
-                        reported=old.reported,
-                        draining=spec.draining,
-                    ),
+                    spec.backend_id, _keep_state(row, known.get(spec.backend_id))
                 )
+                self._set_leaving(spec.backend_id, CONFIG_SOURCE, spec.draining, now_ms)
+            self._listed[name] = tuple(spec.backend_id for spec in specs)
+        self.refresh(now_ms)
+
+    def set_member(self, member: int, members: int, now_ms: int) -> None:
+        """Tell the instance's place among the members that share the region."""
+        if (member, members) != (self._member, self._members):
+            self._member, self._members = member, members
+            self.refresh(now_ms)
+
+    def refresh(self, now_ms: int) -> None:
+        """Work out which backend servers are in use and with how many slots."""
+        self._used.clear()
+        for service, backend_ids in self._listed.items():
+            self._refresh_service(service, backend_ids, now_ms)
+
+    def usable_slots(self, service: str) -> int:
+        """Return the slots of the region's backend servers that are in use."""
+        return self._slots.get(service, 0)
+
+    def home_slots(self, service: str) -> int:
+        """Return the instance's even part of the usable slots."""
+        return sum(self._homes.get(service, {}).values())
+
+    def is_reported_full(self, service: str, now_ms: int) -> bool:
+        """Tell whether trusted reports leave no slot free in the region."""
+        load = 0.0
+        for backend_id in self._listed.get(service, ()):
+            row = self.rows[backend_id]
+            load += min(row.slots, row.in_flight + other_load(row, now_ms))
+        return load > self.usable_slots(service) - 1
 
     def on_load(self, event: LoadReported, now_ms: int) -> list[Action]:
-        """Take in a report of load."""
+        """Take in a report of load; an older one than the last is left out."""
         row = self.rows.get(event.backend_id)
-        if row is not None:
-            draining = row.draining or event.draining
-            self.rows.put(
-                row.backend_id, row._replace(reported=event, draining=draining)
-            )
+        if row is None or _is_older(event, row.reported):
+            return []
+        row = take_report(row, event)
+        if not event.healthy and row.answers == 0:
+            row = row._replace(in_use_since_ms=now_ms)
+        self.rows.put(row.backend_id, row._replace(answers=0))
+        self._set_leaving(row.backend_id, HEALTH_SOURCE, event.draining, now_ms)
         return []
 
     def on_leaving(self, event: BackendLeaving, now_ms: int) -> list[Action]:
         """Give a leaving backend server no new work."""
-        row = self.rows.get(event.backend_id)
-        if row is not None:
-            self.rows.put(row.backend_id, row._replace(draining=True))
+        self._set_leaving(event.backend_id, event.source, True, now_ms)
         return []
 
     def on_returned(self, event: BackendReturned, now_ms: int) -> list[Action]:
-        """Use a backend server again."""
-        row = self.rows.get(event.backend_id)
-        if row is not None:
-            self.rows.put(row.backend_id, row._replace(draining=False))
+        """Use a backend server again once no source says that it is leaving."""
+        self._set_leaving(event.backend_id, event.source, False, now_ms)
         return []
 
     def on_connection_silent(
@@ -101,30 +150,139 @@
         return []
 
     def choose(
-        self, service: str, zones: Collection[str], exclude: Collection[str]
+        self,
+        service: str,
+        zones: Collection[str],
+        exclude: Collection[str],
+        *,
+        now_ms: int = 0,
+        only_free: bool = False,
     ) -> BackendRow | None:
-        """Return the less busy of two random backend servers, None without one."""
-        able = [
-            row
-            for row in self.rows.rows()
-            if row.service == service
-            and row.zone in zones
-            and not row.draining
-            and row.backend_id not in exclude
-            and (row.reported is None or row.reported.healthy)
-        ]
-        if not able:
-            return None
-        pair = self._rng.sample(able, min(2, len(able)))
-        return min(pair, key=lambda row: row.in_flight)
+        """Return a backend server with a home slot free, else the better of two.
+
+        With only_free, return None rather than one without a free slot.
+        """
+        home = self._choose_home(service, zones, exclude, now_ms)
+        if home is not None:
+            return home
+        used = [name for zone in zones for name in self._used.get((service, zone), ())]
+        best: BackendRow | None = None
+        best_score = 0.0
+        for backend_id in self._rng.sample(used, min(MAX_DRAWS, len(used))):
+            row = self.rows[backend_id]
+            if backend_id in exclude or not is_usable(row, now_ms):
+                continue
+            slots = effective_slots(row, self._growth_per_s, now_ms)
+            if only_free and row.in_flight + other_load(row, now_ms) > slots - 0.5:
+                continue
+            score = load_score(row, slots, now_ms)
+            if best is None or score < best_score:
+                best, best_score = row, score
+        return best
 
-    def started(self, backend_id: str) -> None:
+    def started(self, backend_id: str, attempt_id: str, req: RequestArrived) -> None:
         """Count an attempt that is about to be sent."""
         row = self.rows[backend_id]
         self.rows.put(backend_id, row._replace(in_flight=row.in_flight + 1))
+        attempt = _Attempt(backend_id, req.service, req.kind, not req.body_bytes)
+        self._attempts.insert(attempt_id, attempt)
 
-    def ended(self, backend_id: str) -> None:
-        """Count an attempt that has ended."""
+    def ended(self, ended: AttemptEnded, now_ms: int) -> None:
+        """Count an attempt that has ended and learn from its outcome."""
+        attempt = self._attempts.remove(ended.attempt_id)
+        row = None if attempt is None else self.rows.get(attempt.backend_id)
+        if attempt is None or row is None:
+            return
+        log_ratio = None
+        if attempt.is_timed and ended.end is AttemptEnd.ANSWERED:
+            log_ratio = self.latencies.log_ratio(
+                attempt.service, attempt.kind, ended.latency_ms
+            )
+        after = after_attempt(row, ended, log_ratio, now_ms)
+        after = after._replace(in_flight=max(0, row.in_flight - 1))
+        self.rows.put(row.backend_id, after)
+        if after.in_use_since_ms != row.in_use_since_ms:
+            self._refresh_service(row.service, self._listed[row.service], now_ms)
+
+    def _choose_home(
+        self,
+        service: str,
+        zones: Collection[str],
+        exclude: Collection[str],
+        now_ms: int,
+    ) -> BackendRow | None:
+        best: BackendRow | None = None
+        best_score = 0.0
+        for backend_id, slots in self._homes.get(service, {}).items():
+            row = self.rows[backend_id]
+            if row.in_flight >= slots or row.zone not in zones:
+                continue
+            if backend_id in exclude or not is_usable(row, now_ms):
+                continue
+            if row.in_flight + other_load(row, now_ms) > row.slots - 0.5:
+                continue
+            score = load_score(row, row.slots, now_ms)
+            if best is None or score < best_score:
+                best, best_score = row, score
+        return best
+
+    def _set_leaving(
+        self, backend_id: str, source: str, is_leaving: bool, now_ms: int
+    ) -> None:
         row = self.rows.get(backend_id)
-        if row is not None:
-            self.rows.put(backend_id, row._replace(in_flight=row.in_flight - 1))
+        if row is None or (source in row.leaving_sources) == is_leaving:
+            return
+        if is_leaving:
+            row = row._replace(leaving_sources=row.leaving_sources | {source})
+        else:
+            sources = row.leaving_sources - {source}
+            row = row._replace(leaving_sources=sources, in_use_since_ms=now_ms)
+        self.rows.put(backend_id, row)
+        if backend_id in self._listed.get(row.service, ()):
+            self._refresh_service(row.service, self._listed[row.service], now_ms)
+
+    def _refresh_service(
+        self, service: str, backend_ids: Sequence[str], now_ms: int
+    ) -> None:
+        rows = [self.rows[backend_id] for backend_id in backend_ids]
+        usable = [
+            row for row in rows if is_usable(row, now_ms) or _is_pausing(row, now_ms)
+        ]
+        slots = [
+            (row.backend_id, effective_slots(row, self._growth_per_s, now_ms))
+            for row in usable
+        ]
+        self._slots[service] = sum(count for _, count in slots)
+        self._homes[service] = home_slots(
+            slots, member=self._member, members=self._members
+        )
+        for zone in {row.zone for row in rows}:
+            ids = [row.backend_id for row in usable if row.zone == zone]
+            subset = rendezvous_subset(self._instance_id, ids, size=SUBSET_SIZE)
+            self._used[service, zone] = list(subset)
+
+
+def _row_of(spec: BackendSpec, service: str, since_ms: int | None) -> BackendRow:
+    address = Address(spec.host, spec.port)
+    return BackendRow(
+        spec.backend_id,
+        service,
+        spec.zone,
+        address,
+        spec.slots,
+        in_use_since_ms=since_ms,
+    )
+
+
+def _keep_state(row: BackendRow, old: BackendRow | None) -> BackendRow:
+    if old is None or old.address != row.address:
+        return row
+    return old._replace(service=row.service, zone=row.zone, slots=row.slots)
+
+
+def _is_older(event: LoadReported, last: LoadReported | None) -> bool:
+    return last is not None and event.measured_ms < last.measured_ms
+
+
+def _is_pausing(row: BackendRow, now_ms: int) -> bool:
+    return not row.leaving_sources and row.sheds > 0 and row.failures == 0
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/loads.py
@@ -0,0 +1,87 @@
+"""Estimates of a backend server's load from own attempts and its reports."""
+
+from math import exp
+from typing import NamedTuple
+
+from rhubarbwell_core.messages import LoadReported
+from rhubarbwell_core.model import Address
+
+__all__ = ["BackendRow", "effective_slots", "load_score", "other_load", "take_report"]
+
+REPORT_MAX_AGE_MS = 3_000
+TRUST_GAIN = 0.05
+TRUST_LOSS = 0.5
+MIN_WEIGHT = 0.1
+
+
+class BackendRow(NamedTuple):
+    """Hold what is known of one backend server.
+
+    in_use_since_ms starts a slow start, None stands for a warm server;
+    slowness is the log of its latency over the typical one.
+    """
+
+    backend_id: str
+    service: str
+    zone: str
+    address: Address
+    slots: int
+    in_flight: int = 0
+    reported: LoadReported | None = None
+    own_at_report: int = 0
+    trust: float = 1.0
+    leaving_sources: frozenset[str] = frozenset()
+    in_use_since_ms: int | None = None
+    out_until_ms: int = 0
+    failures: int = 0
+    sheds: int = 0
+    answers: int = 0
+    slowness: float = 0.0
+    fresh_until_ms: int = 0
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether any source says that the server is leaving."""
+        return bool(self.leaving_sources)
+
+
+def take_report(row: BackendRow, report: LoadReported) -> BackendRow:
+    """Keep a report and judge it by the row's own attempts in flight.
+
+    >>> row = BackendRow("b", "s", "z", Address("127.0.0.1", 1), 3, in_flight=3)
+    >>> take_report(row, LoadReported("b", 0, 10)).trust
+    0.5
+    """
+    is_wrong = report.in_flight < row.in_flight - 1
+    is_wrong = is_wrong or (report.in_flight > 2 * row.slots and row.slowness < 0.2)
+    trust = row.trust * TRUST_LOSS if is_wrong else min(1.0, row.trust + TRUST_GAIN)
+    return row._replace(reported=report, own_at_report=row.in_flight, trust=trust)
+
+
+def other_load(row: BackendRow, now_ms: int) -> float:
+    """Return the attempts of other instances in flight, by a report's age and trust."""
+    if row.reported is None:
+        return 0.0
+    age_ms = now_ms - row.reported.measured_ms
+    weight = row.trust * max(0.0, 1.0 - age_ms / REPORT_MAX_AGE_MS)
+    return weight * max(0, row.reported.in_flight - row.own_at_report)
+
+
+def slow_start_weight(row: BackendRow, growth_per_s: float, now_ms: int) -> float:
+    """Return the share of its slots that a new or returned server may use."""
+    if row.in_use_since_ms is None:
+        return 1.0
+    age_ms = now_ms - row.in_use_since_ms
+    return min(1.0, MIN_WEIGHT + growth_per_s * age_ms / 1_000)
+
+
+def effective_slots(row: BackendRow, growth_per_s: float, now_ms: int) -> int:
+    """Return how many slots of the server may be used now."""
+    weight = slow_start_weight(row, growth_per_s, now_ms)
+    return max(1, int(row.slots * weight))
+
+
+def load_score(row: BackendRow, slots: int, now_ms: int) -> float:
+    """Return the expected wait of one more attempt; lower is better."""
+    load = row.in_flight + other_load(row, now_ms)
+    return (load + 1.0) / slots * exp(row.slowness)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/recovery.py
@@ -0,0 +1,75 @@
+"""How outcomes of attempts take a backend server out of use and back."""
+
+from rhubarbwell_core.messages import AttemptEnd, AttemptEnded
+from rhubarbwell_core.routing.loads import BackendRow
+
+__all__ = ["after_attempt", "is_usable"]
+
+FAILURES_TO_LEAVE = 3
+FIRST_PAUSE_MS = 500
+MAX_PAUSE_MS = 10_000
+FIRST_SHED_PAUSE_MS = 20
+MAX_SHED_PAUSE_MS = 640
+FRESH_CONNECTIONS_MS = 5_000
+SLOWNESS_GAIN = 0.1
+MAX_SLOWNESS = 2.0
+
+_NEVER_REACHED = frozenset({AttemptEnd.CONNECT_REFUSED, AttemptEnd.CONNECT_TIMEOUT})
+_BROKEN = frozenset(
+    {
+        AttemptEnd.RESET_BEFORE_ANSWER,
+        AttemptEnd.RESET_AFTER_HEADERS,
+        AttemptEnd.RESET_MID_BODY,
+        AttemptEnd.CUT_SHORT,
+        AttemptEnd.CROSSED,
+        AttemptEnd.TIMEOUT,
+    }
+)
+
+
+def is_usable(row: BackendRow, now_ms: int) -> bool:
+    """Tell whether the backend server may get new work."""
+    return not row.leaving_sources and now_ms >= row.out_until_ms
+
+
+def after_attempt(
+    row: BackendRow, ended: AttemptEnded, log_ratio: float | None, now_ms: int
+) -> BackendRow:
+    """Return the row after an attempt; a silent old connection condemns no server."""
+    if ended.end is AttemptEnd.ANSWERED:
+        return _after_answer(row, log_ratio)
+    if ended.end is AttemptEnd.SHED:
+        return _after_shed(row, now_ms)
+    if ended.end in _NEVER_REACHED:
+        return _after_failure(row, now_ms)
+    if ended.end not in _BROKEN:
+        return row
+    if not ended.connection_was_fresh:
+        return row._replace(fresh_until_ms=now_ms + FRESH_CONNECTIONS_MS)
+    return _after_failure(row, now_ms)
+
+
+def _after_answer(row: BackendRow, log_ratio: float | None) -> BackendRow:
+    slowness = row.slowness
+    if log_ratio is not None:
+        slowness += SLOWNESS_GAIN * (log_ratio - slowness)
+        slowness = max(-MAX_SLOWNESS, min(MAX_SLOWNESS, slowness))
+    return row._replace(failures=0, sheds=0, answers=row.answers + 1, slowness=slowness)
+
+
+def _after_shed(row: BackendRow, now_ms: int) -> BackendRow:
+    pause_ms = min(FIRST_SHED_PAUSE_MS << row.sheds, MAX_SHED_PAUSE_MS)
+    sheds = min(row.sheds + 1, 10)
+    out_until_ms = max(row.out_until_ms, now_ms + pause_ms)
+    return row._replace(sheds=sheds, out_until_ms=out_until_ms)
+
+
+def _after_failure(row: BackendRow, now_ms: int) -> BackendRow:
+    failures = row.failures + 1
+    if failures < FAILURES_TO_LEAVE:
+        return row._replace(failures=failures)
+    doublings = min(failures - FAILURES_TO_LEAVE, 10)
+    out_until_ms = now_ms + min(FIRST_PAUSE_MS << doublings, MAX_PAUSE_MS)
+    return row._replace(
+        failures=failures, out_until_ms=out_until_ms, in_use_since_ms=out_until_ms
+    )
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
@@ -3,10 +3,10 @@
 from abc import ABC, abstractmethod
 from collections.abc import Collection
 
-from rhubarbwell_core.engine import Table
 from rhubarbwell_core.messages import AttemptEnded, RequestArrived, Target
 from rhubarbwell_core.model import Configuration, zones_of_region
 from rhubarbwell_core.routing.backends import BackendTable
+from rhubarbwell_core.routing.loads import BackendRow
 
 __all__ = ["RegionalRouteChooser", "RouteChooser"]
 
@@ -65,7 +65,6 @@
         self._region = region
         self._backends = backends
         self._sister_zones: tuple[str, ...] = ()
-        self._attempts = Table[str, str]("attempt targets")
 
     def configure(self, configuration: Configuration, now_ms: int) -> None:
         """Learn the sister zones and the region's backend servers."""
@@ -82,17 +81,25 @@
         now_ms: int,
     ) -> Target | None:
         """Return a backend server of the own zone, else of a sister zone."""
-        for zones in ((self._zone,), self._sister_zones):
-            row = self._backends.choose(req.service, zones, exclude)
-            if row is not None:
-                self._backends.started(row.backend_id)
-                self._attempts.insert(attempt_id, row.backend_id)
-                fresh = now_ms < row.fresh_until_ms
-                return Target(row.backend_id, row.address, fresh_connection=fresh)
-        return None
+        row = self._choose_backend(req.service, exclude, now_ms)
+        if row is None:
+            return None
+        self._backends.started(row.backend_id, attempt_id, req)
+        fresh = now_ms < row.fresh_until_ms
+        return Target(row.backend_id, row.address, fresh_connection=fresh)
 
     def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
-        """Free the backend server's slot."""
-        backend_id = self._attempts.remove(ended.attempt_id)
-        if backend_id is not None:
-            self._backends.ended(backend_id)
+        """Free the backend server's slot and learn from the outcome."""
+        self._backends.ended(ended, now_ms)
+
+    def _choose_backend(
+        self, service: str, exclude: Collection[str], now_ms: int
+    ) -> BackendRow | None:
+        for only_free in (True, False):
+            for zones in ((self._zone,), self._sister_zones):
+                row = self._backends.choose(
+                    service, zones, exclude, now_ms=now_ms, only_free=only_free
+                )
+                if row is not None:
+                    return row
+        return None
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/subsets.py
@@ -0,0 +1,50 @@
+"""Which backend servers an entry instance uses, and which it uses first."""
+
+from collections.abc import Iterable, Sequence
+from hashlib import blake2b
+
+__all__ = ["home_slots", "rendezvous_subset"]
+
+
+def rendezvous_subset(
+    instance_id: str, backend_ids: Iterable[str], *, size: int
+) -> tuple[str, ...]:
+    """Return the size backend servers that score highest with the instance.
+
+    >>> rendezvous_subset("i", ["b0", "b1"], size=5)
+    ('b0', 'b1')
+    >>> len(rendezvous_subset("i", [f"b{n}" for n in range(40)], size=24))
+    24
+    """
+    ids = tuple(backend_ids)
+    if len(ids) <= size:
+        return ids
+    ranked = sorted(ids, key=lambda backend_id: _score(instance_id, backend_id))
+    return tuple(ranked[:size])
+
+
+def home_slots(
+    slots: Sequence[tuple[str, int]], *, member: int, members: int
+) -> dict[str, int]:
+    """Return the member's part when the members divide the slots evenly.
+
+    >>> home_slots([("b0", 3), ("b1", 3)], member=0, members=4)
+    {'b0': 1}
+    >>> home_slots([("b0", 3), ("b1", 3)], member=3, members=4)
+    {'b1': 2}
+    """
+    total = sum(count for _, count in slots)
+    first = member * total // members
+    last = (member + 1) * total // members
+    homes: dict[str, int] = {}
+    start = 0
+    for backend_id, count in slots:
+        held = min(start + count, last) - max(start, first)
+        if held > 0:
+            homes[backend_id] = held
+        start += count
+    return homes
+
+
+def _score(instance_id: str, backend_id: str) -> bytes:
+    return blake2b(f"{instance_id}/{backend_id}".encode(), digest_size=8).digest()
