Proxy callers' requests to backend servers with streamed bodies

The entry package gets the handler of callers' requests, the attempts that the core decides on, and connections that are reused only after an answer named its attempt, because aiohttp hands unread bytes of a doubled answer to the next request of the connection and repeats GET, PUT and DELETE by itself after a reset.

A scripted backend server with a ledger of its runs stands in for tests.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
@@ -74,6 +74,7 @@
     TIMEOUT = "timeout"
     CANCELLED = "cancelled"
     CALLER_GONE = "caller_gone"
+    BODY_TOO_LARGE = "body_too_large"
     STOPPED = "stopped"
     PEER_LOST = "peer_lost"
     PEER_NOT_RUN = "peer_not_run"
@@ -89,6 +90,7 @@
     latency_ms: int
     status: int | None = None
     connection_was_fresh: bool = True
+    body_replayable: bool = True
 
 
 class Target(NamedTuple):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
@@ -7,6 +7,7 @@
 from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
 from rhubarbwell_core.messages import (
     AttemptEnded,
+    AttemptHeadersReceived,
     CallerGone,
     CancelAttempt,
     EndRequest,
@@ -52,6 +53,7 @@
         """Return the handlers of request events."""
         return {
             RequestArrived: self._on_arrived,
+            AttemptHeadersReceived: self._on_headers,
             AttemptEnded: self._on_attempt_ended,
             CallerGone: self._on_caller_gone,
         }
@@ -79,6 +81,9 @@
             return self._send(event.request_id, now_ms)
         return []
 
+    def _on_headers(self, event: AttemptHeadersReceived, now_ms: int) -> list[Action]:
+        return []
+
     def _on_attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Action]:
         request_id = self.attempts.remove(event.attempt_id)
         row = None if request_id is None else self.requests.get(request_id)
@@ -87,7 +92,8 @@
         self._routes.attempt_ended(event, now_ms)
         self._admission.observe(request_id, event, now_ms)
         verdict = judge_attempt(event, idempotent=row.arrived.idempotent)
-        if verdict.may_retry and self._may_send_again(row, now_ms):
+        may_retry = verdict.may_retry and event.body_replayable
+        if may_retry and self._may_send_again(row, now_ms):
             return self._send(request_id, now_ms)
         return self._end(request_id, verdict.outcome, verdict.reason, now_ms)
 
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/__init__.py
@@ -0,0 +1,9 @@
+"""The streaming proxy between callers and backend servers."""
+
+from rhubarbwell_entry.proxy.attempts import *
+from rhubarbwell_entry.proxy.bodies import *
+from rhubarbwell_entry.proxy.connections import *
+from rhubarbwell_entry.proxy.exchanges import *
+from rhubarbwell_entry.proxy.handler import *
+from rhubarbwell_entry.proxy.headers import *
+from rhubarbwell_entry.proxy.problems import *
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/bodies.py
@@ -0,0 +1,89 @@
+"""The body of a request, streamed once with a replayable beginning."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+from rhubarbwell_core.errors import RhubarbwellError
+
+__all__ = [
+    "MAX_REPLAY_BYTES",
+    "BodyTooLargeError",
+    "CallerGoneError",
+    "UploadBody",
+]
+
+MAX_REPLAY_BYTES = 64 << 10
+
+
+class BodyTooLargeError(RhubarbwellError):
+    """Tell that a body grew beyond the limit of its kind of work."""
+
+
+class CallerGoneError(RhubarbwellError):
+    """Tell that the caller left before its body was complete."""
+
+
+class UploadBody:
+    """Read a caller's body once and replay its first MAX_REPLAY_BYTES."""
+
+    def __init__(self, request: web.BaseRequest, *, max_bytes: int) -> None:
+        self.exists = request.can_read_body
+        self.too_large = False
+        self.consumed_bytes = 0
+        self._content = request.content
+        self._max_bytes = max_bytes
+        self._kept: list[bytes] = []
+        self._complete = not self.exists
+        self._lock = asyncio.Lock()
+
+    @property
+    def replayable(self) -> bool:
+        """Tell whether another attempt could still send the body from its start."""
+        return self.consumed_bytes <= MAX_REPLAY_BYTES
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start.
+
+        Raises BodyTooLargeError or CallerGoneError.
+        """
+        position = 0
+        while True:
+            if position < len(self._kept):
+                position += 1
+                yield self._kept[position - 1]
+                continue
+            async with self._lock:
+                if position < len(self._kept):
+                    continue
+                chunk = await self._read()
+                if chunk and self.replayable:
+                    self._kept.append(chunk)
+                    position += 1
+                elif chunk:
+                    self._kept.clear()
+                    position = 0
+            if not chunk:
+                return
+            yield chunk
+
+    async def read_small(self) -> bytes | None:
+        """Return the whole body, None once it exceeds MAX_REPLAY_BYTES."""
+        async for _ in self.chunks():
+            if not self.replayable:
+                return None
+        return b"".join(self._kept)
+
+    async def _read(self) -> bytes:
+        if self._complete:
+            return b""
+        try:
+            chunk = await self._content.readany()
+        except Exception as exc:
+            raise CallerGoneError("caller left during its body") from exc
+        self._complete = not chunk
+        self.consumed_bytes += len(chunk)
+        if self.consumed_bytes > self._max_bytes:
+            self.too_large = True
+            raise BodyTooLargeError(f"body exceeds {self._max_bytes} bytes")
+        return chunk
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/headers.py
@@ -0,0 +1,86 @@
+"""Headers of requests and answers on their way through an entry instance."""
+
+from collections.abc import Iterable, Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+__all__ = [
+    "ATTEMPT_HEADER",
+    "DEADLINE_HEADER",
+    "KEY_HEADER",
+    "OUTCOME_HEADER",
+    "end_to_end_headers",
+    "is_shed",
+    "remaining_ms",
+]
+
+ATTEMPT_HEADER = "Rhubarbwell-Attempt"
+DEADLINE_HEADER = "Rhubarbwell-Deadline-Ms"
+KEY_HEADER = "Idempotency-Key"
+OUTCOME_HEADER = "Rhubarbwell-Outcome"
+OWN_PREFIX = "rhubarbwell-"
+SHED_STATUSES = frozenset({429, 503})
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Headers = CIMultiDict[str] | CIMultiDictProxy[str]
+
+
+def end_to_end_headers(headers: Headers) -> CIMultiDict[str]:
+    """Return a copy without hop-by-hop headers and without rhubarbwell's own.
+
+    >>> kept = end_to_end_headers(CIMultiDict({"Connection": "X-A", "X-A": "1"}))
+    >>> list(kept)
+    []
+    """
+    dropped = _HOP_BY_HOP | _named_by_connection(headers.getall("Connection", ()))
+    kept = CIMultiDict[str]()
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower not in dropped and not lower.startswith(OWN_PREFIX):
+            kept.add(name, value)
+    return kept
+
+
+def is_shed(status: int, headers: Mapping[str, str], *, idempotent: bool) -> bool:
+    """Tell whether an answer says that the backend server did not start the work.
+
+    >>> is_shed(503, {"Retry-After": "1"}, idempotent=False)
+    True
+    >>> is_shed(503, {}, idempotent=False)
+    False
+    """
+    if headers.get(OUTCOME_HEADER) == "not_run":
+        return True
+    return status in SHED_STATUSES and (idempotent or "Retry-After" in headers)
+
+
+def remaining_ms(headers: Mapping[str, str]) -> int | None:
+    """Return the caller's deadline in ms from now, None without a usable one.
+
+    >>> remaining_ms({"Rhubarbwell-Deadline-Ms": "250"})
+    250
+    >>> remaining_ms({"Rhubarbwell-Deadline-Ms": "soon"}) is None
+    True
+    """
+    value = headers.get(DEADLINE_HEADER, "")
+    return int(value) if value.isascii() and value.isdigit() else None
+
+
+def _named_by_connection(values: Iterable[str]) -> frozenset[str]:
+    names = (name for value in values for name in value.split(","))
+    return frozenset(name.strip().lower() for name in names)
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins that take the place of what surrounds rhubarbwell."""
+
+from rhubarbwell_platform.standins.backend import *
