--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -0,0 +1,163 @@
+"""One entry instance: its core, its listeners and its background tasks."""
+
+import asyncio
+import logging
+import secrets
+import socket
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp import web
+from rhubarbwell_core import Core
+from rhubarbwell_core.model import Address, Identity
+from rhubarbwell_platform.services import Platform
+
+from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
+from rhubarbwell_entry.gauges import add_core_gauges
+from rhubarbwell_entry.listeners import (
+    Listener,
+    address_of,
+    bind_address,
+    tls_context,
+)
+from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.lookups import LookUpHandler
+from rhubarbwell_entry.metrics import InstanceMetrics
+from rhubarbwell_entry.monitor import BackendMonitor
+from rhubarbwell_entry.operators import OperatorHandler
+from rhubarbwell_entry.proxy import CallerHandler, caller_runner
+from rhubarbwell_entry.settings import Settings
+
+__all__ = ["EntryInstance"]
+
+_log = logging.getLogger(__name__)
+
+INCARNATION_BYTES = 8
+
+
+class _Sockets(NamedTuple):
+    callers: socket.socket
+    operators: socket.socket
+    peers: socket.socket
+
+
+class EntryInstance:
+    """Run an entry instance on the current loop; many fit in one process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        *,
+        rng: Random | None = None,
+        clock_ms: Callable[[], int] = monotonic_ms,
+    ) -> None:
+        """Bind the addresses of the settings; raise OSError if one is taken."""
+        self.settings = settings
+        self._platform = platform
+        self._sockets = _bind_all(settings)
+        self.identity = _make_identity(settings, self._sockets)
+        self.metrics = InstanceMetrics(self.identity)
+        core = Core(
+            self.identity,
+            rng or Random(self.identity.incarnation),
+            now_ms=clock_ms(),
+            on_ended=self.metrics.request_ended,
+        )
+        self.driver = CoreDriver(core, clock_ms=clock_ms)
+        self._listeners: list[Listener] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def core(self) -> Core:
+        """Return the decision core."""
+        return self.driver.core
+
+    @property
+    def callers(self) -> Address:
+        """Return the address for callers."""
+        return self.identity.callers
+
+    @property
+    def operators(self) -> Address:
+        """Return the address for operators."""
+        return address_of(self._sockets.operators)
+
+    async def start(self) -> None:
+        """Start the listeners and the background tasks."""
+        self._session = aiohttp.ClientSession()
+        self._callers = CallerHandler(self.driver)
+        add_core_gauges(self.metrics, self.driver)
+        tls = tls_context(self.settings.tls)
+        caller_app = self._caller_app()
+        operator_app = self._operator_app()
+        self._listeners = [
+            Listener(caller_runner(caller_app), self._sockets.callers, tls=tls),
+            Listener(
+                web.AppRunner(operator_app, access_log=None, shutdown_timeout=0.0),
+                self._sockets.operators,
+                tls=tls,
+            ),
+        ]
+        for listener in self._listeners:
+            await listener.start()
+        self._spawn(self.driver.run())
+        self._spawn(BackendMonitor(self.driver, self._session).run())
+        log_event(
+            _log,
+            logging.INFO,
+            "instance_started",
+            "entry instance listens for callers",
+            instance_id=self.identity.instance_id,
+            callers=f"{self.callers.host}:{self.callers.port}",
+        )
+
+    async def stop(self) -> None:
+        """Stop at once; a graceful shutdown ends before."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for listener in self._listeners:
+            await listener.stop()
+        await self._callers.close()
+        await self._session.close()
+        self.metrics.close()
+
+    def _caller_app(self) -> web.Application:
+        app = web.Application(client_max_size=0)
+        LookUpHandler(self.driver, self.metrics).add_routes(app)
+        app.router.add_route("*", "/{service}/{rest:.*}", self._callers.handle)
+        return app
+
+    def _operator_app(self) -> web.Application:
+        app = web.Application()
+        OperatorHandler(self.driver, self.metrics).add_routes(app)
+        return app
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(coro))
+
+
+def _bind_all(settings: Settings) -> _Sockets:
+    bound: list[socket.socket] = []
+    try:
+        for address in (settings.callers, settings.operators, settings.peers):
+            bound.append(bind_address(address))
+    except OSError:
+        for sock in bound:
+            sock.close()
+        raise
+    return _Sockets(*bound)
+
+
+def _make_identity(settings: Settings, sockets: _Sockets) -> Identity:
+    return Identity(
+        settings.instance_id,
+        secrets.token_hex(INCARNATION_BYTES),
+        settings.zone,
+        settings.region,
+        address_of(sockets.callers),
+        address_of(sockets.peers),
+    )
