--- a/packages/rhubarbwell-core/src/rhubarbwell_core/model/deployment.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/deployment.py
@@ -18,9 +18,10 @@
 
 
 class RegionSpec(NamedTuple):
-    """Name one region."""
+    """Describe one region and the one-way delay between its zones."""
 
     name: str
+    zone_delay_ms: float = 0.0
 
 
 class ZoneSpec(NamedTuple):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/model/services.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/services.py
@@ -24,6 +24,7 @@
     worth: float = 1.0
     objective: float = 0.99
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    never: tuple[str, ...] = ()
 
 
 class BackendSpec(NamedTuple):
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/checks.py
@@ -0,0 +1,182 @@
+"""Checks of documents against each other."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from returns.result import Failure, Result, Success
+from rhubarbwell_core.model import (
+    Configuration,
+    DeploymentSpec,
+    Rank,
+    ServiceSpec,
+    rank_name,
+)
+
+from rhubarbwell_platform.documents.encoding import DEPLOYMENT_NAME
+from rhubarbwell_platform.documents.fields import nearest_hint
+from rhubarbwell_platform.documents.files import (
+    Document,
+    SourceFile,
+    parse_document,
+    parse_file,
+)
+from rhubarbwell_platform.documents.findings import Finding, FindingLog
+
+__all__ = ["check_documents", "check_files", "configuration_of", "findings_of"]
+
+BITS_PER_MBIT = 1_000_000
+
+
+def check_files(
+    sources: Sequence[SourceFile],
+) -> Result[tuple[Document, ...], tuple[Finding, ...]]:
+    """Check files alone and, if each is sound, against each other."""
+    parsed = [parse_file(source) for source in sources]
+    findings = [finding for result in parsed for finding in findings_of(result)]
+    if findings:
+        return Failure(tuple(findings))
+    return check_documents([result.unwrap() for result in parsed])
+
+
+def check_documents(
+    documents: Sequence[Document],
+) -> Result[tuple[Document, ...], tuple[Finding, ...]]:
+    """Check that documents together make a configuration."""
+    findings = _check_names(documents)
+    deployments = [doc for doc in documents if doc.name == DEPLOYMENT_NAME]
+    if not deployments:
+        message = "no deployment file is among the files and none is published"
+        findings.append(Finding("", 0, 0, "deployment", message))
+    for doc in documents:
+        if isinstance(doc.spec, ServiceSpec) and deployments:
+            deployment = deployments[0].spec
+            assert isinstance(deployment, DeploymentSpec)
+            findings += _check_service(doc, doc.spec, deployment)
+    findings += _check_addresses(documents)
+    return Failure(tuple(findings)) if findings else Success(tuple(documents))
+
+
+def findings_of(result: Result[object, tuple[Finding, ...]]) -> tuple[Finding, ...]:
+    """Return the findings of a check, none for a success."""
+    return result.failure() if isinstance(result, Failure) else ()
+
+
+def configuration_of(
+    version: int, chain: str, texts: Mapping[str, str]
+) -> Result[Configuration, tuple[Finding, ...]]:
+    """Build the configuration of published documents, given by name."""
+    parsed = [parse_document(name, text) for name, text in sorted(texts.items())]
+    findings = [finding for result in parsed for finding in findings_of(result)]
+    if findings:
+        return Failure(tuple(findings))
+    return check_documents([result.unwrap() for result in parsed]).map(
+        lambda documents: _assemble(version, chain, documents)
+    )
+
+
+def _assemble(version: int, chain: str, documents: Iterable[Document]) -> Configuration:
+    services: dict[str, ServiceSpec] = {}
+    deployment = DeploymentSpec("", (), ())
+    for document in documents:
+        if isinstance(document.spec, ServiceSpec):
+            services[document.spec.name] = document.spec
+        else:
+            deployment = document.spec
+    return Configuration(version, chain, deployment, services)
+
+
+def _check_names(documents: Sequence[Document]) -> list[Finding]:
+    findings = []
+    first: dict[str, Document] = {}
+    for doc in documents:
+        known = first.setdefault(doc.name, doc)
+        if known is not doc:
+            message = f"{doc.name} stands in {known.file} already"
+            findings.append(Finding(doc.file, 1, 1, "", message))
+    return findings
+
+
+def _check_service(
+    doc: Document, service: ServiceSpec, deployment: DeploymentSpec
+) -> Iterable[Finding]:
+    log = FindingLog(doc.file)
+    for key, place in doc.places.items():
+        log.know(key, place)
+    _check_zones(log, service, deployment)
+    _check_floors(log, service, deployment)
+    _check_bodies(log, service, deployment)
+    return log.findings()
+
+
+def _check_zones(
+    log: FindingLog, service: ServiceSpec, deployment: DeploymentSpec
+) -> None:
+    known = [zone.name for zone in deployment.zones]
+    for zone in dict.fromkeys(backend.zone for backend in service.backends):
+        if zone not in known:
+            hint = nearest_hint(zone, known)
+            message = f"the deployment has no availability zone {zone!r}{hint}"
+            log.add_at_key(f"endpoints.{zone}", message)
+    if not service.backends:
+        log.add_at_key("endpoints", "no availability zone has an endpoint")
+
+
+def _check_floors(
+    log: FindingLog, service: ServiceSpec, deployment: DeploymentSpec
+) -> None:
+    """Report ranks whose floor is less than one slot in a region with endpoints."""
+    regions = {zone.name: zone.region for zone in deployment.zones}
+    slots: dict[str, int] = {}
+    for backend in service.backends:
+        region = regions.get(backend.zone, "")
+        slots[region] = slots.get(region, 0) + backend.slots
+    ranks = {kind.rank for kind in service.kinds}
+    needed = sum(_least_slots(rank, deployment) for rank in ranks)
+    for region, count in slots.items():
+        if region and count < needed:
+            floors = ", ".join(rank_name(rank) for rank in sorted(ranks))
+            message = (
+                f"{count} slots in region {region!r} cannot meet the floors of "
+                f"{floors}: {needed} are needed"
+            )
+            log.add_at_key("endpoints", message)
+
+
+def _least_slots(rank: Rank, deployment: DeploymentSpec) -> int:
+    return 1 if deployment.floors.of(rank) > 0 else 0
+
+
+def _check_bodies(
+    log: FindingLog, service: ServiceSpec, deployment: DeploymentSpec
+) -> None:
+    """Report kinds whose largest body cannot cross a link before the deadline."""
+    slowest = min((link.mbit_per_s for link in deployment.links), default=None)
+    if slowest is None:
+        return
+    for index, kind in enumerate(service.kinds):
+        needed_ms = kind.max_body_bytes * 8 * 1_000 / (slowest * BITS_PER_MBIT)
+        if "cut_off" in kind.never and needed_ms > kind.deadline_ms:
+            message = (
+                f"a body of {kind.max_body_bytes} bytes takes {needed_ms:.0f} ms over "
+                f"a link of {slowest:g} Mbit/s, more than the deadline of "
+                f"{kind.deadline_ms} ms; 'cut_off' cannot be kept"
+            )
+            log.add_at_key(f"kinds[{index}].max_body_bytes", message)
+
+
+def _check_addresses(documents: Sequence[Document]) -> list[Finding]:
+    """Report backend servers of different services that share id or address."""
+    findings = []
+    owners: dict[str | tuple[str, int], str] = {}
+    for doc in documents:
+        if not isinstance(doc.spec, ServiceSpec):
+            continue
+        for backend in doc.spec.backends:
+            for mark in (backend.backend_id, (backend.host, backend.port)):
+                owner = owners.setdefault(mark, doc.name)
+                if owner != doc.name:
+                    shown = mark if isinstance(mark, str) else f"{mark[0]}:{mark[1]}"
+                    place = doc.places.get(f"endpoints.{backend.zone}", (0, 0))
+                    key = f"endpoints.{backend.zone}"
+                    message = f"{shown} belongs to {owner} already"
+                    findings.append(Finding(doc.file, *place, key, message))
+    return findings
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/deployment_files.py
@@ -0,0 +1,186 @@
+"""Deployment files: regions, availability zones, links and limits."""
+
+from ipaddress import IPv4Network, IPv6Network
+
+from rhubarbwell_core.model import (
+    ClientBlock,
+    DeploymentSpec,
+    LinkSpec,
+    RankFloors,
+    RegionSpec,
+    SiteSpec,
+    ZoneSpec,
+)
+
+from rhubarbwell_platform.documents.addresses import parse_block
+from rhubarbwell_platform.documents.fields import FieldReader, Range, nearest_hint
+from rhubarbwell_platform.documents.service_files import FORMAT, FORMATS
+
+__all__ = ["read_deployment"]
+
+DELAYS = Range(0, 10_000, "ms")
+ENTRY_INSTANCES = Range(1, 10_000)
+BANDWIDTHS = Range(0.001, 10_000_000, "Mbit/s")
+SHARES = Range(0, 1, "of the capacity")
+SHIFT_CAPS = Range(0.0001, 1, "of the traffic per s")
+GROWTHS = Range(0.0001, 10, "of the capacity per s")
+TTLS = Range(100, 3_600_000, "ms")
+AGES = Range(100, 600_000, "ms")
+
+_DEFAULTS = DeploymentSpec("", (), ())
+_FLOOR_DEFAULTS = RankFloors()
+
+
+def read_deployment(fields: FieldReader) -> DeploymentSpec:
+    """Read a deployment; what does not fit is in the reader's log."""
+    fields.integer("format", FORMATS, default=FORMAT)
+    name = fields.name("deployment")
+    regions, zones = _read_regions(fields)
+    links = _read_links(fields, regions)
+    sites, blocks = _read_sites(fields, zones)
+    deployment = DeploymentSpec(
+        name=name,
+        regions=regions,
+        zones=zones,
+        links=links,
+        sites=sites,
+        client_blocks=blocks,
+        floors=_read_floors(fields),
+        shift_cap_per_s=fields.number(
+            "shift_cap_per_s", SHIFT_CAPS, default=_DEFAULTS.shift_cap_per_s
+        ),
+        cold_start_growth_per_s=fields.number(
+            "cold_start_growth_per_s",
+            GROWTHS,
+            default=_DEFAULTS.cold_start_growth_per_s,
+        ),
+        look_up_ttl_ms=fields.integer(
+            "look_up_ttl_ms", TTLS, default=_DEFAULTS.look_up_ttl_ms
+        ),
+        measurement_max_age_ms=fields.integer(
+            "measurement_max_age_ms", AGES, default=_DEFAULTS.measurement_max_age_ms
+        ),
+    )
+    fields.finish()
+    return deployment
+
+
+def _read_regions(
+    fields: FieldReader,
+) -> tuple[tuple[RegionSpec, ...], tuple[ZoneSpec, ...]]:
+    regions: dict[str, RegionSpec] = {}
+    zones: dict[str, ZoneSpec] = {}
+    for region_fields in fields.objects("regions", required=True):
+        name = region_fields.name("name")
+        delay_ms = region_fields.number("zone_delay_ms", DELAYS, default=0.0)
+        if name in regions:
+            region_fields.add("name", f"region {name!r} stands twice")
+        regions.setdefault(name, RegionSpec(name, delay_ms))
+        for zone_fields in region_fields.objects("zones", required=True):
+            zone = ZoneSpec(
+                zone_fields.name("name"),
+                name,
+                zone_fields.integer("entry_instances", ENTRY_INSTANCES),
+            )
+            zone_fields.finish()
+            if zone.name in zones:
+                zone_fields.add("name", f"zone {zone.name!r} stands twice")
+            zones.setdefault(zone.name, zone)
+        region_fields.finish()
+    return tuple(regions.values()), tuple(zones.values())
+
+
+def _read_links(
+    fields: FieldReader, regions: tuple[RegionSpec, ...]
+) -> tuple[LinkSpec, ...]:
+    names = [region.name for region in regions]
+    links: dict[frozenset[str], LinkSpec] = {}
+    for link_fields in fields.objects("links"):
+        ends = link_fields.texts("between", required=True)
+        mbit_per_s = link_fields.number("mbit_per_s", BANDWIDTHS)
+        delay_ms = link_fields.number("delay_ms", DELAYS, default=0.0)
+        link_fields.finish()
+        for end in ends:
+            if end not in names:
+                hint = nearest_hint(end, names)
+                link_fields.add("between", f"no region is named {end!r}{hint}")
+        if len(ends) != 2 or len(set(ends)) != 2:
+            link_fields.add("between", "must name two different regions")
+            continue
+        if frozenset(ends) in links:
+            link_fields.add(
+                "between", f"the link of {ends[0]} and {ends[1]} is doubled"
+            )
+        link = LinkSpec(ends[0], ends[1], mbit_per_s, delay_ms)
+        links.setdefault(frozenset(ends), link)
+    _check_every_pair(fields, names, links)
+    return tuple(links.values())
+
+
+def _check_every_pair(
+    fields: FieldReader, names: list[str], links: dict[frozenset[str], LinkSpec]
+) -> None:
+    for index, first in enumerate(names):
+        for second in names[index + 1 :]:
+            if frozenset((first, second)) not in links:
+                fields.add("links", f"no link between {first!r} and {second!r}")
+
+
+def _read_sites(
+    fields: FieldReader, zones: tuple[ZoneSpec, ...]
+) -> tuple[tuple[SiteSpec, ...], tuple[ClientBlock, ...]]:
+    names = [zone.name for zone in zones]
+    sites: dict[str, SiteSpec] = {}
+    blocks: dict[IPv4Network | IPv6Network, ClientBlock] = {}
+    for site_fields in fields.objects("sites"):
+        name = site_fields.name("name")
+        preferred = site_fields.texts("zones", required=True)
+        texts = site_fields.texts("blocks")
+        site_fields.finish()
+        if name in sites:
+            site_fields.add("name", f"site {name!r} stands twice")
+        if len(set(preferred)) < len(preferred):
+            site_fields.add("zones", "a zone stands twice")
+        for zone in preferred:
+            if zone not in names:
+                hint = nearest_hint(zone, names)
+                site_fields.add("zones", f"no zone is named {zone!r}{hint}")
+        sites.setdefault(name, SiteSpec(name, preferred))
+        for index, text in enumerate(texts):
+            _read_block(site_fields, f"blocks[{index}]", text, name, blocks)
+    return tuple(sites.values()), tuple(blocks.values())
+
+
+def _read_block(
+    fields: FieldReader,
+    name: str,
+    text: str,
+    site: str,
+    blocks: dict[IPv4Network | IPv6Network, ClientBlock],
+) -> None:
+    try:
+        network = parse_block(text)
+    except ValueError as exc:
+        fields.log.add_at_key(fields.key_of(name), str(exc))
+        return
+    if network in blocks:
+        message = f"block {text!r} belongs to site {blocks[network].site!r} already"
+        fields.log.add_at_key(fields.key_of(name), message)
+    blocks.setdefault(network, ClientBlock(text, site))
+
+
+def _read_floors(fields: FieldReader) -> RankFloors:
+    floor_fields = fields.object("floors")
+    if floor_fields is None:
+        return _FLOOR_DEFAULTS
+    floors = RankFloors(
+        *(
+            floor_fields.number(name, SHARES, default=default)
+            for name, default in _FLOOR_DEFAULTS._asdict().items()
+        )
+    )
+    floor_fields.finish()
+    if sum(floors) > 1.0 + 1e-9:
+        total = f"{sum(floors):g}"
+        fields.add("floors", f"the floors of the ranks sum up to {total}, over 1")
+    return floors
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/encoding.py
@@ -0,0 +1,110 @@
+"""The canonical text of documents, as published and digested."""
+
+import json
+from typing import Any
+
+from rhubarbwell_core.model import (
+    BackendSpec,
+    DeploymentSpec,
+    RegionSpec,
+    ServiceSpec,
+    WorkKind,
+    rank_name,
+)
+
+from rhubarbwell_platform.documents.service_files import FORMAT
+
+__all__ = ["DEPLOYMENT_NAME", "document_name", "encode_document"]
+
+DEPLOYMENT_NAME = "deployment"
+
+
+def document_name(spec: ServiceSpec | DeploymentSpec) -> str:
+    """Return the name under which a document stands in the log.
+
+    >>> document_name(ServiceSpec("slotsvc", (), ()))
+    'service/slotsvc'
+    """
+    if isinstance(spec, DeploymentSpec):
+        return DEPLOYMENT_NAME
+    return f"service/{spec.name}"
+
+
+def encode_document(spec: ServiceSpec | DeploymentSpec) -> str:
+    """Return the text of a document with every default written out."""
+    if isinstance(spec, DeploymentSpec):
+        fields = _deployment_fields(spec)
+    else:
+        fields = _service_fields(spec)
+    return json.dumps(fields, sort_keys=True, separators=(",", ":"))
+
+
+def _service_fields(spec: ServiceSpec) -> dict[str, Any]:
+    endpoints: dict[str, list[dict[str, Any]]] = {}
+    for backend in spec.backends:
+        endpoints.setdefault(backend.zone, []).append(_backend_fields(backend))
+    return {
+        "format": FORMAT,
+        "service": spec.name,
+        "description": spec.description,
+        "health_path": spec.health_path,
+        "load_path": spec.load_path,
+        "kinds": [_kind_fields(kind) for kind in spec.kinds],
+        "endpoints": endpoints,
+    }
+
+
+def _backend_fields(backend: BackendSpec) -> dict[str, Any]:
+    fields = backend._asdict()
+    fields["id"] = fields.pop("backend_id")
+    del fields["zone"]
+    return fields
+
+
+def _kind_fields(kind: WorkKind) -> dict[str, Any]:
+    return {**kind._asdict(), "rank": rank_name(kind.rank)}
+
+
+def _deployment_fields(spec: DeploymentSpec) -> dict[str, Any]:
+    return {
+        "format": FORMAT,
+        "deployment": spec.name,
+        "regions": [_region_fields(spec, region) for region in spec.regions],
+        "links": [
+            {
+                "between": [link.first, link.second],
+                "mbit_per_s": link.mbit_per_s,
+                "delay_ms": link.delay_ms,
+            }
+            for link in spec.links
+        ],
+        "sites": _site_fields(spec),
+        "floors": spec.floors._asdict(),
+        "shift_cap_per_s": spec.shift_cap_per_s,
+        "cold_start_growth_per_s": spec.cold_start_growth_per_s,
+        "look_up_ttl_ms": spec.look_up_ttl_ms,
+        "measurement_max_age_ms": spec.measurement_max_age_ms,
+    }
+
+
+def _region_fields(spec: DeploymentSpec, region: RegionSpec) -> dict[str, Any]:
+    zones = [
+        {"name": zone.name, "entry_instances": zone.entry_instances}
+        for zone in spec.zones
+        if zone.region == region.name
+    ]
+    return {**region._asdict(), "zones": zones}
+
+
+def _site_fields(spec: DeploymentSpec) -> list[dict[str, Any]]:
+    blocks: dict[str, list[str]] = {}
+    for block in spec.client_blocks:
+        blocks.setdefault(block.site, []).append(block.prefix)
+    return [
+        {
+            "name": site.name,
+            "zones": list(site.zones),
+            "blocks": blocks.get(site.name, []),
+        }
+        for site in spec.sites
+    ]
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/fields.py
@@ -0,0 +1,227 @@
+"""Reading of typed fields from nodes, with findings for all that is wrong."""
+
+import difflib
+import re
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from rhubarbwell_platform.documents.findings import FindingLog
+from rhubarbwell_platform.documents.nodes import Member, Node
+
+__all__ = ["FieldReader", "Range", "nearest_hint"]
+
+NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,62}")
+
+
+class Range(NamedTuple):
+    """Bound a number, both ends allowed, in a unit."""
+
+    low: float
+    high: float
+    unit: str = ""
+
+    def describe(self) -> str:
+        """Return the range in words.
+
+        >>> Range(1, 65_535).describe()
+        '1 to 65535'
+        """
+        return f"{self.low:g} to {self.high:.15g} {self.unit}".strip()
+
+
+class FieldReader:
+    """Read the fields of one object and report what does not fit.
+
+    Each reading method returns the default, or an empty value, after a finding.
+    """
+
+    def __init__(self, node: Node, key: str, log: FindingLog) -> None:
+        self.key = key
+        self.place = node.place
+        self.log = log
+        self._known: list[str] = []
+        self._members: dict[str, Member] = {}
+        log.know(key, node.place)
+        if not isinstance(node.value, tuple):
+            log.add(node.place, key, f"must be an object, not {_kind_of(node)}")
+            return
+        for member in node.value:
+            self._take_member(member)
+
+    def key_of(self, name: str) -> str:
+        """Return the full key of a field."""
+        return f"{self.key}.{name}" if self.key else name
+
+    def has(self, name: str) -> bool:
+        """Tell whether the object states the field."""
+        self._known.append(name)
+        return name in self._members
+
+    def members(self) -> Sequence[str]:
+        """Return the keys of the object, every one then being known."""
+        self._known += self._members
+        return tuple(self._members)
+
+    def text(self, name: str, *, default: str | None = None, longest: int = 500) -> str:
+        """Return a string; it is required without a default."""
+        value = self._scalar(name, (str,), "a string", default)
+        if not isinstance(value, str):
+            return default or ""
+        if len(value) > longest:
+            self.add(name, f"must be of at most {longest} characters")
+        return value
+
+    def name(self, name: str) -> str:
+        """Return a name that is required."""
+        value = self.text(name)
+        if value and not NAME_PATTERN.fullmatch(value):
+            self.add(name, f"{value!r} must match {NAME_PATTERN.pattern}")
+        return value
+
+    def choice(
+        self, name: str, choices: Sequence[str], *, default: str | None = None
+    ) -> str:
+        """Return one of the choices."""
+        value = self.text(name, default=default)
+        if value in choices:
+            return value
+        if self.has(name) and isinstance(self._members[name].node.value, str):
+            self.add(name, self.unknown_value(value, choices))
+        return default or choices[0]
+
+    def flag(self, name: str, *, default: bool | None = None) -> bool:
+        """Return true or false."""
+        value = self._scalar(name, (bool,), "true or false", default)
+        return value is True
+
+    def integer(self, name: str, allowed: Range, *, default: int | None = None) -> int:
+        """Return a whole number within the range."""
+        value = self._scalar(name, (int,), "a whole number", default)
+        if not isinstance(value, int):
+            return default or int(allowed.low)
+        self._check_range(name, value, allowed)
+        return value
+
+    def number(
+        self, name: str, allowed: Range, *, default: float | None = None
+    ) -> float:
+        """Return a number within the range."""
+        value = self._scalar(name, (int, float), "a number", default)
+        if not isinstance(value, (int, float)):
+            return default or allowed.low
+        self._check_range(name, value, allowed)
+        return float(value) if abs(value) <= abs(allowed.high) else allowed.high
+
+    def texts(self, name: str, *, required: bool = False) -> tuple[str, ...]:
+        """Return a list of strings."""
+        found = []
+        for item, key in self._items(name, required=required):
+            if isinstance(item.value, str):
+                found.append(item.value)
+            else:
+                self.log.add(item.place, key, f"must be a string, not {_kind_of(item)}")
+        return tuple(found)
+
+    def objects(self, name: str, *, required: bool = False) -> list["FieldReader"]:
+        """Return a reader for each object of a list."""
+        items = self._items(name, required=required)
+        return [FieldReader(item, key, self.log) for item, key in items]
+
+    def object(self, name: str) -> "FieldReader | None":
+        """Return a reader of an object, None without the field."""
+        if not self.has(name):
+            return None
+        return FieldReader(self._members[name].node, self.key_of(name), self.log)
+
+    def add(self, name: str, message: str) -> None:
+        """Report a finding about a field."""
+        member = self._members.get(name)
+        place = member.node.place if member else self.place
+        self.log.add(place, self.key_of(name), message)
+
+    def unknown_value(self, value: str, choices: Sequence[str]) -> str:
+        """Return a message about a value that is none of the choices."""
+        return _unknown("value", value, choices)
+
+    def finish(self) -> None:
+        """Report the fields that nothing has read."""
+        for key, member in self._members.items():
+            if key not in self._known:
+                message = _unknown("key", key, self._known)
+                self.log.add(member.place, self.key_of(key), message)
+
+    def _take_member(self, member: Member) -> None:
+        if member.key in self._members:
+            message = "the key stands twice"
+            self.log.add(member.place, self.key_of(member.key), message)
+            return
+        self._members[member.key] = member
+        self.log.know(self.key_of(member.key), member.node.place)
+
+    def _scalar(
+        self,
+        name: str,
+        types: tuple[type, ...],
+        wanted: str,
+        default: str | float | bool | None,
+    ) -> str | int | float | bool | None:
+        if not self.has(name):
+            if default is None:
+                self.log.add(self.place, self.key_of(name), f"is missing: {wanted}")
+            return default
+        node = self._members[name].node
+        if type(node.value) in types:
+            return node.value  # type: ignore[return-value]
+        self.add(name, f"must be {wanted}, not {_kind_of(node)}")
+        return None
+
+    def _check_range(self, name: str, value: float, allowed: Range) -> None:
+        if not allowed.low <= value <= allowed.high:
+            self.add(name, f"{value!r} is out of the range {allowed.describe()}")
+
+    def _items(self, name: str, *, required: bool) -> Iterable[tuple[Node, str]]:
+        if not self.has(name):
+            if required:
+                self.log.add(self.place, self.key_of(name), "is missing: a list")
+            return []
+        node = self._members[name].node
+        if not isinstance(node.value, list):
+            self.add(name, f"must be a list, not {_kind_of(node)}")
+            return []
+        if required and not node.value:
+            self.add(name, "must not be empty")
+        keyed = [
+            (item, f"{self.key_of(name)}[{index}]")
+            for index, item in enumerate(node.value)
+        ]
+        for item, key in keyed:
+            self.log.know(key, item.place)
+        return keyed
+
+
+def nearest_hint(word: str, known: Iterable[str]) -> str:
+    """Return a hint at the known word most like the word, empty without one.
+
+    >>> nearest_hint("rnak", ["rank", "name"])
+    "; did you mean 'rank'?"
+    """
+    near = difflib.get_close_matches(word, list(known), n=1)
+    return f"; did you mean {near[0]!r}?" if near else ""
+
+
+def _unknown(what: str, word: str, known: Sequence[str]) -> str:
+    hint = nearest_hint(word, known)
+    return (
+        f"unknown {what} {word!r}{hint or '; known: ' + ', '.join(sorted(set(known)))}"
+    )
+
+
+def _kind_of(node: Node) -> str:
+    value = node.value
+    if isinstance(value, tuple):
+        return "an object"
+    if isinstance(value, list):
+        return "a list"
+    if value is None:
+        return "null"
+    return {str: "a string", bool: "true or false"}.get(type(value), "a number")
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/files.py
@@ -0,0 +1,111 @@
+"""Service and deployment files as read from their source or from the store."""
+
+from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from rhubarbwell_core.model import DeploymentSpec, ServiceSpec
+
+from rhubarbwell_platform.documents.deployment_files import read_deployment
+from rhubarbwell_platform.documents.encoding import document_name, encode_document
+from rhubarbwell_platform.documents.fields import FieldReader
+from rhubarbwell_platform.documents.findings import Finding, FindingLog, Place
+from rhubarbwell_platform.documents.nodes import (
+    Node,
+    SyntaxFault,
+    read_json,
+    read_source,
+)
+from rhubarbwell_platform.documents.service_files import read_service
+
+__all__ = ["Document", "SourceFile", "parse_document", "parse_file", "read_files"]
+
+MAX_FILE_BYTES = 64 << 20
+
+
+class SourceFile(NamedTuple):
+    """Hold the text of a file and the name to report it by."""
+
+    name: str
+    text: str
+
+
+class Document(NamedTuple):
+    """Hold a document, its canonical text and the places of its keys."""
+
+    name: str
+    spec: ServiceSpec | DeploymentSpec
+    text: str
+    file: str
+    places: Mapping[str, Place]
+
+
+Parsed = Result[Document, tuple[Finding, ...]]
+
+
+def read_files(
+    paths: Iterable[str | Path],
+) -> Result[tuple[SourceFile, ...], tuple[Finding, ...]]:
+    """Read files as UTF-8; fail with a finding for each that cannot be read."""
+    sources: list[SourceFile] = []
+    findings: list[Finding] = []
+    for path in paths:
+        try:
+            sources.append(SourceFile(str(path), Path(path).read_text("utf-8")))
+        except (OSError, UnicodeDecodeError) as exc:
+            findings.append(Finding(str(path), 0, 0, "", f"cannot be read: {exc}"))
+    return Failure(tuple(findings)) if findings else Success(tuple(sources))
+
+
+def parse_file(source: SourceFile) -> Parsed:
+    """Parse a service or deployment file in JSON with comments.
+
+    >>> bad = SourceFile("a.jsonc", '{"service": "a", "kinds": 3, "endpoints": {}}')
+    >>> parse_file(bad).failure()[0].message
+    'must be a list, not a number'
+    """
+    return _parse(source, read_source)
+
+
+def parse_document(name: str, text: str) -> Parsed:
+    """Parse the canonical text of a published document."""
+    return _parse(SourceFile(name, text), read_json).bind(
+        lambda document: _check_name(document, name)
+    )
+
+
+def _parse(source: SourceFile, read: Callable[[str], Node]) -> Parsed:
+    log = FindingLog(source.name)
+    if len(source.text) > MAX_FILE_BYTES:
+        log.add(Place(1, 1), "", f"the file is larger than {MAX_FILE_BYTES} bytes")
+        return Failure(log.findings())
+    try:
+        node = read(source.text)
+    except SyntaxFault as exc:
+        log.add(exc.place, "", exc.message)
+        return Failure(log.findings())
+    fields = FieldReader(node, "", log)
+    spec = None if log.findings() else _read_spec(fields)
+    if spec is None or log.findings():
+        return Failure(log.findings())
+    text = encode_document(spec)
+    name = document_name(spec)
+    return Success(Document(name, spec, text, source.name, log.places()))
+
+
+def _read_spec(fields: FieldReader) -> ServiceSpec | DeploymentSpec | None:
+    if fields.has("service"):
+        return read_service(fields)
+    if fields.has("deployment"):
+        return read_deployment(fields)
+    message = "must be a service file or a deployment file: name its 'service'"
+    fields.log.add(fields.place, "", f"{message} or 'deployment'")
+    return None
+
+
+def _check_name(document: Document, name: str) -> Parsed:
+    if document.name == name:
+        return Success(document)
+    message = f"the document is {document.name!r}, not {name!r}"
+    return Failure((Finding(name, 0, 0, "", message),))
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/findings.py
@@ -0,0 +1,68 @@
+"""Findings about files, each with its place."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+__all__ = ["Finding", "FindingLog", "Place", "format_findings"]
+
+
+class Place(NamedTuple):
+    """Name a line and column of a file, both from 1; 0 where there is none."""
+
+    line: int
+    column: int
+
+
+class Finding(NamedTuple):
+    """Tell what is wrong with a key of a file, and where it stands."""
+
+    file: str
+    line: int
+    column: int
+    key: str
+    message: str
+
+
+class FindingLog:
+    """Collect the findings about one file.
+
+    >>> log = FindingLog("slotsvc.jsonc")
+    >>> log.add(Place(3, 5), "kinds[0].rank", "must be a rank")
+    >>> print(format_findings(log.findings()))
+    slotsvc.jsonc:3:5: kinds[0].rank: must be a rank
+    """
+
+    def __init__(self, file: str) -> None:
+        self._file = file
+        self._places: dict[str, Place] = {}
+        self._findings: list[Finding] = []
+
+    def know(self, key: str, place: Place) -> None:
+        """Remember the place of a key for later findings."""
+        self._places[key] = place
+
+    def places(self) -> Mapping[str, Place]:
+        """Return the places of the keys read so far."""
+        return self._places
+
+    def add(self, place: Place, key: str, message: str) -> None:
+        """Report a finding at a place."""
+        self._findings.append(Finding(self._file, *place, key, message))
+
+    def add_at_key(self, key: str, message: str) -> None:
+        """Report a finding at the place of a key, or of the nearest key around it."""
+        around = key
+        while around not in self._places and around:
+            around = around[: max(around.rfind("."), around.rfind("["), 0)]
+        self.add(self._places.get(around, Place(1, 1)), key, message)
+
+    def findings(self) -> tuple[Finding, ...]:
+        """Return the findings in the order of the file."""
+        return tuple(sorted(self._findings, key=lambda f: (f.line, f.column)))
+
+
+def format_findings(findings: Sequence[Finding]) -> str:
+    """Return one line per finding."""
+    return "\n".join(
+        f"{f.file}:{f.line}:{f.column}: {f.key}: {f.message}" for f in findings
+    )
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/__init__.py
@@ -0,0 +1,6 @@
+"""In-memory services of the platform."""
+
+from rhubarbwell_platform.memory.instances import *
+from rhubarbwell_platform.memory.objects import *
+from rhubarbwell_platform.memory.platform import *
+from rhubarbwell_platform.memory.tables import *
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/instances.py
@@ -0,0 +1,16 @@
+"""A list of instances in memory."""
+
+from rhubarbwell_platform.services import InstanceList, InstanceListing
+
+__all__ = ["MemoryInstanceList"]
+
+
+class MemoryInstanceList(InstanceList):
+    """Return the listing that was last set."""
+
+    def __init__(self) -> None:
+        self.listing = InstanceListing(0)
+
+    async def read(self) -> InstanceListing:
+        """Return the listing."""
+        return self.listing
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/tables.py
@@ -0,0 +1,70 @@
+"""A table service in memory."""
+
+from collections.abc import Mapping, Sequence
+
+from rhubarbwell_platform.errors import ConflictError
+from rhubarbwell_platform.services import (
+    Absent,
+    Condition,
+    Row,
+    TableService,
+    VersionIs,
+    Write,
+)
+
+__all__ = ["MemoryTableService"]
+
+
+class MemoryTableService(TableService):
+    """Keep rows in memory.
+
+    >>> import asyncio
+    >>> tables = MemoryTableService()
+    >>> asyncio.run(tables.transact([Write("a", "1", Absent())]))
+    1
+    >>> asyncio.run(tables.read(["a", "b"]))
+    {'a': Row(key='a', version=1, value='1')}
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._version = 0
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return those of the rows that exist."""
+        return {key: self._rows[key] for key in keys if key in self._rows}
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1_000
+    ) -> Sequence[Row]:
+        """Return rows whose key has the prefix and follows after, in key order."""
+        keys = sorted(k for k in self._rows if k.startswith(prefix) and k > after)
+        return [self._rows[key] for key in keys[:limit]]
+
+    async def transact(self, writes: Sequence[Write]) -> int:
+        """Carry out all writes or none; raise ConflictError."""
+        for write in writes:
+            if not _holds(write.condition, self._rows.get(write.key)):
+                raise ConflictError(write.key)
+        self._version += 1
+        for write in writes:
+            if write.value is None:
+                self._rows.pop(write.key, None)
+            else:
+                self._rows[write.key] = Row(write.key, self._version, write.value)
+        return self._version
+
+    def copy(self) -> "MemoryTableService":
+        """Return a copy, as a backup of the service would hold it."""
+        other = MemoryTableService()
+        other._rows = dict(self._rows)
+        other._version = self._version
+        return other
+
+
+def _holds(condition: Condition, row: Row | None) -> bool:
+    if isinstance(condition, Absent):
+        return row is None
+    if isinstance(condition, VersionIs):
+        return row is not None and row.version == condition.version
+    return True
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/differences.py
@@ -0,0 +1,95 @@
+"""Differences between documents, key by key."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+__all__ = ["KeyDifference", "differences", "format_differences"]
+
+_WHOLE = "document"
+_LABEL_FIELDS = ("name", "id")
+
+
+class KeyDifference(NamedTuple):
+    """Tell a key's values before and after, None where it is absent.
+
+    The empty key stands for the whole document.
+    """
+
+    document: str
+    key: str
+    before: str | None
+    after: str | None
+
+
+def differences(
+    before: Mapping[str, str], after: Mapping[str, str]
+) -> tuple[KeyDifference, ...]:
+    """Return the keys in which two sets of documents differ.
+
+    >>> old, new = {"a": '{"ttl_ms": 5}'}, {"a": '{"ttl_ms": 7}'}
+    >>> print(format_differences(differences(old, new)))
+    a: ttl_ms: 5 -> 7
+    """
+    found: list[KeyDifference] = []
+    for name in sorted({*before, *after}):
+        if before.get(name) == after.get(name):
+            continue
+        if name not in before or name not in after:
+            found.append(_whole(name, added=name in after))
+            continue
+        old, new = _flatten(before[name]), _flatten(after[name])
+        found += [
+            KeyDifference(name, key, old.get(key), new.get(key))
+            for key in sorted({*old, *new})
+            if old.get(key) != new.get(key)
+        ]
+    return tuple(found)
+
+
+def format_differences(found: tuple[KeyDifference, ...]) -> str:
+    """Return one line per difference."""
+    return "\n".join(_format(difference) for difference in found)
+
+
+def _format(difference: KeyDifference) -> str:
+    start = f"{difference.document}: {difference.key}: "
+    if not difference.key:
+        start = f"{difference.document}: "
+    if difference.before is None:
+        return f"{start}added {difference.after}"
+    if difference.after is None:
+        return f"{start}removed {difference.before}"
+    return f"{start}{difference.before} -> {difference.after}"
+
+
+def _whole(document: str, *, added: bool) -> KeyDifference:
+    if added:
+        return KeyDifference(document, "", None, _WHOLE)
+    return KeyDifference(document, "", _WHOLE, None)
+
+
+def _flatten(text: str) -> dict[str, str]:
+    return dict(_leaves("", json.loads(text)))
+
+
+def _leaves(key: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict) and value:
+        for name, item in value.items():
+            yield from _leaves(f"{key}.{name}" if key else name, item)
+    elif isinstance(value, list) and value:
+        for index, item in enumerate(value):
+            yield from _leaves(f"{key}[{_label(index, item)}]", item)
+    else:
+        yield key, json.dumps(value)
+
+
+def _label(index: int, item: Any) -> str:
+    """Return the item's name, so that reordering shows no difference."""
+    if isinstance(item, dict):
+        for field in _LABEL_FIELDS:
+            if field in item:
+                return str(item[field])
+        if "between" in item:
+            return "-".join(item["between"])
+    return str(index)
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/log.py
@@ -0,0 +1,150 @@
+"""Reading of the log of published documents."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Result
+from rhubarbwell_core.adoption import (
+    EMPTY_CHAIN,
+    HEAD_KEY,
+    InvalidLogError,
+    LogHead,
+    LogRow,
+    LogSnapshot,
+    decode_head,
+    decode_log_row,
+    decode_snapshot,
+    document_digest,
+    log_key,
+    object_key,
+    snapshot_key,
+    verify_rows,
+)
+from rhubarbwell_core.model import Configuration
+
+from rhubarbwell_platform.documents import Finding, configuration_of
+from rhubarbwell_platform.errors import MissingObjectError
+from rhubarbwell_platform.services import ObjectStore, Platform, TableService
+
+__all__ = [
+    "PublishedState",
+    "read_configuration",
+    "read_head",
+    "read_rows",
+    "read_state",
+]
+
+LOG_PREFIX = "config-log/"
+PAGE_ROWS = 500
+PARALLEL_READS = 8
+
+
+class PublishedHead(NamedTuple):
+    """Hold the head and the version of its table row, None before the first."""
+
+    head: LogHead
+    row_version: int | None
+
+
+class PublishedState(NamedTuple):
+    """Hold the documents that are published at a version, by name."""
+
+    head: LogHead
+    row_version: int | None
+    documents: Mapping[str, str]
+
+
+async def read_head(tables: TableService) -> PublishedHead:
+    """Return the head; raise UnavailableError or InvalidLogError."""
+    row = (await tables.read([HEAD_KEY])).get(HEAD_KEY)
+    if row is None:
+        return PublishedHead(LogHead(0, EMPTY_CHAIN), None)
+    return PublishedHead(decode_head(row.value), row.version)
+
+
+async def read_rows(
+    tables: TableService, *, after: int = 0, up_to: int
+) -> tuple[LogRow, ...]:
+    """Return the rows of versions after + 1 to up_to.
+
+    Raises UnavailableError, and InvalidLogError for a gap.
+    """
+    rows: list[LogRow] = []
+    while after < up_to:
+        limit = min(PAGE_ROWS, up_to - after)
+        page = await tables.scan(LOG_PREFIX, after=log_key(after), limit=limit)
+        rows += [decode_log_row(row.value) for row in page]
+        if not page or rows[-1].version != after + len(page):
+            raise InvalidLogError(f"the log has no version {after + 1}")
+        after = rows[-1].version
+    return tuple(rows)
+
+
+async def read_state(
+    platform: Platform, *, version: int | None = None
+) -> PublishedState:
+    """Return the documents of a version, of the newest without one.
+
+    Raises UnavailableError, MissingObjectError and InvalidLogError.
+    """
+    head, row_version = await read_head(platform.tables)
+    wanted = head.version if version is None else version
+    if not 0 <= wanted <= head.version:
+        raise InvalidLogError(f"version {wanted} is not published")
+    start = await _read_snapshot(platform.objects, head, wanted)
+    rows = await read_rows(platform.tables, after=start.version, up_to=wanted)
+    chain = verify_rows(rows, version=start.version, chain=start.chain)
+    if wanted == head.version and chain != head.chain:
+        raise InvalidLogError("the head does not belong to the log")
+    documents = await _apply(platform.objects, start.documents, rows)
+    at_version = head._replace(version=wanted, chain=chain)
+    return PublishedState(at_version, row_version, documents)
+
+
+async def read_configuration(
+    platform: Platform, *, version: int | None = None
+) -> Result[Configuration, tuple[Finding, ...]]:
+    """Return the configuration of a version, or why its documents do not make one.
+
+    Raises UnavailableError, MissingObjectError and InvalidLogError.
+    """
+    state = await read_state(platform, version=version)
+    return configuration_of(state.head.version, state.head.chain, state.documents)
+
+
+async def _read_snapshot(
+    objects: ObjectStore, head: LogHead, wanted: int
+) -> LogSnapshot:
+    """Return the newest snapshot up to a version, an empty one without any."""
+    if 0 < head.snapshot_version <= wanted:
+        try:
+            text = await objects.get(snapshot_key(head.snapshot_version))
+            return decode_snapshot(text)
+        except MissingObjectError:
+            pass
+    return LogSnapshot(0, EMPTY_CHAIN, {})
+
+
+async def _apply(
+    objects: ObjectStore, documents: Mapping[str, str], rows: tuple[LogRow, ...]
+) -> dict[str, str]:
+    """Return the documents with the newest row of each name applied."""
+    newest = {row.document: row.digest for row in rows}
+    kept = {name: text for name, text in documents.items() if name not in newest}
+    wanted = {name: digest for name, digest in newest.items() if digest}
+    limit = asyncio.Semaphore(PARALLEL_READS)
+
+    async def fetch(digest: str) -> str:
+        async with limit:
+            return await _read_object(objects, digest)
+
+    texts = await asyncio.gather(*map(fetch, wanted.values()))
+    return {**kept, **dict(zip(wanted, texts, strict=True))}
+
+
+async def _read_object(objects: ObjectStore, digest: str) -> str:
+    text = await objects.get(object_key(digest))
+    if document_digest(text) != digest:
+        raise InvalidLogError(f"object {digest} holds another text")
+    return text
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
@@ -0,0 +1,250 @@
+"""Publishing of documents by compare-and-set of the log's head."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from rhubarbwell_core.adoption import (
+    HEAD_KEY,
+    LogHead,
+    LogRow,
+    chain_digest,
+    decode_head,
+    document_digest,
+    encode_head,
+    encode_log_row,
+    log_key,
+    object_key,
+)
+from tenacity import AsyncRetrying, retry_if_exception_type, stop_after_attempt
+
+from rhubarbwell_platform.documents import configuration_of, findings_of
+from rhubarbwell_platform.errors import (
+    AnswerLostError,
+    ConflictError,
+    UnavailableError,
+)
+from rhubarbwell_platform.publishing.differences import KeyDifference, differences
+from rhubarbwell_platform.publishing.log import PublishedState, read_rows, read_state
+from rhubarbwell_platform.publishing.outcomes import (
+    PublishConflict,
+    Published,
+    PublishFailure,
+    PublishIdReused,
+    PublishInvalid,
+    PublishNotDone,
+    PublishUnknown,
+)
+from rhubarbwell_platform.publishing.snapshots import write_snapshot_if_due
+from rhubarbwell_platform.services import (
+    Absent,
+    Condition,
+    Platform,
+    Row,
+    VersionIs,
+    Write,
+)
+
+__all__ = ["Change", "publish", "publish_key"]
+
+MAX_TRIES = 5
+
+Outcome = Result[Published, PublishFailure]
+
+
+class Change(NamedTuple):
+    """Ask for documents to be published; a None text removes the document."""
+
+    publish_id: str
+    author: str
+    at_ms: int
+    documents: Mapping[str, str | None]
+
+
+async def publish(
+    platform: Platform, change: Change, *, base: PublishedState
+) -> Outcome:
+    """Publish a change that was made on a base; a repeat changes nothing.
+
+    Raises InvalidLogError if the log is damaged.
+    """
+    changed = _changed_documents(change, base)
+    if not changed:
+        return Success(Published(base.head.version, base.head.chain))
+    merged = _merge(base.documents, changed)
+    checked = configuration_of(base.head.version, base.head.chain, merged)
+    findings = findings_of(checked)
+    if findings:
+        return Failure(PublishInvalid(findings))
+    attempt = _Attempt(platform, change, changed, base)
+    try:
+        return await attempt.run(merged)
+    except (ConflictError, UnavailableError, AnswerLostError) as exc:
+        return Failure(attempt.failure(str(exc)))
+
+
+def publish_key(publish_id: str) -> str:
+    """Return the table key that holds the last version of a publish.
+
+    >>> publish_key("p-1")
+    'config-publishes/p-1'
+    """
+    return f"config-publishes/{publish_id}"
+
+
+class _Attempt:
+    """Try one transaction until its outcome is known."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        change: Change,
+        changed: Mapping[str, str | None],
+        base: PublishedState,
+    ) -> None:
+        self._platform = platform
+        self._change = change
+        self._changed = changed
+        self._base = base
+        self._rows = _log_rows(change, changed, base.head)
+        self._may_be_done = False
+
+    async def run(self, merged: Mapping[str, str]) -> Outcome:
+        """Return the outcome.
+
+        Raises ConflictError, UnavailableError or AnswerLostError after the
+        last try.
+        """
+        await self._put_objects()
+        retrying = AsyncRetrying(
+            retry=retry_if_exception_type((ConflictError, AnswerLostError)),
+            stop=stop_after_attempt(MAX_TRIES),
+            reraise=True,
+        )
+        return await retrying(self._try_once, merged)
+
+    def failure(self, reason: str) -> PublishFailure:
+        """Return what to tell when the platform stays unavailable."""
+        if self._may_be_done:
+            return PublishUnknown(self._change.publish_id, reason)
+        return PublishNotDone(reason)
+
+    async def _put_objects(self) -> None:
+        for text in self._changed.values():
+            if text is not None:
+                key = object_key(document_digest(text))
+                await self._platform.objects.put(key, text)
+
+    async def _try_once(self, merged: Mapping[str, str]) -> Outcome:
+        """Look whether the outcome is known, else send the transaction."""
+        own_key = publish_key(self._change.publish_id)
+        found = await self._platform.tables.read([own_key, HEAD_KEY])
+        if own_key in found:
+            return await self._settle(int(found[own_key].value))
+        head_row = found.get(HEAD_KEY)
+        if head_row is not None:
+            head = decode_head(head_row.value)
+            if head.version != self._base.head.version:
+                return Failure(await self._conflict(head))
+        row_version = await self._transact(own_key, head_row)
+        head = self._new_head()
+        await write_snapshot_if_due(self._platform, head, row_version, merged)
+        return Success(Published(head.version, head.chain, tuple(self._changed)))
+
+    async def _transact(self, own_key: str, head_row: Row | None) -> int:
+        writes = [
+            Write(log_key(row.version), encode_log_row(row), Absent())
+            for row in self._rows
+        ]
+        head = self._new_head()
+        condition: Condition = Absent()
+        if head_row is not None:
+            condition = VersionIs(head_row.version)
+        writes.append(Write(own_key, str(head.version), Absent()))
+        writes.append(Write(HEAD_KEY, encode_head(head), condition))
+        try:
+            return await self._platform.tables.transact(writes)
+        except AnswerLostError:
+            self._may_be_done = True
+            raise
+
+    def _new_head(self) -> LogHead:
+        last = self._rows[-1]
+        return self._base.head._replace(version=last.version, chain=chain_digest(last))
+
+    async def _settle(self, version: int) -> Outcome:
+        """Return the outcome of a publish that the log holds already."""
+        rows = await self._rows_of_publish(version)
+        wanted = _digests(self._change.documents)
+        if any(wanted.get(row.document) != row.digest for row in rows):
+            return Failure(PublishIdReused(self._change.publish_id, version))
+        names = tuple(row.document for row in rows)
+        repeated = not self._may_be_done
+        return Success(Published(version, chain_digest(rows[-1]), names, repeated))
+
+    async def _rows_of_publish(self, version: int) -> tuple[LogRow, ...]:
+        start = max(0, version - len(self._change.documents) - 1)
+        rows = await read_rows(self._platform.tables, after=start, up_to=version)
+        publish_id = self._change.publish_id
+        return tuple(row for row in rows if row.publish_id == publish_id)
+
+    async def _conflict(self, head: LogHead) -> PublishConflict:
+        tables = self._platform.tables
+        base_version = self._base.head.version
+        winners = await read_rows(tables, after=base_version, up_to=head.version)
+        newest = await read_state(self._platform, version=head.version)
+        wanted = _merge(self._base.documents, self._changed)
+        moved = differences(self._base.documents, newest.documents)
+        differing = _keep_keys(differences(newest.documents, wanted), moved)
+        return PublishConflict(base_version, winners, differing)
+
+
+def _changed_documents(change: Change, base: PublishedState) -> dict[str, str | None]:
+    return {
+        name: text
+        for name, text in sorted(change.documents.items())
+        if base.documents.get(name) != text
+    }
+
+
+def _merge(
+    documents: Mapping[str, str], changed: Mapping[str, str | None]
+) -> dict[str, str]:
+    merged: dict[str, str | None] = {**documents, **changed}
+    return {name: text for name, text in merged.items() if text is not None}
+
+
+def _digests(documents: Mapping[str, str | None]) -> dict[str, str]:
+    return {
+        name: "" if text is None else document_digest(text)
+        for name, text in documents.items()
+    }
+
+
+def _log_rows(
+    change: Change, changed: Mapping[str, str | None], head: LogHead
+) -> tuple[LogRow, ...]:
+    rows: list[LogRow] = []
+    chain = head.chain
+    for index, (name, digest) in enumerate(_digests(changed).items(), 1):
+        row = LogRow(
+            version=head.version + index,
+            document=name,
+            digest=digest,
+            previous_chain=chain,
+            publish_id=change.publish_id,
+            author=change.author,
+            published_at_ms=change.at_ms,
+            rows_left=len(changed) - index,
+        )
+        rows.append(row)
+        chain = chain_digest(row)
+    return tuple(rows)
+
+
+def _keep_keys(
+    found: tuple[KeyDifference, ...], wanted: tuple[KeyDifference, ...]
+) -> tuple[KeyDifference, ...]:
+    """Return the differences in keys that are among the wanted ones."""
+    keys = {(difference.document, difference.key) for difference in wanted}
+    return tuple(diff for diff in found if (diff.document, diff.key) in keys)
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/snapshots.py
@@ -0,0 +1,41 @@
+"""Snapshots of all documents, so that a start reads one object."""
+
+import logging
+from collections.abc import Mapping
+
+from rhubarbwell_core.adoption import (
+    HEAD_KEY,
+    LogHead,
+    LogSnapshot,
+    encode_head,
+    encode_snapshot,
+    snapshot_key,
+)
+
+from rhubarbwell_platform.errors import PlatformError
+from rhubarbwell_platform.services import Platform, VersionIs, Write
+
+__all__ = ["write_snapshot_if_due"]
+
+VERSIONS_PER_SNAPSHOT = 64
+
+logger = logging.getLogger(__name__)
+
+
+async def write_snapshot_if_due(
+    platform: Platform, head: LogHead, row_version: int, documents: Mapping[str, str]
+) -> LogHead:
+    """Return the head, with a new snapshot if one is due and could be written."""
+    if head.version - head.snapshot_version < VERSIONS_PER_SNAPSHOT:
+        return head
+    snapshot = LogSnapshot(head.version, head.chain, documents)
+    pointing = head._replace(snapshot_version=head.version)
+    write = Write(HEAD_KEY, encode_head(pointing), VersionIs(row_version))
+    try:
+        key = snapshot_key(head.version)
+        await platform.objects.put(key, encode_snapshot(snapshot))
+        await platform.tables.transact([write])
+    except PlatformError as exc:
+        logger.warning("snapshot of version %d not written: %s", head.version, exc)
+        return head
+    return pointing
--- /dev/null
+++ b/tests/platform/publishing/test_publish.py
@@ -0,0 +1,152 @@
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from rhubarbwell_platform import (
+    AnswerLostError,
+    MemoryTableService,
+    memory_platform,
+)
+from rhubarbwell_platform.documents import check_files, read_files
+from rhubarbwell_platform.publishing import (
+    Change,
+    PublishConflict,
+    PublishIdReused,
+    PublishInvalid,
+    PublishUnknown,
+    publish,
+    read_configuration,
+    read_state,
+)
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@pytest.fixture(scope="module")
+def texts():
+    paths = sorted((EXAMPLES / "demo").glob("*.jsonc"))
+    documents = check_files(read_files(paths).unwrap()).unwrap()
+    return {document.name: document.text for document in documents}
+
+
+def with_deadline(texts, name, old, new):
+    changed = texts[name].replace(f'"deadline_ms":{old}', f'"deadline_ms":{new}')
+    assert changed != texts[name]
+    return {name: changed}
+
+
+async def published_platform(texts):
+    platform = memory_platform()
+    base = await read_state(platform)
+    first = Change("first", "ana", 1, texts)
+    assert (await publish(platform, first, base=base)).unwrap().version == len(texts)
+    return platform
+
+
+async def test_publish_and_read_back(texts):
+    platform = await published_platform(texts)
+    cfg = (await read_configuration(platform)).unwrap()
+    state = await read_state(platform)
+    assert (cfg.version, cfg.digest) == (5, state.head.chain)
+    assert set(cfg.services) == {"slotsvc", "paysvc", "clipsvc", "rostersvc"}
+
+
+async def test_racing_operators_are_told_the_winner_and_the_keys(texts):
+    platform = await published_platform(texts)
+    base = await read_state(platform)
+    ana = with_deadline(texts, "service/paysvc", 3000, 3500)
+    ben = with_deadline(texts, "service/paysvc", 3000, 4000)
+    (await publish(platform, Change("a", "ana", 2, ana), base=base)).unwrap()
+    lost = await publish(platform, Change("b", "ben", 3, ben), base=base)
+    conflict = lost.failure()
+    assert isinstance(conflict, PublishConflict)
+    assert [(row.author, row.publish_id) for row in conflict.winners] == [("ana", "a")]
+    assert [(found.key, found.before, found.after) for found in conflict.differing] == [
+        ("kinds[pay].deadline_ms", "3500", "4000")
+    ]
+    assert (await read_state(platform)).head.version == 6
+
+
+async def test_repeat_of_a_publish_changes_nothing(texts):
+    platform = await published_platform(texts)
+    base = await read_state(platform)
+    change = Change("a", "ana", 2, with_deadline(texts, "service/paysvc", 3000, 3500))
+    first = (await publish(platform, change, base=base)).unwrap()
+    again = (await publish(platform, change, base=base)).unwrap()
+    assert again == first._replace(repeated=True)
+    undo = Change("u", "ben", 3, {"service/paysvc": texts["service/paysvc"]})
+    await publish(platform, undo, base=await read_state(platform))
+    late = await publish(platform, change, base=await read_state(platform))
+    assert late.unwrap() == first._replace(repeated=True)
+    assert (await read_state(platform)).documents == texts
+
+
+async def test_publish_id_of_another_change_is_refused(texts):
+    platform = await published_platform(texts)
+    change = with_deadline(texts, "service/paysvc", 3000, 3500)
+    result = await publish(
+        platform, Change("first", "ana", 2, change), base=await read_state(platform)
+    )
+    assert result.failure() == PublishIdReused("first", 5)
+
+
+async def test_documents_that_contradict_are_not_published(texts):
+    platform = await published_platform(texts)
+    change = Change("a", "ana", 2, {"deployment": None})
+    result = await publish(platform, change, base=await read_state(platform))
+    assert isinstance(result.failure(), PublishInvalid)
+    assert (await read_state(platform)).head.version == 5
+
+
+@dataclass
+class Losses:
+    applied: list[bool]
+
+
+class LossyTableService(MemoryTableService):
+    """Lose the answers of the next transactions, applied or not."""
+
+    def __init__(self, losses):
+        super().__init__()
+        self.losses = losses
+
+    async def transact(self, writes):
+        if not self.losses.applied:
+            return await super().transact(writes)
+        if self.losses.applied.pop(0):
+            await super().transact(writes)
+        raise AnswerLostError("the answer was lost")
+
+
+@pytest.mark.parametrize("applied", [[True], [False], [False, True], [False] * 4])
+async def test_lost_answers_are_settled(texts, applied):
+    tables = LossyTableService(Losses(list(applied)))
+    platform = memory_platform()._replace(tables=tables)
+    change = Change("a", "ana", 1, texts)
+    result = await publish(platform, change, base=await read_state(platform))
+    assert (result.unwrap().version, result.unwrap().repeated) == (5, False)
+    assert (await read_state(platform)).documents == texts
+
+
+async def test_answers_lost_for_long_leave_the_outcome_unknown(texts):
+    tables = LossyTableService(Losses([False] * 5))
+    platform = memory_platform()._replace(tables=tables)
+    change = Change("a", "ana", 1, texts)
+    result = await publish(platform, change, base=await read_state(platform))
+    assert isinstance(result.failure(), PublishUnknown)
+    later = await publish(platform, change, base=await read_state(platform))
+    assert later.unwrap().version == 5
+
+
+async def test_start_reads_a_snapshot(texts):
+    platform = await published_platform(texts)
+    for index in range(70):
+        documents = with_deadline(texts, "service/paysvc", 3000, 4000 + index)
+        change = Change(f"p{index}", "ana", index, documents)
+        base = await read_state(platform)
+        (await publish(platform, change, base=base)).unwrap()
+    state = await read_state(platform)
+    assert (state.head.version, state.head.snapshot_version) == (75, 64)
+    assert '"deadline_ms":4069' in state.documents["service/paysvc"]
+    older = await read_state(platform, version=40)
+    assert '"deadline_ms":4034' in older.documents["service/paysvc"]
