--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -7,13 +7,7 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
-from rhubarbwell_core.lookups import (
-    LookUpAnswer,
-    LookUpQuery,
-    PrefixIndex,
-    answer_look_up,
-    index_blocks,
-)
+from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
 from rhubarbwell_core.messages import (
     AttemptEnded,
     BackendLeaving,
@@ -26,12 +20,7 @@
     PeerState,
     RequestArrived,
 )
-from rhubarbwell_core.model import (
-    Configuration,
-    Identity,
-    region_of_zone,
-    zones_of_region,
-)
+from rhubarbwell_core.model import Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
@@ -83,8 +72,7 @@
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
-        self._rng = rng
-        self._blocks: PrefixIndex = index_blocks(())
+        self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
             PeerHeard: self._on_peer,
@@ -94,6 +82,7 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self._look_ups)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
@@ -117,15 +106,8 @@
         return self.timers.next_due_ms()
 
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
-        """Answer which entry instances the caller should use."""
-        cfg = self.configuration
-        ttl_ms = 0 if cfg is None else cfg.deployment.look_up_ttl_ms
-        return answer_look_up(
-            self.peers.rows(),
-            self._zone_preference(query),
-            ttl_ms=ttl_ms,
-            rng=self._rng,
-        )
+        """Answer a look-up; raise ValueError for a malformed address."""
+        return self._look_ups.look_up(query, shares={})
 
     def _observe_ends(
         self, actions: Sequence[Action], now_ms: int, status: int | None
@@ -150,7 +132,7 @@
         if self.configuration and cfg.version <= self.configuration.version:
             return []
         self.configuration = cfg
-        self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self._look_ups.configure(cfg, now_ms)
         self.burn.configure(cfg)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
@@ -167,20 +149,6 @@
         self.peers.put(event.instance_id, event)
         return []
 
-    def _zone_preference(self, query: LookUpQuery) -> tuple[str, ...]:
-        cfg = self.configuration
-        if cfg is None:
-            return (self.identity.zone,)
-        if query.address is not None and query.zone is None:
-            name = self._blocks.site_of(query.address)
-            for site in cfg.deployment.sites:
-                if site.name == name:
-                    return site.zones
-        zone = query.zone or self.identity.zone
-        region = region_of_zone(cfg.deployment, zone) or self.identity.region
-        sisters = zones_of_region(cfg.deployment, region)
-        return (zone, *(sister for sister in sisters if sister != zone))
-
 
 def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
     return system.run
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/answers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/answers.py
@@ -1,15 +1,17 @@
 """Answers to look-ups: which entry instances a caller should use."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping, Sequence
 from random import Random
 from typing import NamedTuple
 
-from rhubarbwell_core.messages import PeerHeard, PeerState
-from rhubarbwell_core.model import Address
+from rhubarbwell_core.lookups.directory import InstanceDirectory, OfferedInstance
 
-__all__ = ["LookUpAnswer", "LookUpQuery", "OfferedInstance", "answer_look_up"]
+__all__ = ["LookUpAnswer", "LookUpQuery", "answer_look_up"]
 
 TTL_JITTER = 0.2
+OFFERS_OF_FIRST_ZONE = 3
+OFFERS_OF_NEXT_ZONE = 2
+OFFERS_OF_LAST_ZONE = 1
 
 
 class LookUpQuery(NamedTuple):
@@ -21,17 +23,8 @@
     wants_ticket: bool = False
 
 
-class OfferedInstance(NamedTuple):
-    """Offer one entry instance; weights of a zone add up to 1."""
-
-    instance_id: str
-    zone: str
-    address: Address
-    weight: float
-
-
 class LookUpAnswer(NamedTuple):
-    """List entry instances, nearest zone first, good for ttl_ms."""
+    """List entry instances in the order to try them, good for ttl_ms."""
 
     instances: tuple[OfferedInstance, ...]
     ttl_ms: int
@@ -39,29 +32,41 @@
 
 
 def answer_look_up(
-    peers: Iterable[PeerHeard],
-    zone_preference: tuple[str, ...],
+    directory: InstanceDirectory,
+    zones: Sequence[str],
     *,
+    shares: Mapping[str, float],
     ttl_ms: int,
     rng: Random,
     ticket: str | None = None,
 ) -> LookUpAnswer:
-    """Order the ready instances by zone and weigh them by their free share."""
-    ready = [peer for peer in peers if peer.state is PeerState.READY]
-    order = {zone: place for place, zone in enumerate(zone_preference)}
-    free = {peer.instance_id: max(0.05, 1.0 - peer.load) for peer in ready}
-    totals: dict[str, float] = {}
-    for peer in ready:
-        totals[peer.zone] = totals.get(peer.zone, 0.0) + free[peer.instance_id]
-    ready.sort(key=lambda peer: (order.get(peer.zone, len(order)), peer.zone))
-    offered = tuple(
-        OfferedInstance(
-            peer.instance_id,
-            peer.zone,
-            peer.callers,
-            round(free[peer.instance_id] / totals[peer.zone], 4),
-        )
-        for peer in ready
-    )
+    """Draw instances of the zones, which come in the caller's preference order.
+
+    The first zone is drawn by the shares, the others follow as fallbacks.
+    """
+    order = _order_zones(directory, zones, shares, rng)
+    offered: list[OfferedInstance] = []
+    for place, zone in enumerate(order):
+        offered += directory.draw(zone, _offers_of(place), rng)
     jittered_ms = round(ttl_ms * rng.uniform(1.0 - TTL_JITTER, 1.0))
-    return LookUpAnswer(offered, jittered_ms, ticket)
+    return LookUpAnswer(tuple(offered), jittered_ms, ticket)
+
+
+def _order_zones(
+    directory: InstanceDirectory,
+    zones: Sequence[str],
+    shares: Mapping[str, float],
+    rng: Random,
+) -> list[str]:
+    live = [zone for zone in zones if directory.offers(zone)]
+    weights = [shares.get(zone, 0.0) for zone in live]
+    if sum(weights) <= 0.0:
+        return live
+    first = rng.choices(live, weights)[0]
+    return [first, *(zone for zone in live if zone != first)]
+
+
+def _offers_of(place: int) -> int:
+    if place == 0:
+        return OFFERS_OF_FIRST_ZONE
+    return OFFERS_OF_NEXT_ZONE if place == 1 else OFFERS_OF_LAST_ZONE
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/part.py
@@ -0,0 +1,118 @@
+"""Look-ups: which entry instances a caller should use."""
+
+from collections.abc import Mapping, Sequence
+from random import Random
+
+from rhubarbwell_core.engine import Action, Part, System, Table
+from rhubarbwell_core.lookups.answers import LookUpAnswer, LookUpQuery, answer_look_up
+from rhubarbwell_core.lookups.directory import InstanceDirectory
+from rhubarbwell_core.lookups.prefixes import PrefixIndex, index_blocks
+from rhubarbwell_core.messages import PeerHeard
+from rhubarbwell_core.model import (
+    Configuration,
+    DeploymentSpec,
+    Identity,
+    region_of_zone,
+    zones_of_region,
+)
+
+__all__ = ["LookUpPart"]
+
+MAX_ZONES_OFFERED = 4
+
+
+class LookUpPart(Part):
+    """Answer look-ups from what is precomputed each tick."""
+
+    def __init__(
+        self, identity: Identity, peers: Table[str, PeerHeard], rng: Random
+    ) -> None:
+        self.directory = InstanceDirectory()
+        self._identity = identity
+        self._peers = peers
+        self._rng = rng
+        self._deployment = DeploymentSpec("", (), ())
+        self._blocks: PrefixIndex = index_blocks(())
+        self._site_zones: dict[str, tuple[str, ...]] = {}
+        self._zone_orders: dict[str, tuple[str, ...]] = {}
+
+    def systems(self) -> Sequence[System]:
+        """Return the system that brings the directory up to date."""
+        return (_DirectorySystem(self),)
+
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Take the client blocks and sites of the configuration."""
+        deployment = configuration.deployment
+        if deployment.client_blocks != self._deployment.client_blocks:
+            self._blocks = index_blocks(deployment.client_blocks)
+        self._deployment = deployment
+        self._site_zones = {site.name: site.zones for site in deployment.sites}
+        self._zone_orders = {}
+        self.refresh(now_ms)
+
+    def refresh(self, now_ms: int) -> None:
+        """Bring the directory up to date with the peers."""
+        cap = self._deployment.shift_cap_per_s
+        self.directory.update(self._peers.rows(), now_ms, shift_cap_per_s=cap)
+
+    def look_up(
+        self,
+        query: LookUpQuery,
+        *,
+        shares: Mapping[str, float],
+        ticket: str | None = None,
+    ) -> LookUpAnswer:
+        """Answer a look-up; raise ValueError for a malformed address.
+
+        shares give the part of a service's work that each zone should get.
+        """
+        return answer_look_up(
+            self.directory,
+            self.zone_order(query),
+            shares=shares,
+            ttl_ms=self._deployment.look_up_ttl_ms,
+            rng=self._rng,
+            ticket=ticket,
+        )
+
+    def zone_order(self, query: LookUpQuery) -> tuple[str, ...]:
+        """Return the zones to offer, in the caller's order of preference."""
+        if query.zone is None and query.address is not None:
+            site = self._blocks.site_of(query.address)
+            if site is not None and site in self._site_zones:
+                return self._site_zones[site][:MAX_ZONES_OFFERED]
+        zone = query.zone or self._identity.zone
+        if zone not in self._zone_orders:
+            self._zone_orders[zone] = self._order_from(zone)
+        return self._zone_orders[zone]
+
+    def _order_from(self, zone: str) -> tuple[str, ...]:
+        """Order zones from one: itself, its sisters, then the nearest regions."""
+        region = region_of_zone(self._deployment, zone) or self._identity.region
+        delays = _delays_from(self._deployment, region)
+        regions = sorted(delays, key=lambda name: (delays[name], name))
+        order = [zone]
+        for name in (region, *regions):
+            sisters = zones_of_region(self._deployment, name)
+            order += [sister for sister in sisters if sister not in order]
+        return tuple(order[:MAX_ZONES_OFFERED])
+
+
+def _delays_from(deployment: DeploymentSpec, region: str) -> dict[str, float]:
+    delays = {}
+    for link in deployment.links:
+        if region in (link.first, link.second):
+            other = link.second if link.first == region else link.first
+            delays[other] = link.delay_ms
+    return delays
+
+
+class _DirectorySystem(System):
+    period_ms = 250
+
+    def __init__(self, part: LookUpPart) -> None:
+        self._part = part
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        self._part.refresh(now_ms)
+        return ()
