--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -27,6 +27,7 @@
 from rhubarbwell_entry.metrics import InstanceMetrics
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
+from rhubarbwell_entry.polling import ConfigurationPoller
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 from rhubarbwell_entry.settings import Settings
 
@@ -104,6 +105,7 @@
         for listener in self._listeners:
             await listener.start()
         self._spawn(self.driver.run())
+        self._spawn(ConfigurationPoller(self.driver, self._platform).run())
         self._spawn(BackendMonitor(self.driver, self._session).run())
         log_event(
             _log,
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/deployment.py
@@ -0,0 +1,148 @@
+"""A small deployment in one process: platform, backend servers, instances."""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+from returns.result import Failure
+from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.model import (
+    Address,
+    DeploymentSpec,
+    ServiceSpec,
+    ZoneSpec,
+)
+from rhubarbwell_entry.instance import EntryInstance
+from rhubarbwell_entry.settings import PlatformSettings, Settings
+from rhubarbwell_platform.documents import (
+    Document,
+    check_files,
+    document_name,
+    encode_document,
+    format_findings,
+    read_files,
+)
+from rhubarbwell_platform.memory import memory_platform
+from rhubarbwell_platform.publishing import Change, publish, read_state
+from rhubarbwell_platform.standins import BackendStandIn
+
+__all__ = ["DemoDeployment", "DemoError", "load_documents"]
+
+ANY_PORT = Address("127.0.0.1", 0)
+NO_PLATFORM = PlatformSettings("", "", "")
+PEER_KEY = "key of the demonstration, not a secret"
+SERVICE_MS = 150.0
+READY_TIMEOUT_S = 10.0
+READY_POLL_S = 0.05
+
+
+class DemoError(RhubarbwellError):
+    """Tell why the demonstration cannot run."""
+
+
+class DemoDeployment:
+    """Run the documents' backend servers and entry instances on free ports."""
+
+    def __init__(self, documents: Sequence[Document]) -> None:
+        self.platform = memory_platform()
+        self.backends: dict[str, BackendStandIn] = {}
+        self.instances: list[EntryInstance] = []
+        self._documents = documents
+        self._specs: dict[str, ServiceSpec] = {}
+
+    async def start(self) -> None:
+        """Start everything, publish the documents and wait until all are ready."""
+        deployment = _deployment_of(self._documents)
+        for document in self._documents:
+            if isinstance(document.spec, ServiceSpec):
+                spec = await self._start_backends(document.spec)
+                self._specs[spec.name] = spec
+        await self._publish("demo-1", [deployment, *self._specs.values()])
+        for zone in deployment.zones:
+            for number in range(zone.entry_instances):
+                await self._start_instance(zone, number)
+        await self._wait_until_ready()
+
+    async def stop(self) -> None:
+        """Stop the entry instances, then the backend servers."""
+        for instance in self.instances:
+            await instance.stop()
+        for backend in self.backends.values():
+            await backend.stop()
+
+    async def drain(self, backend_id: str) -> None:
+        """Publish that the backend server takes no new work."""
+        for spec in self._specs.values():
+            backends = tuple(
+                row._replace(draining=row.draining or row.backend_id == backend_id)
+                for row in spec.backends
+            )
+            if backends != spec.backends:
+                self._specs[spec.name] = spec._replace(backends=backends)
+                await self._publish(f"drain-{backend_id}", [self._specs[spec.name]])
+
+    async def _start_backends(self, spec: ServiceSpec) -> ServiceSpec:
+        moved = []
+        for row in spec.backends:
+            backend = BackendStandIn(
+                row.backend_id, slots=row.slots, service_ms=SERVICE_MS
+            )
+            address = await backend.start()
+            self.backends[row.backend_id] = backend
+            moved.append(row._replace(host=address.host, port=address.port))
+        return spec._replace(backends=tuple(moved))
+
+    async def _publish(
+        self, publish_id: str, specs: Iterable[ServiceSpec | DeploymentSpec]
+    ) -> None:
+        texts = {document_name(spec): encode_document(spec) for spec in specs}
+        base = await read_state(self.platform)
+        change = Change(publish_id, "demo", 0, texts)
+        result = await publish(self.platform, change, base=base)
+        if isinstance(result, Failure):
+            raise DemoError(f"publishing failed: {result.failure()}")
+
+    async def _start_instance(self, zone: ZoneSpec, number: int) -> None:
+        settings = Settings(
+            instance_id=f"{zone.name}-{number}",
+            zone=zone.name,
+            region=zone.region,
+            callers=ANY_PORT,
+            operators=ANY_PORT,
+            peers=ANY_PORT,
+            platform=NO_PLATFORM,
+            seeds=tuple(other.identity.peers for other in self.instances),
+            peer_keys=(PEER_KEY,),
+        )
+        instance = EntryInstance(settings, self.platform)
+        self.instances.append(instance)
+        await instance.start()
+
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not all(_knows_all(one, self.instances) for one in self.instances):
+                await asyncio.sleep(READY_POLL_S)
+
+
+def load_documents(folder: Path) -> tuple[Document, ...]:
+    """Read and check the files of a folder; raise DemoError with the findings."""
+    paths = sorted(folder.glob("*.jsonc"))
+    if not paths:
+        raise DemoError(f"no *.jsonc files in {folder}")
+    checked = read_files(paths).bind(check_files)
+    if isinstance(checked, Failure):
+        raise DemoError(format_findings(checked.failure()))
+    return checked.unwrap()
+
+
+def _deployment_of(documents: Iterable[Document]) -> DeploymentSpec:
+    for document in documents:
+        if isinstance(document.spec, DeploymentSpec):
+            return document.spec
+    raise DemoError("no deployment file")
+
+
+def _knows_all(instance: EntryInstance, others: Sequence[EntryInstance]) -> bool:
+    core = instance.core
+    ready = core.configuration is not None
+    return ready and True
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/tables.py
@@ -0,0 +1,48 @@
+"""Tables of what the demonstration measured, for people."""
+
+from rhubarbwell_core.model import Rank, rank_name
+from tabulate import tabulate
+
+from rhubarbwell_ops.demo.run import DemoResult
+from rhubarbwell_ops.demo.workload import Tally
+from rhubarbwell_ops.report import format_burn_report
+
+__all__ = ["format_demo"]
+
+HEADERS = ["rank", "sent", "answered", "not run", "unknown", "p50 ms", "p99 ms"]
+
+
+def format_demo(result: DemoResult) -> str:
+    """Return the tables of quiet, flood and drain, and the burn report."""
+    drain = result.drain
+    parts = [
+        "Quiet work, by rank:",
+        _rank_table(result.quiet),
+        "Flood of bulk work, by rank:",
+        _rank_table(result.flood),
+        f"Drain of {drain.backend_id}: {drain.started_before} requests before, "
+        f"{drain.started_after} new ones once the drain was in force.",
+        "Service-level burn:",
+        format_burn_report(result.burn),
+    ]
+    return "\n\n".join(parts)
+
+
+def _rank_table(tallies: dict[Rank, Tally]) -> str:
+    rows = [_rank_row(rank, tally) for rank, tally in tallies.items()]
+    return tabulate(rows, headers=HEADERS, floatfmt=".1f", missingval="-")
+
+
+def _rank_row(rank: Rank, tally: Tally) -> list[object]:
+    counts = tally.outcomes
+    sent = sum(counts.values())
+    unknown = sent - counts["answered"] - counts["not_run"]
+    return [
+        rank_name(rank),
+        sent,
+        counts["answered"],
+        counts["not_run"],
+        unknown,
+        tally.latencies.get_quantile_value(0.5),
+        tally.latencies.get_quantile_value(0.99),
+    ]
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/workload.py
@@ -0,0 +1,133 @@
+"""Callers that look up entry instances and send requests of every rank."""
+
+import asyncio
+import time
+from collections import Counter
+from random import Random
+from typing import NamedTuple
+
+import aiohttp
+from ddsketch import DDSketch
+from rhubarbwell_core.model import Address, Rank, ServiceSpec, WorkKind
+from rhubarbwell_entry.lookups import LOOK_UP_PATH
+
+__all__ = ["CallResult", "Caller", "Tally", "WorkItem", "run_workload", "work_items"]
+
+OUTCOME_HEADER = "Rhubarbwell-Outcome"
+LATENCY_ACCURACY = 0.01
+MS_PER_S = 1_000
+REQUEST_TIMEOUT_S = 30.0
+BODY = b"x" * 4_096
+
+
+class WorkItem(NamedTuple):
+    """Pair a service with one of its kinds of work."""
+
+    service: str
+    kind: WorkKind
+
+
+class CallResult(NamedTuple):
+    """Tell how a call ended and how long it took."""
+
+    rank: Rank
+    outcome: str
+    latency_ms: float
+
+
+class Tally:
+    """Count the outcomes and latencies of one rank."""
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.latencies = DDSketch(LATENCY_ACCURACY)
+
+    def add(self, result: CallResult) -> None:
+        """Count one call."""
+        self.outcomes[result.outcome] += 1
+        if result.outcome == "answered":
+            self.latencies.add(result.latency_ms)
+
+
+class Caller:
+    """Send requests to the instances that look-ups name, and cache the answers."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, entry: Address, zone: str, rng: Random
+    ) -> None:
+        self._session = session
+        self._entry = entry
+        self._zone = zone
+        self._rng = rng
+        self._cached: dict[str, tuple[float, list[Address]]] = {}
+
+    async def call(self, item: WorkItem) -> CallResult:
+        """Send one request to the first instance that accepts a connection."""
+        started = time.monotonic()
+        outcome = "unreachable"
+        for address in await self._instances(item.service):
+            try:
+                outcome = await self._send(address, item)
+                break
+            except aiohttp.ClientConnectorError:
+                continue
+            except (aiohttp.ClientError, TimeoutError):
+                outcome = "unknown"
+                break
+        latency_ms = (time.monotonic() - started) * MS_PER_S
+        return CallResult(item.kind.rank, outcome, latency_ms)
+
+    async def _instances(self, service: str) -> list[Address]:
+        good_until, addresses = self._cached.get(service, (0.0, []))
+        if time.monotonic() < good_until:
+            return addresses
+        url = f"http://{self._entry.host}:{self._entry.port}{LOOK_UP_PATH}"
+        query = {"service": service, "zone": self._zone}
+        async with self._session.get(url, params=query) as answer:
+            body = await answer.json()
+        addresses = [Address(row["host"], row["port"]) for row in body["instances"]]
+        good_until = time.monotonic() + body["ttl_ms"] / MS_PER_S
+        self._cached[service] = (good_until, addresses)
+        return addresses
+
+    async def _send(self, address: Address, item: WorkItem) -> str:
+        path = f"{item.kind.path_prefix.rstrip('/')}/{self._rng.randrange(1_000)}"
+        url = f"http://{address.host}:{address.port}/{item.service}{path}"
+        data = BODY if item.kind.max_body_bytes >= len(BODY) else None
+        async with self._session.request(item.kind.method, url, data=data) as answer:
+            await answer.read()
+            return answer.headers.get(OUTCOME_HEADER, "unknown")
+
+
+def work_items(services: list[ServiceSpec], rank: Rank) -> list[WorkItem]:
+    """Return every kind of work of the rank."""
+    return [
+        WorkItem(service.name, kind)
+        for service in services
+        for kind in service.kinds
+        if kind.rank is rank
+    ]
+
+
+async def run_workload(
+    callers: list[Caller],
+    items: list[WorkItem],
+    *,
+    requests_per_s: float,
+    duration_s: float,
+    rng: Random,
+) -> Tally:
+    """Send requests at random intervals for a while and count how they end."""
+    tally = Tally()
+    loop = asyncio.get_running_loop()
+    end = loop.time() + duration_s
+    async with asyncio.TaskGroup() as group:
+        while loop.time() < end:
+            caller = rng.choice(callers)
+            group.create_task(_count(caller, rng.choice(items), tally))
+            await asyncio.sleep(rng.expovariate(requests_per_s))
+    return tally
+
+
+async def _count(caller: Caller, item: WorkItem, tally: Tally) -> None:
+    tally.add(await caller.call(item))
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/plot.py
@@ -0,0 +1,39 @@
+"""A plot of burn rates; needs the optional package matplotlib."""
+
+from pathlib import Path
+
+from rhubarbwell_core.burn import WINDOWS_MS, BurnReport, burn_rate
+from rhubarbwell_core.model import rank_name
+
+from rhubarbwell_ops.report.tables import format_duration
+
+__all__ = ["plot_burn"]
+
+BAR_HEIGHT = 0.8
+ROW_INCHES = 0.5
+WIDTH_INCHES = 8.0
+
+
+def plot_burn(report: BurnReport, path: Path) -> None:
+    """Write burn rates by service, rank and window to an image file.
+
+    Raises ImportError without matplotlib, OSError or ValueError for the file.
+    """
+    from matplotlib.figure import Figure
+
+    labels = [f"{row.key.service} {rank_name(row.key.rank)}" for row in report.rows]
+    height_inches = 1.0 + ROW_INCHES * max(1, len(labels))
+    figure = Figure(figsize=(WIDTH_INCHES, height_inches), layout="constrained")
+    axes = figure.subplots()
+    thickness = BAR_HEIGHT / len(WINDOWS_MS)
+    for place, window_ms in enumerate(WINDOWS_MS):
+        rates = [burn_rate(row.windows[window_ms]) for row in report.rows]
+        positions = [row + place * thickness for row in range(len(labels))]
+        axes.barh(positions, rates, thickness, label=format_duration(window_ms))
+    middle = BAR_HEIGHT / 2 - thickness / 2
+    axes.set_yticks([row + middle for row in range(len(labels))], labels)
+    axes.axvline(1.0, color="black", linestyle="--", label="budget used up exactly")
+    axes.set_xlabel("burn rate")
+    axes.invert_yaxis()
+    axes.legend()
+    figure.savefig(path)
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/tables.py
@@ -0,0 +1,72 @@
+"""Tables of the report on service-level burn, for people."""
+
+from rhubarbwell_core.burn import (
+    WINDOWS_MS,
+    BurnReport,
+    BurnRow,
+    Tally,
+    budget_left,
+    burn_rate,
+)
+from rhubarbwell_core.model import rank_name
+from tabulate import tabulate
+
+__all__ = ["format_burn_report", "format_duration"]
+
+MS_PER_S = 1_000
+S_PER_MINUTE = 60
+MINUTES_PER_HOUR = 60
+MAX_CAUSES = 3
+
+
+def format_burn_report(report: BurnReport) -> str:
+    """Return the report as a table with a line on the instances asked."""
+    headers = ["service", "rank", "requests", "p50 ms", "p99 ms"]
+    headers += [f"burn {format_duration(window_ms)}" for window_ms in WINDOWS_MS]
+    headers += ["budget left", "causes"]
+    lines = [_burn_line(row) for row in report.rows]
+    table = tabulate(lines, headers=headers, floatfmt=".2f", missingval="-")
+    return f"{table}\n\n{_coverage(report)}"
+
+
+def format_duration(duration_ms: int) -> str:
+    """Return a duration in whole hours or minutes.
+
+    >>> format_duration(300_000), format_duration(3_600_000)
+    ('5m', '1h')
+    """
+    minutes = duration_ms // (MS_PER_S * S_PER_MINUTE)
+    if minutes % MINUTES_PER_HOUR == 0:
+        return f"{minutes // MINUTES_PER_HOUR}h"
+    return f"{minutes}m"
+
+
+def _burn_line(row: BurnRow) -> list[object]:
+    longest = row.windows[max(WINDOWS_MS)]
+    return [
+        row.key.service,
+        rank_name(row.key.rank),
+        longest.total,
+        _quantile(row, 0.5),
+        _quantile(row, 0.99),
+        *(burn_rate(row.windows[window_ms]) for window_ms in WINDOWS_MS),
+        f"{budget_left(longest):.0%}",
+        _causes(longest),
+    ]
+
+
+def _quantile(row: BurnRow, quantile: float) -> float | None:
+    value = row.latencies.get_quantile_value(quantile)
+    return None if value is None else round(value, 1)
+
+
+def _causes(tally: Tally) -> str:
+    ordered = sorted(tally.causes.items(), key=lambda item: -item[1])
+    return ", ".join(f"{reason.value} {n}" for reason, n in ordered[:MAX_CAUSES])
+
+
+def _coverage(report: BurnReport) -> str:
+    line = f"{len(report.answered)} instances answered"
+    if report.unreachable:
+        line += "; unreachable: " + ", ".join(report.unreachable)
+    return line
