Run each idempotency key at most once and hedge silent idempotent attempts

Requests with a key pass through the keyed part of the core: tickets name the incarnation that owns them, callers' own keys are claimed in the table service, repeats wait for the one run or get its kept answer, and repeats at another entry instance go to the owner. A claim whose answer was lost is settled by reading the row back; one that lands later is taken up by the next repeat under the same claim id. "Not run" is never recorded in the table service: a repeat at the owner may run after it, and the owner may end before recording that.

An idempotent request whose first attempt is silent for a quarter of its time gets a second one on a fresh connection; whichever sends headers first answers. An attempt that may have run keeps a request from ending as not run, also when a later attempt is refused; before, the last attempt alone decided. An attempt that outlives its request now frees its backend server's slot.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -7,6 +7,7 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import (
     LookUpAnswer,
     LookUpQuery,
@@ -27,6 +28,7 @@
     RequestArrived,
 )
 from rhubarbwell_core.model import (
+    Address,
     Configuration,
     Identity,
     region_of_zone,
@@ -78,8 +80,13 @@
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
+        self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
-            identity.incarnation, self.admission, self.routes, RetryBudget()
+            identity.incarnation,
+            self.admission,
+            self.routes,
+            RetryBudget(),
+            self.keys,
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
@@ -94,6 +101,7 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self.keys)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
@@ -125,8 +133,20 @@
             self._zone_preference(query),
             ttl_ms=ttl_ms,
             rng=self._rng,
+            ticket=self._mint_ticket(now_ms) if query.wants_ticket else None,
         )
 
+    def _mint_ticket(self, now_ms: int) -> str | None:
+        if self.state is not PeerState.READY:
+            return None
+        return mint_ticket(self.identity.incarnation, self._rng, now_ms)
+
+    def _find_owner(self, incarnation: str) -> Address | None:
+        for peer in self.peers.rows():
+            if peer.incarnation == incarnation:
+                return peer.callers
+        return None
+
     def _observe_ends(
         self, actions: Sequence[Action], now_ms: int, status: int | None
     ) -> None:
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/records.py
@@ -0,0 +1,110 @@
+"""Records of the keys that an entry instance owns, bounded in bytes and time."""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterator
+from enum import Enum
+from typing import NamedTuple
+
+from rhubarbwell_core.messages import KeptAnswer, RequestArrived
+
+__all__ = ["KeyRecord", "KeyState", "KeyTable", "key_scope"]
+
+MAX_RECORDS = 20_000
+MAX_KEPT_BYTES = 8 << 20
+
+
+class KeyState(Enum):
+    """Tell how far a key's one run has come."""
+
+    CLAIMING = "claiming"
+    TAKEN = "taken"
+    UNSETTLED = "unsettled"
+    FREE = "free"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+class KeyRecord(NamedTuple):
+    """Hold a key: its state, the request that leads and those that wait."""
+
+    scope: str
+    fingerprint: str
+    state: KeyState
+    expires_ms: int
+    claim_id: str = ""
+    is_ticket: bool = False
+    leader: int | None = None
+    waiters: tuple[int, ...] = ()
+    status: int | None = None
+
+
+class KeyTable:
+    """Hold key records and the kept answers, oldest answers dropped first."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, KeyRecord] = {}
+        self._answers: OrderedDict[str, KeptAnswer] = OrderedDict()
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[KeyRecord]:
+        return iter(list(self._records.values()))
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return the size of the kept answers in bytes."""
+        return self._kept_bytes
+
+    def is_full(self) -> bool:
+        """Tell whether no further key can be owned; records are never evicted."""
+        return len(self._records) >= MAX_RECORDS
+
+    def get(self, scope: str) -> KeyRecord | None:
+        """Return the record, None without one."""
+        return self._records.get(scope)
+
+    def put(self, record: KeyRecord) -> None:
+        """Add a record or replace the one of its scope."""
+        self._records[record.scope] = record
+
+    def remove(self, scope: str) -> None:
+        """Forget a key that turned out to be owned elsewhere."""
+        self._records.pop(scope, None)
+
+    def answer(self, scope: str) -> KeptAnswer | None:
+        """Return the kept answer, None once it is dropped."""
+        return self._answers.get(scope)
+
+    def keep(self, scope: str, answer: KeptAnswer) -> None:
+        """Keep an answer and drop the oldest beyond MAX_KEPT_BYTES."""
+        self._drop_answer(scope)
+        self._answers[scope] = answer
+        self._kept_bytes += len(answer.body)
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            self._drop_answer(next(iter(self._answers)))
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the records whose time is over and that nobody waits for."""
+        for record in self:
+            if record.expires_ms <= now_ms and record.leader is None:
+                del self._records[record.scope]
+                self._drop_answer(record.scope)
+
+    def _drop_answer(self, scope: str) -> None:
+        answer = self._answers.pop(scope, None)
+        if answer is not None:
+            self._kept_bytes -= len(answer.body)
+
+
+def key_scope(req: RequestArrived) -> str:
+    """Return the digest under which a service keeps a caller's key."""
+    parts = (req.service, req.caller, req.key or "")
+    digest = hashlib.sha256()
+    for part in parts:
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, "big") + encoded)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/tickets.py
@@ -0,0 +1,47 @@
+"""Tickets: idempotency keys that name the entry instance that owns them."""
+
+from random import Random
+from typing import NamedTuple
+
+__all__ = ["TICKET_LIFE_MS", "Ticket", "mint_ticket", "parse_ticket"]
+
+TICKET_LIFE_MS = 600_000
+TICKET_PREFIX = "rwt1"
+RANDOM_BITS = 128
+
+
+class Ticket(NamedTuple):
+    """Hold the parts of a ticket; issued_ms is on the owner's clock."""
+
+    owner: str
+    issued_ms: int
+    secret: str
+
+    def expires_ms(self) -> int:
+        """Return the time in ms from which the owner runs it no more."""
+        return self.issued_ms + TICKET_LIFE_MS
+
+
+def mint_ticket(incarnation: str, rng: Random, now_ms: int) -> str:
+    """Return a new ticket; only an unpredictable rng makes it unguessable.
+
+    >>> parse_ticket(mint_ticket("i-1", Random(1), 7)).owner
+    'i-1'
+    """
+    secret = f"{rng.getrandbits(RANDOM_BITS):0{RANDOM_BITS // 4}x}"
+    return f"{TICKET_PREFIX}.{incarnation}.{now_ms}.{secret}"
+
+
+def parse_ticket(key: str) -> Ticket | None:
+    """Return the ticket, None for a key that callers have made themselves.
+
+    >>> parse_ticket("order-17") is None
+    True
+    """
+    prefix, _, rest = key.partition(".")
+    if prefix != TICKET_PREFIX:
+        return None
+    parts = rest.rsplit(".", 2)
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return None
+    return Ticket(parts[0], int(parts[1]), parts[2])
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from rhubarbwell_core.messages.keys import KeptAnswer
 from rhubarbwell_core.model.identity import Address
 from rhubarbwell_core.model.outcomes import Outcome, Reason
 from rhubarbwell_core.model.ranks import Rank
@@ -17,6 +18,7 @@
     "ForwardedFrom",
     "RequestArrived",
     "SendAttempt",
+    "StopNow",
     "Target",
 ]
 
@@ -44,6 +46,7 @@
     body_bytes: int | None = None
     body_digest: str | None = None
     forwarded: ForwardedFrom | None = None
+    passed_on: bool = False
 
 
 class CallerGone(NamedTuple):
@@ -91,6 +94,8 @@
     status: int | None = None
     connection_was_fresh: bool = True
     body_replayable: bool = True
+    peer_reason: Reason | None = None
+    answer: KeptAnswer | None = None
 
 
 class Target(NamedTuple):
@@ -112,6 +117,10 @@
     fresh_connection: bool = False
 
 
+class StopNow(NamedTuple):
+    """Report that the entry instance ends without waiting any longer."""
+
+
 class CancelAttempt(NamedTuple):
     """Ask the shell to cancel a running attempt."""
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/model/outcomes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/outcomes.py
@@ -24,6 +24,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_KIND = "unknown_kind"
     BODY_TOO_LARGE = "body_too_large"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     KEY_REUSED = "key_reused"
     STORE_UNAVAILABLE = "store_unavailable"
     OWNER_LOST = "owner_lost"
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/hedging.py
@@ -0,0 +1,25 @@
+"""Hedges: second attempts at idempotent work whose first attempt is silent."""
+
+from rhubarbwell_core.requests.rows import RequestRow
+
+__all__ = ["hedge_due_ms", "may_hedge"]
+
+MAX_HEDGED_BODY_BYTES = 64 << 10
+MIN_SILENCE_MS = 50
+SILENCE_SHARE = 4
+
+
+def may_hedge(row: RequestRow) -> bool:
+    """Tell whether a second attempt could do no harm."""
+    req = row.arrived
+    has_small_body = (
+        req.body_bytes is not None and req.body_bytes <= MAX_HEDGED_BODY_BYTES
+    )
+    is_silent = len(row.attempts) == 1 and row.answering is None
+    return req.idempotent and req.forwarded is None and has_small_body and is_silent
+
+
+def hedge_due_ms(row: RequestRow) -> int:
+    """Return the time in ms from which the first attempt counts as silent."""
+    share_ms = (row.arrived.deadline_ms - row.sent_ms) // SILENCE_SHARE
+    return row.sent_ms + max(share_ms, MIN_SILENCE_MS)
--- a/tests/core/requests/test_forwarding.py
+++ b/tests/core/requests/test_forwarding.py
@@ -76,7 +76,7 @@
     arrive(part)
     (sent,) = part.drain_queue(900)
     assert end(part, sent.attempt_id, AttemptEnd.PEER_NOT_RUN) == []
-    assert part.requests[1].attempt_id is None
+    assert part.requests[1].attempts == ()
 
 
 def test_forwarded_request_without_grant_is_not_run():
