Reach the platform over HTTP

The adapters share one client with time-outs, bounded retries with seeded jitter, a rate limit for reads and one for writes, and a circuit breaker. A transaction is sent once only: an answer lost is told as such and left to the caller to settle. aiohttp resends a PUT once by itself on a fresh connection, which the content-addressed object store takes without harm.

--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
@@ -0,0 +1,109 @@
+"""The platform's services over HTTP."""
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import aiohttp
+
+from rhubarbwell_platform.errors import AnswerLostError, PlatformError, UnavailableError
+from rhubarbwell_platform.http.client import CallKind, ClientOptions, PlatformClient
+from rhubarbwell_platform.http.wire import decode_listing, decode_rows, encode_writes
+from rhubarbwell_platform.services import (
+    InstanceList,
+    InstanceListing,
+    ObjectStore,
+    Platform,
+    Row,
+    TableService,
+    Write,
+)
+
+__all__ = ["HttpInstanceList", "HttpObjectStore", "HttpTableService", "http_platform"]
+
+T = TypeVar("T")
+
+
+def http_platform(
+    session: aiohttp.ClientSession,
+    base_url: str,
+    rng: Random,
+    *,
+    options: ClientOptions | None = None,
+) -> Platform:
+    """Return the platform at a base URL; its services share the limits."""
+    client = PlatformClient(session, base_url, rng, options=options)
+    return Platform(
+        HttpTableService(client), HttpObjectStore(client), HttpInstanceList(client)
+    )
+
+
+class HttpTableService(TableService):
+    """Reach the table service over HTTP."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return those of the rows that exist, all of one moment."""
+        body = {"keys": list(keys)}
+        answer = await self._client.call(CallKind.READ, "POST", "/tables/read", body)
+        rows = _decode(decode_rows, answer, UnavailableError)
+        return {row.key: row for row in rows}
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1_000
+    ) -> Sequence[Row]:
+        """Return rows whose key has the prefix and follows after, in key order."""
+        body = {"prefix": prefix, "after": after, "limit": limit}
+        answer = await self._client.call(CallKind.READ, "POST", "/tables/scan", body)
+        return _decode(decode_rows, answer, UnavailableError)
+
+    async def transact(self, writes: Sequence[Write]) -> int:
+        """Carry out all writes or none; return the version of the written rows."""
+        body = encode_writes(writes)
+        path = "/tables/transact"
+        answer = await self._client.call(CallKind.WRITE, "POST", path, body)
+        return _decode(lambda fields: int(fields["version"]), answer, AnswerLostError)
+
+
+class HttpObjectStore(ObjectStore):
+    """Reach the object store over HTTP."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def get(self, key: str) -> str:
+        """Return the text."""
+        answer = await self._client.call(CallKind.READ, "GET", _object_path(key), None)
+        return _decode(lambda fields: str(fields["text"]), answer, UnavailableError)
+
+    async def put(self, key: str, text: str) -> None:
+        """Keep the text; the same put again changes nothing."""
+        body = {"text": text}
+        kind = CallKind.IDEMPOTENT_WRITE
+        await self._client.call(kind, "PUT", _object_path(key), body)
+
+
+class HttpInstanceList(InstanceList):
+    """Reach the list of instances over HTTP."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read(self) -> InstanceListing:
+        """Return the list."""
+        answer = await self._client.call(CallKind.READ, "GET", "/instances", None)
+        return _decode(decode_listing, answer, UnavailableError)
+
+
+def _object_path(key: str) -> str:
+    return f"/objects/{quote(key, safe='/')}"
+
+
+def _decode(decode: Callable[[Any], T], answer: Any, error: type[PlatformError]) -> T:
+    try:
+        return decode(answer)
+    except (KeyError, TypeError, ValueError) as exc:
+        raise error(f"unreadable answer of the platform: {exc!r}") from exc
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -0,0 +1,188 @@
+"""Calls to the platform over HTTP with time-outs, retries and limits."""
+
+import asyncio
+from collections.abc import Mapping
+from enum import Enum
+from random import Random
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiolimiter import AsyncLimiter
+from tenacity import (
+    AsyncRetrying,
+    RetryCallState,
+    retry_if_exception_type,
+    stop_after_attempt,
+)
+from tenacity.wait import wait_base
+
+from rhubarbwell_platform.errors import (
+    AnswerLostError,
+    ConflictError,
+    MissingObjectError,
+    UnavailableError,
+)
+from rhubarbwell_platform.http.breaker import CircuitBreaker
+
+__all__ = ["CallKind", "ClientOptions", "PlatformClient", "fleet_share"]
+
+FLEET_READS_PER_S = 1_600.0
+FLEET_WRITES_PER_S = 240.0
+BURST_CALLS = 10
+
+
+class ClientOptions(NamedTuple):
+    """Set the limits of calls to the platform."""
+
+    timeout_ms: int = 2_000
+    max_tries: int = 4
+    first_backoff_ms: int = 50
+    max_backoff_ms: int = 1_000
+    reads_per_s: float = 100.0
+    writes_per_s: float = 20.0
+    failures_to_open: int = 5
+    open_ms: int = 2_000
+
+
+def fleet_share(instances: int, options: ClientOptions) -> ClientOptions:
+    """Return options by which a fleet of instances stays within the platform's rates.
+
+    >>> fleet_share(100, ClientOptions()).reads_per_s
+    16.0
+    """
+    return options._replace(
+        reads_per_s=FLEET_READS_PER_S / instances,
+        writes_per_s=FLEET_WRITES_PER_S / instances,
+    )
+
+
+class CallKind(Enum):
+    """Tell what a call may do when it is sent twice."""
+
+    READ = "read"
+    IDEMPOTENT_WRITE = "idempotent write"
+    WRITE = "write"
+
+
+class PlatformClient:
+    """Make calls to the platform at one base URL."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        rng: Random,
+        *,
+        options: ClientOptions | None = None,
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._options = options or ClientOptions()
+        self._wait = _JitteredBackoff(rng, self._options)
+        self._reads = _limiter(self._options.reads_per_s)
+        self._writes = _limiter(self._options.writes_per_s)
+        self._breaker = CircuitBreaker(
+            rng,
+            failures_to_open=self._options.failures_to_open,
+            open_ms=self._options.open_ms,
+        )
+
+    async def call(
+        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+    ) -> Any:
+        """Return the JSON answer of a call.
+
+        Raises UnavailableError, AnswerLostError (writes alone), ConflictError
+        and MissingObjectError.
+        """
+        errors: tuple[type[Exception], ...] = (UnavailableError,)
+        if kind is CallKind.IDEMPOTENT_WRITE:
+            errors = (UnavailableError, AnswerLostError)
+        retrying = AsyncRetrying(
+            retry=retry_if_exception_type(errors),
+            stop=stop_after_attempt(self._options.max_tries),
+            wait=self._wait,
+            reraise=True,
+        )
+        return await retrying(self._call_once, kind, method, path, body)
+
+    async def _call_once(
+        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+    ) -> Any:
+        await self._wait_for_rate(kind)
+        if not self._breaker.allow(_now_ms()):
+            raise UnavailableError("the circuit to the platform is open")
+        try:
+            answer = await self._send(kind, method, path, body)
+        except (UnavailableError, AnswerLostError):
+            self._breaker.record_failure(_now_ms())
+            raise
+        except (ConflictError, MissingObjectError):
+            self._breaker.record_success()
+            raise
+        self._breaker.record_success()
+        return answer
+
+    async def _wait_for_rate(self, kind: CallKind) -> None:
+        limiter = self._reads if kind is CallKind.READ else self._writes
+        try:
+            async with asyncio.timeout(self._options.timeout_ms / 1_000):
+                await limiter.acquire()
+        except TimeoutError:
+            raise UnavailableError("the rate of calls is at its limit") from None
+
+    async def _send(
+        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+    ) -> Any:
+        lost = UnavailableError if kind is CallKind.READ else AnswerLostError
+        timeout = aiohttp.ClientTimeout(total=self._options.timeout_ms / 1_000)
+        url = f"{self._base_url}{path}"
+        try:
+            async with self._session.request(
+                method, url, json=body, timeout=timeout
+            ) as resp:
+                return await _read_answer(resp, lost)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise UnavailableError(f"no connection to the platform: {exc}") from exc
+        except TimeoutError as exc:
+            raise lost("the platform did not answer in time") from exc
+        except (aiohttp.ClientError, ValueError) as exc:
+            raise lost(f"the platform's answer was cut short: {exc}") from exc
+
+
+async def _read_answer(
+    resp: aiohttp.ClientResponse, lost: type[UnavailableError | AnswerLostError]
+) -> Any:
+    if resp.status == 429:
+        raise UnavailableError("the platform limits the rate of calls")
+    if resp.status >= 500:
+        raise lost(f"the platform answered {resp.status}")
+    body = await resp.json()
+    if resp.status == 404:
+        raise MissingObjectError(str(body["key"]))
+    if resp.status == 409:
+        raise ConflictError(str(body["key"]))
+    if resp.status >= 400:
+        raise UnavailableError(f"the platform refused the call: {body}")
+    return body
+
+
+class _JitteredBackoff(wait_base):
+    """Wait a random part of a time that doubles with every try."""
+
+    def __init__(self, rng: Random, options: ClientOptions) -> None:
+        self._rng = rng
+        self._options = options
+
+    def __call__(self, retry_state: RetryCallState) -> float:
+        longest_ms = self._options.first_backoff_ms * 2**retry_state.attempt_number
+        longest_ms = min(longest_ms, self._options.max_backoff_ms)
+        return self._rng.uniform(0, longest_ms) / 1_000
+
+
+def _limiter(rate_per_s: float) -> AsyncLimiter:
+    return AsyncLimiter(BURST_CALLS, BURST_CALLS / rate_per_s)
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1_000
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/__init__.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/__init__.py
@@ -1,5 +1,6 @@
 """In-memory services of the platform."""
 
+from rhubarbwell_platform.memory.faults import *
 from rhubarbwell_platform.memory.instances import *
 from rhubarbwell_platform.memory.objects import *
 from rhubarbwell_platform.memory.platform import *
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/memory/faults.py
@@ -0,0 +1,196 @@
+"""Faults of the platform, by script or at random, around any services."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from enum import Enum
+from random import Random
+from typing import NamedTuple, TypeVar
+
+from rhubarbwell_platform.errors import AnswerLostError, UnavailableError
+from rhubarbwell_platform.services import (
+    InstanceList,
+    InstanceListing,
+    ObjectStore,
+    Platform,
+    Row,
+    TableService,
+    Write,
+)
+
+__all__ = [
+    "Fault",
+    "FaultKind",
+    "FaultSource",
+    "NoFaults",
+    "Operation",
+    "RandomFaults",
+    "ScriptedFaults",
+    "with_faults",
+]
+
+T = TypeVar("T")
+
+
+class Operation(Enum):
+    """Name a call to the platform."""
+
+    READ = "read"
+    SCAN = "scan"
+    TRANSACT = "transact"
+    GET = "get"
+    PUT = "put"
+    LIST = "list"
+
+
+class FaultKind(Enum):
+    """Name what goes wrong with a call."""
+
+    DOWN = "down"
+    REQUEST_LOST = "request lost"
+    ANSWER_LOST = "answer lost"
+    SLOW = "slow"
+
+
+class Fault(NamedTuple):
+    """Describe a fault; delay_ms is for slow calls."""
+
+    kind: FaultKind
+    delay_ms: int = 0
+
+
+class FaultSource(ABC):
+    """Choose the fault of each call."""
+
+    @abstractmethod
+    def next(self, operation: Operation) -> Fault | None:
+        """Return the fault of the next call, None for none."""
+
+
+class NoFaults(FaultSource):
+    """Let every call pass."""
+
+    def next(self, operation: Operation) -> Fault | None:
+        """Return None."""
+        return None
+
+
+class ScriptedFaults(FaultSource):
+    """Give the faults that were set for an operation, one a call.
+
+    >>> faults = ScriptedFaults()
+    >>> faults.add(Operation.READ, Fault(FaultKind.DOWN))
+    >>> faults.next(Operation.READ).kind, faults.next(Operation.READ)
+    (<FaultKind.DOWN: 'down'>, None)
+    """
+
+    def __init__(self) -> None:
+        self._pending: dict[Operation, deque[Fault]] = {}
+        self._standing: Fault | None = None
+
+    def add(self, operation: Operation, *faults: Fault) -> None:
+        """Add faults for the next calls of an operation."""
+        self._pending.setdefault(operation, deque()).extend(faults)
+
+    def set_standing(self, fault: Fault | None) -> None:
+        """Set the fault of every call without one of its own."""
+        self._standing = fault
+
+    def next(self, operation: Operation) -> Fault | None:
+        """Return the next fault of the operation, else the standing one."""
+        pending = self._pending.get(operation)
+        return pending.popleft() if pending else self._standing
+
+
+class RandomFaults(FaultSource):
+    """Give each kind of fault with a probability."""
+
+    def __init__(self, rng: Random, probabilities: Mapping[FaultKind, float]) -> None:
+        self._rng = rng
+        self._probabilities = dict(probabilities)
+
+    def next(self, operation: Operation) -> Fault | None:
+        """Return a fault by chance."""
+        drawn = self._rng.random()
+        for kind, probability in self._probabilities.items():
+            if drawn < probability:
+                return Fault(kind)
+            drawn -= probability
+        return None
+
+
+def with_faults(platform: Platform, faults: FaultSource) -> Platform:
+    """Return the platform with faults before and after its calls."""
+    return Platform(
+        _FaultyTableService(platform.tables, faults),
+        _FaultyObjectStore(platform.objects, faults),
+        _FaultyInstanceList(platform.instances, faults),
+    )
+
+
+async def _call(
+    faults: FaultSource, operation: Operation, call: Callable[[], Awaitable[T]]
+) -> T:
+    """Carry out a call with its fault; an answer lost was applied."""
+    fault = faults.next(operation)
+    if fault is None:
+        return await call()
+    writes = operation in (Operation.TRANSACT, Operation.PUT)
+    lost = AnswerLostError if writes else UnavailableError
+    if fault.kind is FaultKind.DOWN:
+        raise UnavailableError("the platform is down")
+    if fault.kind is FaultKind.REQUEST_LOST:
+        raise lost("the request was lost")
+    if fault.kind is FaultKind.SLOW:
+        await asyncio.sleep(fault.delay_ms / 1_000)
+        return await call()
+    await call()
+    raise lost("the answer was lost")
+
+
+class _FaultyTableService(TableService):
+    def __init__(self, inner: TableService, faults: FaultSource) -> None:
+        self._inner = inner
+        self._faults = faults
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        return await _call(self._faults, Operation.READ, lambda: self._inner.read(keys))
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1_000
+    ) -> Sequence[Row]:
+        def call() -> Awaitable[Sequence[Row]]:
+            return self._inner.scan(prefix, after=after, limit=limit)
+
+        return await _call(self._faults, Operation.SCAN, call)
+
+    async def transact(self, writes: Sequence[Write]) -> int:
+        def call() -> Awaitable[int]:
+            return self._inner.transact(writes)
+
+        return await _call(self._faults, Operation.TRANSACT, call)
+
+
+class _FaultyObjectStore(ObjectStore):
+    def __init__(self, inner: ObjectStore, faults: FaultSource) -> None:
+        self._inner = inner
+        self._faults = faults
+
+    async def get(self, key: str) -> str:
+        return await _call(self._faults, Operation.GET, lambda: self._inner.get(key))
+
+    async def put(self, key: str, text: str) -> None:
+        def call() -> Awaitable[None]:
+            return self._inner.put(key, text)
+
+        await _call(self._faults, Operation.PUT, call)
+
+
+class _FaultyInstanceList(InstanceList):
+    def __init__(self, inner: InstanceList, faults: FaultSource) -> None:
+        self._inner = inner
+        self._faults = faults
+
+    async def read(self) -> InstanceListing:
+        return await _call(self._faults, Operation.LIST, self._inner.read)
