--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -78,6 +78,7 @@
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
+        self._rng = rng
         self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
