Run an entry instance as a process

Cause: the second binary was missing. Settings are checked with all findings at once (exit 2), a taken address ends with 3, logs are JSON and limited in rate per event.

--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
@@ -0,0 +1,69 @@
+"""The binary of the entry instance."""
+
+import logging
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import fire
+from aiomisc import entrypoint
+
+from rhubarbwell_entry.logs import EventRateFilter
+from rhubarbwell_entry.service import EntryService
+from rhubarbwell_entry.settings import Settings
+from rhubarbwell_entry.settings_files import SettingsError, read_settings
+
+__all__ = ["main", "run"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 3
+
+
+def run(settings: str) -> None:
+    """Run an entry instance until SIGTERM.
+
+    Exits with 2 for bad settings and 3 if an address is taken.
+    """
+    checked = _read_or_exit(Path(settings))
+    service = EntryService(settings=checked)
+    try:
+        with entrypoint(
+            service,
+            log_level=checked.log_level,
+            log_format=checked.log_format,
+            log_buffering=False,
+            shutdown_timeout=checked.stop_max_s,
+        ) as loop:
+            _limit_log_rates()
+            loop.run_forever()
+    except OSError as exc:
+        _fail(EXIT_CANNOT_START, f"cannot start: {exc}")
+
+
+def main() -> None:
+    """Read the arguments and run."""
+    fire.Fire(run, name="rhubarbwell-entry")
+
+
+def _read_or_exit(path: Path) -> Settings:
+    try:
+        return read_settings(path)
+    except SettingsError as exc:
+        _fail(EXIT_BAD_SETTINGS, str(exc))
+    except (OSError, UnicodeDecodeError) as exc:
+        _fail(EXIT_BAD_SETTINGS, f"{path}: {exc}")
+
+
+def _limit_log_rates() -> None:
+    rate_filter = EventRateFilter()
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(rate_filter)
+
+
+def _fail(code: int, message: str) -> NoReturn:
+    print(message, file=sys.stderr)
+    raise SystemExit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -5,7 +5,7 @@
 import secrets
 import socket
 from collections.abc import Callable, Coroutine
-from random import Random
+from random import Random, SystemRandom
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -63,7 +63,7 @@
         self.metrics = InstanceMetrics(self.identity)
         core = Core(
             self.identity,
-            rng or Random(self.identity.incarnation),
+            rng or SystemRandom(),
             now_ms=clock_ms(),
             on_ended=self.metrics.request_ended,
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings.py
@@ -4,19 +4,11 @@
 
 from rhubarbwell_core.model import Address
 
-__all__ = ["PlatformSettings", "Settings", "TlsSettings"]
+__all__ = ["Settings", "TlsSettings"]
 
 DEFAULT_STOP_MAX_S = 900.0
 
 
-class PlatformSettings(NamedTuple):
-    """Name the base URLs of the platform's services."""
-
-    table_service: str
-    object_store: str
-    instance_list: str
-
-
 class TlsSettings(NamedTuple):
     """Name the PEM files for callers and operators."""
 
@@ -25,7 +17,7 @@
 
 
 class Settings(NamedTuple):
-    """Hold the checked settings of an entry instance."""
+    """Hold the checked settings of an entry instance; platform is a base URL."""
 
     instance_id: str
     zone: str
@@ -33,7 +25,7 @@
     callers: Address
     operators: Address
     peers: Address
-    platform: PlatformSettings
+    platform: str
     seeds: tuple[Address, ...] = ()
     peer_keys: tuple[str, ...] = ()
     log_format: str = "json"
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings_files.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings_files.py
@@ -1,7 +1,6 @@
 """Reading of settings files: JSON with comments, all findings at once."""
 
 from pathlib import Path
-from typing import NamedTuple
 
 from rhubarbwell_core.errors import RhubarbwellError
 from rhubarbwell_core.model import Address
@@ -17,7 +16,6 @@
 
 from rhubarbwell_entry.settings import (
     DEFAULT_STOP_MAX_S,
-    PlatformSettings,
     Settings,
     TlsSettings,
 )
@@ -40,11 +38,6 @@
         self.findings = findings
 
 
-class _Parsed(NamedTuple):
-    settings: Settings
-    findings: tuple[Finding, ...]
-
-
 def read_settings(path: Path) -> Settings:
     """Read a settings file; raise SettingsError or OSError."""
     return parse_settings(path.read_text(encoding="utf-8"), file=str(path))
@@ -72,7 +65,7 @@
         callers=_read_address(reader, "callers"),
         operators=_read_address(reader, "operators"),
         peers=_read_address(reader, "peers"),
-        platform=_read_platform(reader),
+        platform=_read_url(reader, "platform"),
         seeds=tuple(_address_of(seed) for seed in reader.objects("seeds")),
         peer_keys=_read_peer_keys(reader),
         log_format=reader.choice("log_format", LOG_FORMATS, default="json"),
@@ -100,16 +93,6 @@
     return address
 
 
-def _read_platform(reader: FieldReader) -> PlatformSettings:
-    inner = reader.object("platform")
-    if inner is None:
-        reader.add("platform", "is missing: the base URLs of the platform")
-        return PlatformSettings("", "", "")
-    urls = [_read_url(inner, name) for name in PlatformSettings._fields]
-    inner.finish()
-    return PlatformSettings(*urls)
-
-
 def _read_url(reader: FieldReader, name: str) -> str:
     url = reader.text(name)
     if url and not url.startswith(("http://", "https://")):
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/deployment.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/deployment.py
@@ -13,7 +13,7 @@
     ZoneSpec,
 )
 from rhubarbwell_entry.instance import EntryInstance
-from rhubarbwell_entry.settings import PlatformSettings, Settings
+from rhubarbwell_entry.settings import Settings
 from rhubarbwell_platform.documents import (
     Document,
     check_files,
@@ -29,7 +29,6 @@
 __all__ = ["DemoDeployment", "DemoError", "load_documents"]
 
 ANY_PORT = Address("127.0.0.1", 0)
-NO_PLATFORM = PlatformSettings("", "", "")
 PEER_KEY = "key of the demonstration, not a secret"
 SERVICE_MS = 150.0
 READY_TIMEOUT_S = 10.0
@@ -110,7 +109,7 @@
             callers=ANY_PORT,
             operators=ANY_PORT,
             peers=ANY_PORT,
-            platform=NO_PLATFORM,
+            platform="",
             seeds=tuple(other.identity.peers for other in self.instances),
             peer_keys=(PEER_KEY,),
         )
--- /dev/null
+++ b/tests/entry/test_logs.py
@@ -0,0 +1,20 @@
+import logging
+
+from rhubarbwell_entry.logs import EventRateFilter
+
+
+def record(event):
+    made = logging.LogRecord("name", logging.INFO, "f", 1, "m", (), None)
+    made.event = event
+    return made
+
+
+def test_events_over_the_rate_are_left_out_and_counted():
+    now_ms = [0]
+    rate = EventRateFilter(max_events=2, window_ms=100, clock_ms=lambda: now_ms[0])
+    assert [rate.filter(record("a")) for _ in range(5)] == [True, True] + [False] * 3
+    assert rate.filter(record("b"))
+    now_ms[0] = 100
+    first = record("a")
+    assert rate.filter(first)
+    assert first.left_out == 3
