--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
@@ -2,13 +2,18 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
 
 import aiohttp
 
 from rhubarbwell_platform.errors import AnswerLostError, PlatformError, UnavailableError
-from rhubarbwell_platform.http.client import CallKind, ClientOptions, PlatformClient
+from rhubarbwell_platform.http.client import (
+    CallKind,
+    ClientOptions,
+    PlatformClient,
+    RateLimits,
+)
 from rhubarbwell_platform.http.wire import decode_listing, decode_rows, encode_writes
 from rhubarbwell_platform.services import (
     InstanceList,
@@ -20,22 +25,43 @@
     Write,
 )
 
-__all__ = ["HttpInstanceList", "HttpObjectStore", "HttpTableService", "http_platform"]
+__all__ = [
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpTableService",
+    "PlatformUrls",
+    "http_platform",
+]
 
 T = TypeVar("T")
 
 
+class PlatformUrls(NamedTuple):
+    """Name the base URLs of the platform's services."""
+
+    table_service: str
+    object_store: str
+    instance_list: str
+
+
 def http_platform(
     session: aiohttp.ClientSession,
-    base_url: str,
+    urls: PlatformUrls,
     rng: Random,
     *,
     options: ClientOptions | None = None,
 ) -> Platform:
-    """Return the platform at a base URL; its services share the limits."""
-    client = PlatformClient(session, base_url, rng, options=options)
+    """Return the platform at the URLs; its services share the rate limits."""
+    options = options or ClientOptions()
+    limits = RateLimits(options)
+    table_client, object_client, list_client = (
+        PlatformClient(session, url, rng, options=options, limits=limits)
+        for url in urls
+    )
     return Platform(
-        HttpTableService(client), HttpObjectStore(client), HttpInstanceList(client)
+        HttpTableService(table_client),
+        HttpObjectStore(object_client),
+        HttpInstanceList(list_client),
     )
 
 
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -24,7 +24,13 @@
 )
 from rhubarbwell_platform.http.breaker import CircuitBreaker
 
-__all__ = ["CallKind", "ClientOptions", "PlatformClient", "fleet_share"]
+__all__ = [
+    "CallKind",
+    "ClientOptions",
+    "PlatformClient",
+    "RateLimits",
+    "fleet_share",
+]
 
 FLEET_READS_PER_S = 1_600.0
 FLEET_WRITES_PER_S = 240.0
@@ -64,8 +70,26 @@
     WRITE = "write"
 
 
+class RateLimits:
+    """Limit the rate of reads and of writes that clients share."""
+
+    def __init__(self, options: ClientOptions) -> None:
+        self._reads = _limiter(options.reads_per_s)
+        self._writes = _limiter(options.writes_per_s)
+        self._longest_s = options.timeout_ms / 1_000
+
+    async def acquire(self, kind: CallKind) -> None:
+        """Wait for a call's turn; raise UnavailableError after the time-out."""
+        limiter = self._reads if kind is CallKind.READ else self._writes
+        try:
+            async with asyncio.timeout(self._longest_s):
+                await limiter.acquire()
+        except TimeoutError:
+            raise UnavailableError("the rate of calls is at its limit") from None
+
+
 class PlatformClient:
-    """Make calls to the platform at one base URL."""
+    """Make calls to one service of the platform."""
 
     def __init__(
         self,
@@ -73,18 +97,18 @@
         base_url: str,
         rng: Random,
         *,
-        options: ClientOptions | None = None,
+        options: ClientOptions,
+        limits: RateLimits,
     ) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
-        self._options = options or ClientOptions()
-        self._wait = _JitteredBackoff(rng, self._options)
-        self._reads = _limiter(self._options.reads_per_s)
-        self._writes = _limiter(self._options.writes_per_s)
+        self._options = options
+        self._limits = limits
+        self._wait = _JitteredBackoff(rng, options)
         self._breaker = CircuitBreaker(
             rng,
-            failures_to_open=self._options.failures_to_open,
-            open_ms=self._options.open_ms,
+            failures_to_open=options.failures_to_open,
+            open_ms=options.open_ms,
         )
 
     async def call(
@@ -109,7 +133,7 @@
     async def _call_once(
         self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
     ) -> Any:
-        await self._wait_for_rate(kind)
+        await self._limits.acquire(kind)
         if not self._breaker.allow(_now_ms()):
             raise UnavailableError("the circuit to the platform is open")
         try:
@@ -123,14 +147,6 @@
         self._breaker.record_success()
         return answer
 
-    async def _wait_for_rate(self, kind: CallKind) -> None:
-        limiter = self._reads if kind is CallKind.READ else self._writes
-        try:
-            async with asyncio.timeout(self._options.timeout_ms / 1_000):
-                await limiter.acquire()
-        except TimeoutError:
-            raise UnavailableError("the rate of calls is at its limit") from None
-
     async def _send(
         self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
     ) -> Any:
--- a/tests/platform/http/test_client.py
+++ b/tests/platform/http/test_client.py
@@ -15,6 +15,7 @@
     FaultKind,
     Operation,
     PlatformError,
+    PlatformUrls,
     ScriptedFaults,
     UnavailableError,
     Write,
@@ -33,6 +34,7 @@
     writes_per_s=10_000,
     failures_to_open=100,
 )
+NOTHING_LISTENS = PlatformUrls(*["http://127.0.0.1:9"] * 3)
 DOWN = Fault(FaultKind.DOWN)
 REQUEST_LOST = Fault(FaultKind.REQUEST_LOST)
 ANSWER_LOST = Fault(FaultKind.ANSWER_LOST)
@@ -69,11 +71,15 @@
 class Remote(NamedTuple):
     inner: object
     faults: ScriptedFaults
-    url: str
+    urls: PlatformUrls
     session: aiohttp.ClientSession
 
     def connect(self, options=OPTIONS):
-        return http_platform(self.session, self.url, Random(1), options=options)
+        return http_platform(self.session, self.urls, Random(1), options=options)
+
+
+def urls_of(server):
+    return PlatformUrls(*[str(server.make_url(""))] * 3)
 
 
 @pytest.fixture
@@ -84,7 +90,7 @@
     server = TestServer(platform_app(with_faults(inner, faults)))
     await server.start_server()
     async with aiohttp.ClientSession() as session:
-        yield Remote(inner, faults, str(server.make_url("")), session)
+        yield Remote(inner, faults, urls_of(server), session)
     await server.close()
 
 
@@ -124,7 +130,7 @@
 async def test_nothing_listening_means_not_carried_out(remote):
     options = OPTIONS._replace(max_tries=2)
     platform = http_platform(
-        remote.session, "http://127.0.0.1:9", Random(1), options=options
+        remote.session, NOTHING_LISTENS, Random(1), options=options
     )
     with pytest.raises(UnavailableError):
         await platform.tables.transact([Write("k", "1")])
@@ -179,7 +185,7 @@
     server = TestServer(app)
     await server.start_server()
     platform = http_platform(
-        remote.session, str(server.make_url("")), Random(1), options=OPTIONS
+        remote.session, urls_of(server), Random(1), options=OPTIONS
     )
     with pytest.raises(read_error):
         await platform.tables.read(["k"])
--- a/tests/platform/services/test_contracts.py
+++ b/tests/platform/services/test_contracts.py
@@ -14,6 +14,7 @@
     ListedInstance,
     ListedState,
     MissingObjectError,
+    PlatformUrls,
     VersionIs,
     Write,
     http_platform,
@@ -47,7 +48,9 @@
     server = TestServer(platform_app(inner))
     await server.start_server()
     async with aiohttp.ClientSession() as session:
-        yield http_platform(session, str(server.make_url("")), Random(1))
+        yield http_platform(
+            session, PlatformUrls(*[str(server.make_url(""))] * 3), Random(1)
+        )
     await server.close()
 
 
