--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -7,6 +7,7 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
 from rhubarbwell_core.messages import (
     AttemptEnded,
@@ -20,7 +21,7 @@
     PeerState,
     RequestArrived,
 )
-from rhubarbwell_core.model import Configuration, Identity
+from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
@@ -67,11 +68,17 @@
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
+        self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
-            identity.incarnation, self.admission, self.routes, RetryBudget()
+            identity.incarnation,
+            self.admission,
+            self.routes,
+            RetryBudget(),
+            self.keys,
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
+        self._rng = rng
         self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
@@ -82,6 +89,7 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self.keys)
         self._add_part(self._look_ups)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
@@ -107,7 +115,19 @@
 
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
         """Answer a look-up; raise ValueError for a malformed address."""
-        return self._look_ups.look_up(query, shares={})
+        ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
+        return self._look_ups.look_up(query, shares={}, ticket=ticket)
+
+    def _mint_ticket(self, now_ms: int) -> str | None:
+        if self.state is not PeerState.READY:
+            return None
+        return mint_ticket(self.identity.incarnation, self._rng, now_ms)
+
+    def _find_owner(self, incarnation: str) -> Address | None:
+        for peer in self.peers.rows():
+            if peer.incarnation == incarnation:
+                return peer.callers
+        return None
 
     def _observe_ends(
         self, actions: Sequence[Action], now_ms: int, status: int | None
