--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/__init__.py
@@ -0,0 +1,3 @@
+"""The commands of operators, one module each."""
+
+from rhubarbwell_ops.commands.configuration import *
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/check.py
@@ -0,0 +1,69 @@
+"""The command that checks files."""
+
+from collections.abc import Sequence
+
+from returns.result import Failure, Result
+from rhubarbwell_platform.documents import (
+    Document,
+    Finding,
+    check_documents,
+    findings_of,
+    format_findings,
+    parse_document,
+    parse_file,
+    read_files,
+)
+from rhubarbwell_platform.publishing import PublishedState
+
+from rhubarbwell_ops.exits import ExitCode, Report
+
+__all__ = ["check", "check_against", "findings_report"]
+
+Checked = Result[tuple[Document, ...], tuple[Finding, ...]]
+
+
+def check(paths: Sequence[str], *, published: PublishedState | None = None) -> Report:
+    """Check files alone, against each other and against what is published."""
+    checked = check_against(paths, published)
+    if isinstance(checked, Failure):
+        return findings_report(checked.failure())
+    names = [document.name for document in checked.unwrap()]
+    text = f"{len(names)} documents, no findings: {', '.join(names)}"
+    return Report(ExitCode.DONE, text, {"documents": names})
+
+
+def check_against(paths: Sequence[str], published: PublishedState | None) -> Checked:
+    """Return the files' documents, checked together with the published ones."""
+    if not paths:
+        return Failure((Finding("", 0, 0, "", "no files are given"),))
+    read = read_files(paths)
+    if isinstance(read, Failure):
+        return read
+    parsed = [parse_file(source) for source in read.unwrap()]
+    findings = tuple(f for result in parsed for f in findings_of(result))
+    if findings:
+        return Failure(findings)
+    own = [result.unwrap() for result in parsed]
+    others = _other_documents(own, published)
+    return check_documents([*others, *own]).map(lambda _: tuple(own))
+
+
+def findings_report(findings: Sequence[Finding]) -> Report:
+    """Return the report of findings."""
+    fields = {"findings": [finding._asdict() for finding in findings]}
+    count = "1 finding" if len(findings) == 1 else f"{len(findings)} findings"
+    return Report(ExitCode.FINDINGS, f"{format_findings(findings)}\n{count}", fields)
+
+
+def _other_documents(
+    own: Sequence[Document], published: PublishedState | None
+) -> list[Document]:
+    """Return the published documents that the files do not replace."""
+    if published is None:
+        return []
+    names = {document.name for document in own}
+    return [
+        parse_document(name, text).unwrap()
+        for name, text in published.documents.items()
+        if name not in names
+    ]
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/publish.py
@@ -0,0 +1,177 @@
+"""The commands that publish: files, a roll back, a drain."""
+
+import uuid
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from returns.result import Failure
+from rhubarbwell_core.adoption import LogHead
+from rhubarbwell_core.model import ServiceSpec
+from rhubarbwell_platform import Platform
+from rhubarbwell_platform.documents import (
+    Finding,
+    encode_document,
+    parse_document,
+)
+from rhubarbwell_platform.publishing import (
+    Change,
+    Published,
+    PublishedState,
+    differences,
+    format_differences,
+    merge_documents,
+    publish,
+    read_state,
+    rollback_change,
+)
+
+from rhubarbwell_ops.commands.check import check_against, findings_report
+from rhubarbwell_ops.commands.failures import failure_report
+from rhubarbwell_ops.exits import ExitCode, Report
+from rhubarbwell_ops.instances import (
+    Adoption,
+    count_adoptions,
+    is_in_force,
+    statuses_json,
+    wait_in_force,
+)
+
+__all__ = ["PublishOptions", "drain", "publish_files", "rollback"]
+
+
+class PublishOptions(NamedTuple):
+    """Set who publishes, when, and what to wait for; wait_s 0 does not wait."""
+
+    author: str
+    at_ms: int
+    publish_id: str = ""
+    base_version: int | None = None
+    dry_run: bool = False
+    wait_s: float = 0.0
+
+
+async def publish_files(
+    platform: Platform,
+    paths: Sequence[str],
+    options: PublishOptions,
+    *,
+    remove: Sequence[str] = (),
+) -> Report:
+    """Publish files, and remove services by name."""
+    base = await read_state(platform, version=options.base_version)
+    removed: dict[str, str | None] = {f"service/{name}": None for name in remove}
+    unknown = [name for name in removed if name not in base.documents]
+    if unknown:
+        message = f"{', '.join(unknown)} is not published"
+        return findings_report([Finding("", 0, 0, "remove", message)])
+    documents: dict[str, str | None] = dict(removed)
+    if paths or not removed:
+        checked = check_against(paths, _without(base, removed))
+        if isinstance(checked, Failure):
+            return findings_report(checked.failure())
+        documents |= {document.name: document.text for document in checked.unwrap()}
+    return await _publish(platform, documents, base, options)
+
+
+async def rollback(platform: Platform, version: int, options: PublishOptions) -> Report:
+    """Publish the documents of an older version as a new version."""
+    base = await read_state(platform)
+    target = await read_state(platform, version=version)
+    change = await rollback_change(
+        platform, _change({}, options), target=target, base=base
+    )
+    return await _publish(platform, change.documents, base, options)
+
+
+async def drain(
+    platform: Platform, backend_id: str, options: PublishOptions, *, undo: bool = False
+) -> Report:
+    """Publish that a backend server gets no new work, or gets it again."""
+    base = await read_state(platform)
+    for name, text in base.documents.items():
+        spec = parse_document(name, text).unwrap().spec
+        if isinstance(spec, ServiceSpec) and _has_backend(spec, backend_id):
+            drained = _set_draining(spec, backend_id, draining=not undo)
+            documents = {name: encode_document(drained)}
+            return await _publish(platform, documents, base, options)
+    message = f"no published service has a backend server {backend_id!r}"
+    return findings_report([Finding("", 0, 0, "backend_id", message)])
+
+
+async def _publish(
+    platform: Platform,
+    documents: Mapping[str, str | None],
+    base: PublishedState,
+    options: PublishOptions,
+) -> Report:
+    if options.dry_run:
+        return _dry_run(documents, base)
+    change = _change(documents, options)
+    result = await publish(platform, change, base=base)
+    if isinstance(result, Failure):
+        return failure_report(result.failure())
+    return await _published_report(platform, change, result.unwrap(), options)
+
+
+async def _published_report(
+    platform: Platform, change: Change, published: Published, options: PublishOptions
+) -> Report:
+    text = _describe(change, published)
+    fields = {"publish_id": change.publish_id, **published._asdict()}
+    if not options.wait_s:
+        return Report(ExitCode.DONE, text, fields)
+    head = LogHead(published.version, published.chain)
+    statuses = await wait_in_force(platform.instances, head, longest_s=options.wait_s)
+    lines = [text, count_adoptions(statuses)]
+    lines += [
+        f"{status.adoption.value}: {status.instance_id} in {status.zone}"
+        for status in statuses
+        if status.adoption is not Adoption.IN_FORCE
+    ]
+    everywhere = all(is_in_force(status) for status in statuses)
+    exit_code = ExitCode.DONE if everywhere else ExitCode.NOT_IN_FORCE
+    fields["instances"] = statuses_json(statuses)
+    return Report(exit_code, "\n".join(lines), fields)
+
+
+def _dry_run(documents: Mapping[str, str | None], base: PublishedState) -> Report:
+    merged = merge_documents(base.documents, documents)
+    found = differences(base.documents, merged)
+    text = format_differences(found) or "nothing differs from what is published"
+    fields = {
+        "base_version": base.head.version,
+        "differences": [difference._asdict() for difference in found],
+    }
+    return Report(ExitCode.DONE, text, fields)
+
+
+def _describe(change: Change, published: Published) -> str:
+    if not published.changed:
+        return f"nothing differs from version {published.version}"
+    done = "had published" if published.repeated else "published"
+    names = ", ".join(published.changed)
+    return f"{done} version {published.version} as {change.publish_id}: {names}"
+
+
+def _change(documents: Mapping[str, str | None], options: PublishOptions) -> Change:
+    publish_id = options.publish_id or uuid.uuid4().hex
+    return Change(publish_id, options.author, options.at_ms, documents)
+
+
+def _without(base: PublishedState, removed: Mapping[str, str | None]) -> PublishedState:
+    kept = {name: text for name, text in base.documents.items() if name not in removed}
+    return base._replace(documents=kept)
+
+
+def _has_backend(spec: ServiceSpec, backend_id: str) -> bool:
+    return any(backend.backend_id == backend_id for backend in spec.backends)
+
+
+def _set_draining(spec: ServiceSpec, backend_id: str, *, draining: bool) -> ServiceSpec:
+    backends = tuple(
+        backend._replace(draining=draining)
+        if backend.backend_id == backend_id
+        else backend
+        for backend in spec.backends
+    )
+    return spec._replace(backends=backends)
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/status.py
@@ -0,0 +1,57 @@
+"""The commands that show what is published and in force."""
+
+from datetime import UTC, datetime
+
+from rhubarbwell_platform import Platform
+from rhubarbwell_platform.publishing import read_head, read_history
+from tabulate import tabulate
+
+from rhubarbwell_ops.exits import ExitCode, Report
+from rhubarbwell_ops.instances import (
+    count_adoptions,
+    is_in_force,
+    read_statuses,
+    statuses_json,
+)
+
+__all__ = ["history", "status"]
+
+
+async def status(platform: Platform) -> Report:
+    """Show the published version and the one in force at every instance."""
+    head = (await read_head(platform.tables)).head
+    statuses = await read_statuses(platform.instances, head)
+    rows = [
+        (row.instance_id, row.zone, row.state, row.config_version, row.adoption.value)
+        for row in sorted(statuses, key=lambda row: (row.zone, row.instance_id))
+    ]
+    headers = ("instance", "zone", "state", "version", "configuration")
+    lines = [f"published: version {head.version}, {count_adoptions(statuses)}"]
+    if rows:
+        lines.append(tabulate(rows, headers))
+    fields = {"head": head._asdict(), "instances": statuses_json(statuses)}
+    everywhere = all(is_in_force(row) for row in statuses)
+    exit_code = ExitCode.DONE if everywhere else ExitCode.NOT_IN_FORCE
+    return Report(exit_code, "\n".join(lines), fields)
+
+
+async def history(platform: Platform, *, limit: int) -> Report:
+    """Show the newest publishes, newest first."""
+    records = await read_history(platform.tables, limit=limit)
+    rows = [
+        (
+            record.version,
+            _format_time(record.published_at_ms),
+            record.author,
+            record.publish_id,
+            ", ".join(record.documents),
+        )
+        for record in records
+    ]
+    headers = ("version", "at", "author", "publish id", "documents")
+    fields = {"publishes": [record._asdict() for record in records]}
+    return Report(ExitCode.DONE, tabulate(rows, headers), fields)
+
+
+def _format_time(at_ms: int) -> str:
+    return datetime.fromtimestamp(at_ms / 1_000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
@@ -0,0 +1,134 @@
+"""What entry instances tell about the configuration in force."""
+
+import asyncio
+from collections.abc import Iterable, Mapping, Sequence
+from enum import Enum
+from typing import Any, NamedTuple
+
+import aiohttp
+from rhubarbwell_core.adoption import LogHead
+from rhubarbwell_platform import InstanceList, ListedInstance, ListedState
+
+__all__ = [
+    "Adoption",
+    "InstanceStatus",
+    "read_statuses",
+    "statuses_json",
+    "wait_in_force",
+]
+
+STATUS_TIMEOUT_S = 2.0
+POLL_S = 0.25
+PARALLEL_CALLS = 64
+
+
+class Adoption(Enum):
+    """Tell how an instance's configuration stands to the published one."""
+
+    IN_FORCE = "in force"
+    BEHIND = "behind"
+    AHEAD = "ahead"
+    DIFFERENT = "different"
+    UNREACHABLE = "unreachable"
+
+
+class InstanceStatus(NamedTuple):
+    """Tell the state and the configuration of an entry instance."""
+
+    instance_id: str
+    zone: str
+    adoption: Adoption
+    state: str = ""
+    config_version: int = 0
+    config_digest: str = ""
+
+
+async def read_statuses(
+    instances: InstanceList, head: LogHead
+) -> tuple[InstanceStatus, ...]:
+    """Ask every listed instance that is not leaving; raise UnavailableError."""
+    listing = await instances.read()
+    live = [row for row in listing.instances if row.state is ListedState.LIVE]
+    limit = asyncio.Semaphore(PARALLEL_CALLS)
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+
+        async def ask(row: ListedInstance) -> InstanceStatus:
+            async with limit:
+                return await _read_status(session, row, head)
+
+        return tuple(await asyncio.gather(*map(ask, live)))
+
+
+async def wait_in_force(
+    instances: InstanceList, head: LogHead, *, longest_s: float
+) -> tuple[InstanceStatus, ...]:
+    """Ask until the version is in force everywhere, for a time at most.
+
+    Raises UnavailableError.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + longest_s
+    while True:
+        statuses = await read_statuses(instances, head)
+        if all(is_in_force(status) for status in statuses) or loop.time() >= end:
+            return statuses
+        await asyncio.sleep(POLL_S)
+
+
+def is_in_force(status: InstanceStatus) -> bool:
+    """Tell whether an instance has the version, or a later one, in force."""
+    return status.adoption in (Adoption.IN_FORCE, Adoption.AHEAD)
+
+
+def statuses_json(statuses: Iterable[InstanceStatus]) -> list[dict[str, Any]]:
+    """Return the statuses as JSON."""
+    return [{**row._asdict(), "adoption": row.adoption.value} for row in statuses]
+
+
+def count_adoptions(statuses: Sequence[InstanceStatus]) -> str:
+    """Return the number of instances by adoption, in words."""
+    counts = dict.fromkeys(Adoption, 0)
+    for status in statuses:
+        counts[status.adoption] += 1
+    told = [f"{n} {kind.value}" for kind, n in counts.items() if n]
+    return ", ".join(told) or "no instances are listed"
+
+
+async def _read_status(
+    session: aiohttp.ClientSession, row: ListedInstance, head: LogHead
+) -> InstanceStatus:
+    unreachable = InstanceStatus(row.instance_id, row.zone, Adoption.UNREACHABLE)
+    url = f"http://{_host_port(row)}/status"
+    try:
+        async with session.get(url) as resp:
+            return _status_of(row, await resp.json(), head)
+    except (aiohttp.ClientError, TimeoutError, KeyError, TypeError, ValueError):
+        return unreachable
+
+
+def _host_port(row: ListedInstance) -> str:
+    host, port = row.operators
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _status_of(
+    row: ListedInstance, body: Mapping[str, Any], head: LogHead
+) -> InstanceStatus:
+    version, digest = int(body["config_version"]), str(body["config_digest"])
+    return InstanceStatus(
+        row.instance_id,
+        row.zone,
+        _compare(version, digest, head),
+        str(body["state"]),
+        version,
+        digest,
+    )
+
+
+def _compare(version: int, digest: str, head: LogHead) -> Adoption:
+    if version < head.version:
+        return Adoption.BEHIND
+    if version > head.version:
+        return Adoption.AHEAD
+    return Adoption.IN_FORCE if digest == head.chain else Adoption.DIFFERENT
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/findings.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/findings.py
@@ -63,6 +63,11 @@
 
 def format_findings(findings: Sequence[Finding]) -> str:
     """Return one line per finding."""
-    return "\n".join(
-        f"{f.file}:{f.line}:{f.column}: {f.key}: {f.message}" for f in findings
-    )
+    return "\n".join(_format(finding) for finding in findings)
+
+
+def _format(finding: Finding) -> str:
+    place = f"{finding.line}:{finding.column}" if finding.line else ""
+    parts = (finding.file, place, f" {finding.key}" if finding.key else "")
+    start = ":".join(part for part in parts if part)
+    return f"{start}: {finding.message}" if start else finding.message
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
@@ -45,7 +45,7 @@
     Write,
 )
 
-__all__ = ["Change", "publish", "publish_key"]
+__all__ = ["Change", "merge_documents", "publish", "publish_key"]
 
 MAX_TRIES = 5
 
@@ -71,7 +71,7 @@
     changed = _changed_documents(change, base)
     if not changed:
         return Success(Published(base.head.version, base.head.chain))
-    merged = _merge(base.documents, changed)
+    merged = merge_documents(base.documents, changed)
     checked = configuration_of(base.head.version, base.head.chain, merged)
     findings = findings_of(checked)
     if findings:
@@ -92,6 +92,18 @@
     return f"config-publishes/{publish_id}"
 
 
+def merge_documents(
+    documents: Mapping[str, str], changed: Mapping[str, str | None]
+) -> dict[str, str]:
+    """Return the documents after a change; a None text removes one.
+
+    >>> merge_documents({"a": "1", "b": "2"}, {"b": None, "c": "3"})
+    {'a': '1', 'c': '3'}
+    """
+    merged: dict[str, str | None] = {**documents, **changed}
+    return {name: text for name, text in merged.items() if text is not None}
+
+
 class _Attempt:
     """Try one transaction until its outcome is known."""
 
@@ -193,7 +205,7 @@
         base_version = self._base.head.version
         winners = await read_rows(tables, after=base_version, up_to=head.version)
         newest = await read_state(self._platform, version=head.version)
-        wanted = _merge(self._base.documents, self._changed)
+        wanted = merge_documents(self._base.documents, self._changed)
         moved = differences(self._base.documents, newest.documents)
         differing = _keep_keys(differences(newest.documents, wanted), moved)
         return PublishConflict(base_version, winners, differing)
@@ -207,13 +219,6 @@
     }
 
 
-def _merge(
-    documents: Mapping[str, str], changed: Mapping[str, str | None]
-) -> dict[str, str]:
-    merged: dict[str, str | None] = {**documents, **changed}
-    return {name: text for name, text in merged.items() if text is not None}
-
-
 def _digests(documents: Mapping[str, str | None]) -> dict[str, str]:
     return {
         name: "" if text is None else document_digest(text)
