Carry keyed and forwarded requests between entry instances and stop gracefully

Requests go to a key's owner or, with a grant, to another region over one HTTP hop whose headers are signed with the peers' shared key; a second hop and a forged tag are refused. Keyed answers up to 256 KiB are kept while they are relayed, and a keyed run goes on when its caller leaves.

Tickets come from the operating system's randomness: the instance seeded its generator with its incarnation, which every ticket names, so tickets could have been computed.

The graceful shutdown announces that the instance leaves, serves callers with cached look-up answers, lets open requests end and flushes recorded outcomes; a second signal or its limit ends the open ones with the outcome unknown.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -53,6 +53,7 @@
         *,
         now_ms: int = 0,
         on_ended: Callable[[EndedRequest], None] | None = None,
+        ticket_rng: Random | None = None,
     ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
@@ -78,7 +79,7 @@
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
-        self._rng = rng
+        self._ticket_rng = ticket_rng or rng
         self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
@@ -121,7 +122,7 @@
     def _mint_ticket(self, now_ms: int) -> str | None:
         if self.state is not PeerState.READY:
             return None
-        return mint_ticket(self.identity.incarnation, self._rng, now_ms)
+        return mint_ticket(self.identity.incarnation, self._ticket_rng, now_ms)
 
     def _find_owner(self, incarnation: str) -> Address | None:
         for peer in self.peers.rows():
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/model/outcomes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/outcomes.py
@@ -25,6 +25,7 @@
     UNKNOWN_KIND = "unknown_kind"
     BODY_TOO_LARGE = "body_too_large"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    KEY_REFUSED = "key_refused"
     KEY_REUSED = "key_reused"
     STORE_UNAVAILABLE = "store_unavailable"
     OWNER_LOST = "owner_lost"
@@ -32,4 +33,5 @@
     BACKEND_SHED = "backend_shed"
     CALLER_GONE = "caller_gone"
     STOPPING = "stopping"
+    FORGED_HOP = "forged_hop"
     NOT_READY = "not_ready"
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -5,7 +5,7 @@
 import secrets
 import socket
 from collections.abc import Callable, Coroutine
-from random import Random
+from random import Random, SystemRandom
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -16,6 +16,7 @@
 
 from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
 from rhubarbwell_entry.gauges import add_core_gauges
+from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import (
     Listener,
     address_of,
@@ -65,6 +66,7 @@
             rng or Random(self.identity.incarnation),
             now_ms=clock_ms(),
             on_ended=self.metrics.request_ended,
+            ticket_rng=SystemRandom(),
         )
         self.driver = CoreDriver(core, clock_ms=clock_ms)
         self._listeners: list[Listener] = []
@@ -89,6 +91,7 @@
         """Start the listeners and the background tasks."""
         self._session = aiohttp.ClientSession()
         self._callers = CallerHandler(self.driver)
+        self._keys = KeyStore(self.driver, self._platform.tables)
         add_core_gauges(self.metrics, self.driver)
         tls = tls_context(self.settings.tls)
         caller_app = self._caller_app()
@@ -122,6 +125,7 @@
         for listener in self._listeners:
             await listener.stop()
         await self._callers.close()
+        await self._keys.close()
         await self._session.close()
         self.metrics.close()
 
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
@@ -0,0 +1,141 @@
+"""Claims and outcomes of idempotency keys in the table service."""
+
+import asyncio
+import base64
+import json
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+from rhubarbwell_core.messages import (
+    ClaimKey,
+    ClaimResult,
+    KeptAnswer,
+    KeyClaimEnded,
+    KeyRead,
+    OutcomesRecorded,
+    ReadKey,
+    RecordOutcomes,
+    StoredKey,
+)
+from rhubarbwell_platform import (
+    Absent,
+    AnswerLostError,
+    ConflictError,
+    PlatformError,
+    TableService,
+    UnavailableError,
+    Write,
+)
+
+from rhubarbwell_entry.driver import CoreDriver
+
+__all__ = ["KeyStore", "decode_stored_key", "encode_stored_key"]
+
+_log = logging.getLogger(__name__)
+
+KEY_PREFIX = "keys/"
+RECORD_TIMEOUT_MS = 5_000
+
+
+class KeyStore:
+    """Carry out the core's store actions for keys; count the rows written."""
+
+    def __init__(self, driver: CoreDriver, tables: TableService) -> None:
+        self.claim_writes = 0
+        self.outcome_writes = 0
+        self.transactions = 0
+        self._driver = driver
+        self._tables = tables
+        self._tasks: set[asyncio.Task[None]] = set()
+        driver.register(ClaimKey, lambda action: self._spawn(self._claim(action)))
+        driver.register(ReadKey, lambda action: self._spawn(self._read(action)))
+        driver.register(
+            RecordOutcomes, lambda action: self._spawn(self._record(action))
+        )
+
+    async def close(self) -> None:
+        """Cancel the calls that are under way."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _claim(self, action: ClaimKey) -> None:
+        row = action.row
+        self.claim_writes += 1
+        self.transactions += 1
+        write = Write(KEY_PREFIX + row.scope, encode_stored_key(row), Absent())
+        try:
+            async with asyncio.timeout(self._remaining_s(action.deadline_ms)):
+                await self._tables.transact([write])
+            result = ClaimResult.CLAIMED
+        except ConflictError:
+            result = ClaimResult.TAKEN
+        except UnavailableError:
+            result = ClaimResult.UNAVAILABLE
+        except (AnswerLostError, TimeoutError):
+            result = ClaimResult.LOST
+        self._driver.handle(KeyClaimEnded(row.scope, row.claim_id, result))
+
+    async def _read(self, action: ReadKey) -> None:
+        key = KEY_PREFIX + action.scope
+        try:
+            async with asyncio.timeout(self._remaining_s(action.deadline_ms)):
+                rows = await self._tables.read([key])
+            found = decode_stored_key(rows[key].value) if key in rows else None
+            event = KeyRead(action.scope, found)
+        except (PlatformError, TimeoutError, ValueError) as exc:
+            _log.warning("the row of a key could not be read: %s", exc)
+            event = KeyRead(action.scope, None, available=False)
+        self._driver.handle(event)
+
+    async def _record(self, action: RecordOutcomes) -> None:
+        self.outcome_writes += len(action.rows)
+        self.transactions += 1
+        writes = [
+            Write(KEY_PREFIX + row.scope, encode_stored_key(row)) for row in action.rows
+        ]
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_MS / 1_000):
+                await self._tables.transact(writes)
+            recorded = True
+        except (PlatformError, TimeoutError) as exc:
+            _log.warning("outcomes could not be recorded, trying again: %s", exc)
+            recorded = False
+        self._driver.handle(OutcomesRecorded(action.batch_id, recorded))
+
+    def _remaining_s(self, deadline_ms: int) -> float:
+        return max(deadline_ms - self._driver.clock_ms(), 0) / 1_000
+
+
+def encode_stored_key(row: StoredKey) -> str:
+    """Return the row's value as JSON."""
+    fields: dict[str, object] = row._asdict()
+    if row.answer is not None:
+        body = base64.b64encode(row.answer.body).decode()
+        fields["answer"] = [row.answer.status, row.answer.headers, body]
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def decode_stored_key(value: str) -> StoredKey:
+    """Return the row of a value; raise ValueError for a malformed one.
+
+    >>> row = StoredKey("s", "i-1", "c", "f", 201, KeptAnswer(201, (("A", "b"),), b"x"))
+    >>> decode_stored_key(encode_stored_key(row)) == row
+    True
+    """
+    try:
+        fields = json.loads(value)
+        answer = fields.pop("answer")
+        if answer is not None:
+            status, headers, body = answer
+            pairs = tuple((name, text) for name, text in headers)
+            answer = KeptAnswer(status, pairs, base64.b64decode(body))
+        return StoredKey(**fields, answer=answer)
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"malformed row of a key: {exc}") from exc
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/answers.py
@@ -0,0 +1,52 @@
+"""Answers kept whole while they are relayed."""
+
+from aiohttp import web
+from multidict import CIMultiDict
+from rhubarbwell_core.messages import KeptAnswer
+from rhubarbwell_core.model import Outcome
+
+from rhubarbwell_entry.proxy.headers import OUTCOME_HEADER
+
+__all__ = ["AnswerKeeper", "replay_response"]
+
+MAX_ANSWER_BYTES = 256 << 10
+REPLAYED_HEADER = "Rhubarbwell-Replayed"
+
+
+class AnswerKeeper:
+    """Gather an answer of at most MAX_ANSWER_BYTES.
+
+    >>> keeper = AnswerKeeper(200, CIMultiDict({"X-A": "1"}))
+    >>> keeper.add(b"whole")
+    >>> keeper.finish()
+    KeptAnswer(status=200, headers=(('X-A', '1'),), body=b'whole')
+    """
+
+    def __init__(self, status: int, headers: CIMultiDict[str]) -> None:
+        self._status = status
+        self._headers = tuple(headers.items())
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Keep the next part of the body."""
+        self._size += len(chunk)
+        if self._size <= MAX_ANSWER_BYTES:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    def finish(self) -> KeptAnswer | None:
+        """Return the whole answer, None for one that grew too large."""
+        if self._size > MAX_ANSWER_BYTES:
+            return None
+        return KeptAnswer(self._status, self._headers, b"".join(self._chunks))
+
+
+def replay_response(answer: KeptAnswer) -> web.Response:
+    """Return a kept answer for a repeat."""
+    headers = CIMultiDict[str](answer.headers)
+    headers.popall("Content-Length", None)
+    headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
+    headers[REPLAYED_HEADER] = "1"
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/exchanges.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/exchanges.py
@@ -1,30 +1,69 @@
 """The exchanges with callers that are going on."""
 
 import asyncio
-from typing import NamedTuple
 
 from aiohttp import web
-from rhubarbwell_core.messages import EndRequest, RequestArrived
+from rhubarbwell_core.messages import EndRequest, ReplayAnswer, RequestArrived
 
+from rhubarbwell_entry.proxy.answers import replay_response
 from rhubarbwell_entry.proxy.bodies import UploadBody
+from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
+from rhubarbwell_entry.proxy.peers import PeerHop
+from rhubarbwell_entry.proxy.problems import problem_response
 
 __all__ = ["Exchange", "ExchangeTable"]
 
 
-class Exchange(NamedTuple):
-    """Hold what the shell knows of one request that has not ended."""
-
-    arrived: RequestArrived
-    request: web.BaseRequest
-    path: str
-    body: UploadBody
-    ended: asyncio.Future[EndRequest]
-    response: list[web.StreamResponse]
+class Exchange:
+    """Hold what the shell knows of one request until its caller has an answer."""
+
+    def __init__(
+        self,
+        request: web.Request,
+        arrived: RequestArrived,
+        path: str,
+        body: UploadBody,
+        *,
+        hop: PeerHop | None = None,
+        closes: bool = False,
+    ) -> None:
+        self.request = request
+        self.arrived = arrived
+        self.path = path
+        self.body = body
+        self.ended: asyncio.Future[EndRequest] = asyncio.Future()
+        self.response: web.StreamResponse | None = None
+        self._hop = hop
+        self._closes = closes
 
     @property
-    def answering(self) -> bool:
-        """Tell whether an attempt has begun to answer the caller."""
-        return bool(self.response)
+    def keeps_answer(self) -> bool:
+        """Tell whether repeats may ask for the answer."""
+        return self.arrived.key is not None and not self.arrived.idempotent
+
+    def has_caller(self) -> bool:
+        """Tell whether the caller's connection is still open."""
+        transport = self.request.transport
+        return transport is not None and not transport.is_closing()
+
+    def answer_with(self, response: web.StreamResponse) -> None:
+        """Choose the response; a peer's attempt id is told back to it."""
+        if self._hop is not None:
+            response.headers[ATTEMPT_HEADER] = self._hop.attempt_id
+        if self._closes:
+            response.force_close()
+        self.response = response
+
+    def finish(self, end: EndRequest) -> web.StreamResponse:
+        """Return the response; break one off that cannot become whole."""
+        if self.response is None:
+            self.answer_with(problem_response(end))
+        elif self.response.prepared and end.outcome is not end.outcome.ANSWERED:
+            self.response.force_close()
+            if self.request.transport is not None:
+                self.request.transport.abort()
+        assert self.response is not None
+        return self.response
 
 
 class ExchangeTable:
@@ -50,6 +89,12 @@
         """Return the exchange, None once it has ended."""
         return self._rows.get(request_id)
 
+    def replay(self, action: ReplayAnswer) -> None:
+        """Answer an exchange with the kept answer of an earlier run."""
+        exchange = self._rows.get(action.request_id)
+        if exchange is not None:
+            exchange.answer_with(replay_response(action.answer))
+
     def end(self, action: EndRequest) -> None:
         """Tell the handler of the exchange how it ended."""
         exchange = self._rows.pop(action.request_id, None)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -2,22 +2,35 @@
 
 import asyncio
 import hashlib
+import logging
+from typing import NamedTuple
 
 from aiohttp import web
-from rhubarbwell_core.messages import CallerGone, EndRequest, RequestArrived
+from rhubarbwell_core.messages import (
+    CallerGone,
+    EndRequest,
+    ReplayAnswer,
+    RequestArrived,
+)
 from rhubarbwell_core.model import Outcome, Reason, WorkKind, match_kind
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.proxy.attempts import AttemptSender
-from rhubarbwell_entry.proxy.bodies import UploadBody
+from rhubarbwell_entry.proxy.bodies import CallerGoneError, UploadBody
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
+from rhubarbwell_entry.proxy.fingerprints import fingerprint_request
 from rhubarbwell_entry.proxy.headers import KEY_HEADER, remaining_ms
+from rhubarbwell_entry.proxy.peers import ForgedHopError, HopKeys, PeerHop, read_hop
 from rhubarbwell_entry.proxy.problems import problem_response
 
 __all__ = ["CallerHandler", "caller_runner"]
 
+_log = logging.getLogger(__name__)
+
 KEEPALIVE_S = 75.0
 SHUTDOWN_TIMEOUT_S = 1.0
+MAX_KEY_CHARS = 256
+POLL_MS = 20
 
 
 class CallerHandler:
@@ -25,85 +38,128 @@
 
     Construct it with a CoreDriver inside the running loop, route `/{service}/{rest:.*}`
     of every method to `handle`, serve by `caller_runner` and await `close` at the end.
+    Without hop_keys no request goes to or comes from another entry instance. While
+    leaving is set, answers close their connections; refusing starts no request.
     """
 
-    def __init__(self, driver: CoreDriver) -> None:
+    def __init__(self, driver: CoreDriver, hop_keys: HopKeys | None = None) -> None:
+        self.leaving = False
+        self.refusing = False
         self.exchanges = ExchangeTable()
-        self.attempts = AttemptSender(driver, self.exchanges)
+        self.attempts = AttemptSender(driver, self.exchanges, hop_keys)
+        self.open_requests = 0
         self._driver = driver
+        self._hop_keys = hop_keys
         driver.register(EndRequest, self.exchanges.end)
+        driver.register(ReplayAnswer, self.exchanges.replay)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
-        """Answer one request of a caller."""
+        """Answer one request of a caller or of a peer."""
+        self.open_requests += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.open_requests -= 1
+
+    async def closed(self, timeout_ms: int) -> None:
+        """Wait until no request is open, for timeout_ms at most."""
+        until_ms = self._driver.clock_ms() + timeout_ms
+        while self.open_requests and self._driver.clock_ms() < until_ms:
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    async def close(self) -> None:
+        """Cancel the attempts that still run and close their connections."""
+        await self.attempts.close()
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         request_id = self.exchanges.new_id()
-        found = self._find_kind(request)
+        found = self._find_work(request)
         if isinstance(found, Reason):
-            return problem_response(EndRequest(request_id, Outcome.NOT_RUN, found))
-        service, path, kind = found
-        if (request.content_length or 0) > kind.max_body_bytes:
-            end = EndRequest(request_id, Outcome.NOT_RUN, Reason.BODY_TOO_LARGE)
-            return problem_response(end)
-        exchange = self._begin(request, request_id, service, path, kind)
+            return self._refuse(request_id, found)
+        exchange = self._begin(request, request_id, found)
         try:
+            if exchange.keeps_answer:
+                exchange.arrived = await fingerprint_request(exchange)
+            self.exchanges.add(exchange)
             self._driver.handle(exchange.arrived)
             end = await exchange.ended
+        except CallerGoneError:
+            return self._refuse(request_id, Reason.CALLER_GONE)
         except asyncio.CancelledError:
             self._driver.handle(CallerGone(request_id))
             raise
-        return _response_of(exchange, end)
+        return exchange.finish(end)
 
-    async def close(self) -> None:
-        """Cancel the attempts that still run and close their connections."""
-        await self.attempts.close()
-
-    def _find_kind(self, request: web.Request) -> tuple[str, str, WorkKind] | Reason:
+    def _find_work(self, request: web.Request) -> "_Work | Reason":
         cfg = self._driver.core.configuration
         if cfg is None:
             return Reason.NOT_READY
-        _, name, *rest = request.rel_url.raw_path.split("/")
+        if self.refusing:
+            return Reason.STOPPING
+        path = request.rel_url.raw_path
+        _, name, *rest = path.split("/")
         service = cfg.services.get(name)
         if service is None:
             return Reason.UNKNOWN_SERVICE
-        path = "/" + "/".join(rest)
-        kind = match_kind(service, request.method, path)
+        below = "/" + "/".join(rest)
+        kind = match_kind(service, request.method, below)
         if kind is None or not {".", ".."}.isdisjoint(rest):
             return Reason.UNKNOWN_KIND
-        return name, path, kind
-
-    def _begin(
-        self,
-        request: web.Request,
-        request_id: int,
-        service: str,
-        path: str,
-        kind: WorkKind,
-    ) -> Exchange:
+        if (request.content_length or 0) > kind.max_body_bytes:
+            return Reason.BODY_TOO_LARGE
+        if len(request.headers.get(KEY_HEADER, "")) > MAX_KEY_CHARS:
+            return Reason.KEY_REFUSED
+        try:
+            hop = self._read_hop(request)
+        except ForgedHopError:
+            _log.warning("refused a request from %s with a forged hop", request.remote)
+            return Reason.FORGED_HOP
+        query = request.rel_url.raw_query_string
+        return _Work(name, f"{below}?{query}" if query else below, kind, hop)
+
+    def _read_hop(self, request: web.Request) -> PeerHop | None:
+        path = request.rel_url.raw_path
+        query = request.rel_url.raw_query_string
+        return read_hop(
+            request.headers,
+            self._hop_keys,
+            method=request.method,
+            path=f"{path}?{query}" if query else path,
+        )
+
+    def _begin(self, request: web.Request, request_id: int, work: "_Work") -> Exchange:
+        kind, hop = work.kind, work.hop
         budget_ms = remaining_ms(request.headers)
         if budget_ms is None:
             budget_ms = kind.deadline_ms
-        deadline_ms = self._driver.clock_ms() + min(budget_ms, kind.deadline_ms)
+        body = UploadBody(request, max_bytes=kind.max_body_bytes)
         arrived = RequestArrived(
             request_id,
-            service,
+            work.service,
             kind.name,
-            _caller_identity(request),
-            deadline_ms,
+            _caller_identity(request) if hop is None else hop.caller,
+            self._driver.clock_ms() + min(budget_ms, kind.deadline_ms),
             kind.rank,
             kind.idempotent,
             key=request.headers.get(KEY_HEADER),
-            body_bytes=request.content_length,
+            body_bytes=request.content_length if body.exists else 0,
+            forwarded=None if hop is None else hop.forwarded_from(),
+            passed_on=hop is not None,
         )
-        query = request.rel_url.raw_query_string
-        exchange = Exchange(
-            arrived,
-            request,
-            f"{path}?{query}" if query else path,
-            UploadBody(request, max_bytes=kind.max_body_bytes),
-            asyncio.get_running_loop().create_future(),
-            [],
-        )
-        self.exchanges.add(exchange)
-        return exchange
+        return Exchange(request, arrived, work.path, body, hop=hop, closes=self.leaving)
+
+    def _refuse(self, request_id: int, reason: Reason) -> web.Response:
+        response = problem_response(EndRequest(request_id, Outcome.NOT_RUN, reason))
+        if self.leaving:
+            response.force_close()
+        return response
+
+
+class _Work(NamedTuple):
+    service: str
+    path: str
+    kind: WorkKind
+    hop: PeerHop | None
 
 
 def caller_runner(app: web.Application) -> web.AppRunner:
@@ -122,14 +178,3 @@
     if credentials is None:
         return request.remote or ""
     return hashlib.sha256(credentials.encode()).hexdigest()
-
-
-def _response_of(exchange: Exchange, end: EndRequest) -> web.StreamResponse:
-    if not exchange.answering:
-        return problem_response(end)
-    response = exchange.response[0]
-    if end.outcome is not Outcome.ANSWERED:
-        response.force_close()
-        if exchange.request.transport is not None:
-            exchange.request.transport.abort()
-    return response
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/headers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/headers.py
@@ -9,6 +9,7 @@
     "DEADLINE_HEADER",
     "KEY_HEADER",
     "OUTCOME_HEADER",
+    "REASON_HEADER",
     "end_to_end_headers",
     "is_shed",
     "remaining_ms",
@@ -18,6 +19,7 @@
 DEADLINE_HEADER = "Rhubarbwell-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
 OUTCOME_HEADER = "Rhubarbwell-Outcome"
+REASON_HEADER = "Rhubarbwell-Reason"
 OWN_PREFIX = "rhubarbwell-"
 SHED_STATUSES = frozenset({429, 503})
 
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/peers.py
@@ -0,0 +1,91 @@
+"""Requests on their way between entry instances, authenticated by a shared key."""
+
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+
+from multidict import CIMultiDict
+from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.messages import ForwardedFrom
+
+from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
+
+__all__ = ["ForgedHopError", "HopKeys", "PeerHop", "add_hop", "read_hop"]
+
+MAX_HOPS = 1
+PEER_HEADER = "Rhubarbwell-Peer"
+GRANT_HEADER = "Rhubarbwell-Grant"
+HOPS_HEADER = "Rhubarbwell-Hops"
+CALLER_HEADER = "Rhubarbwell-Caller"
+TAG_HEADER = "Rhubarbwell-Peer-Tag"
+
+
+class ForgedHopError(RhubarbwellError):
+    """Tell that a hop's headers were not written by a peer."""
+
+
+class HopKeys(Protocol):
+    """Sign the parts of a hop and verify their tags."""
+
+    def sign_text(self, *parts: str) -> str:
+        """Return the tag of the parts."""
+
+    def verify_text(self, tag: str, *parts: str) -> bool:
+        """Return whether the tag is that of the parts."""
+
+
+class PeerHop(NamedTuple):
+    """Tell who passes a request on, for which caller, under which grant if any."""
+
+    instance_id: str
+    attempt_id: str
+    caller: str
+    grant_id: str = ""
+    hops: int = MAX_HOPS
+
+    def forwarded_from(self) -> ForwardedFrom | None:
+        """Return the grant's part of the hop, None for a hop to a key's owner."""
+        if not self.grant_id:
+            return None
+        return ForwardedFrom(
+            self.instance_id, self.grant_id, self.attempt_id, self.hops
+        )
+
+
+def add_hop(
+    headers: CIMultiDict[str], hop: PeerHop, keys: HopKeys, *, method: str, path: str
+) -> None:
+    """Write the hop and its tag into the headers."""
+    headers[PEER_HEADER] = hop.instance_id
+    headers[ATTEMPT_HEADER] = hop.attempt_id
+    headers[CALLER_HEADER] = hop.caller
+    headers[GRANT_HEADER] = hop.grant_id
+    headers[HOPS_HEADER] = str(hop.hops)
+    headers[TAG_HEADER] = keys.sign_text(*_signed(hop, method, path))
+
+
+def read_hop(
+    headers: Mapping[str, str], keys: HopKeys | None, *, method: str, path: str
+) -> PeerHop | None:
+    """Return the hop of a peer's request, None for a caller's.
+
+    Raises ForgedHopError for a wrong tag and for more than MAX_HOPS.
+    """
+    if PEER_HEADER not in headers:
+        return None
+    hop = PeerHop(
+        headers[PEER_HEADER],
+        headers.get(ATTEMPT_HEADER, ""),
+        headers.get(CALLER_HEADER, ""),
+        headers.get(GRANT_HEADER, ""),
+        MAX_HOPS,
+    )
+    tag = headers.get(TAG_HEADER, "")
+    is_known = keys is not None and keys.verify_text(tag, *_signed(hop, method, path))
+    if not is_known or headers.get(HOPS_HEADER) != str(MAX_HOPS):
+        raise ForgedHopError("the headers of the hop were not written by a peer")
+    return hop
+
+
+def _signed(hop: PeerHop, method: str, path: str) -> tuple[str, ...]:
+    parts = (hop.instance_id, hop.attempt_id, hop.caller, hop.grant_id, str(hop.hops))
+    return (*parts, method, path)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/problems.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/problems.py
@@ -6,7 +6,7 @@
 from rhubarbwell_core.messages import EndRequest
 from rhubarbwell_core.model import Outcome, Reason
 
-from rhubarbwell_entry.proxy.headers import OUTCOME_HEADER
+from rhubarbwell_entry.proxy.headers import OUTCOME_HEADER, REASON_HEADER
 
 __all__ = ["problem_response", "problem_status"]
 
@@ -17,6 +17,9 @@
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_KIND: 404,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.KEY_REFUSED: 400,
+    Reason.FORGED_HOP: 403,
+    Reason.ANSWER_NOT_KEPT: 409,
     Reason.KEY_REUSED: 422,
     Reason.DEADLINE: 504,
     Reason.BACKEND_FAILED: 502,
@@ -53,7 +56,7 @@
         "outcome": end.outcome.value,
         "reason": end.reason.value,
     }
-    headers = {OUTCOME_HEADER: end.outcome.value}
+    headers = {OUTCOME_HEADER: end.outcome.value, REASON_HEADER: end.reason.value}
     if status == 503:
         wait_ms = end.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         headers["Retry-After"] = str(-(-wait_ms // 1_000))
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/relays.py
@@ -0,0 +1,80 @@
+"""Answers streamed from an attempt to the caller."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import hdrs, web
+from rhubarbwell_core.messages import AttemptEnd, KeptAnswer
+from rhubarbwell_core.model import Outcome
+
+from rhubarbwell_entry.proxy.answers import AnswerKeeper
+from rhubarbwell_entry.proxy.exchanges import Exchange
+from rhubarbwell_entry.proxy.headers import OUTCOME_HEADER, end_to_end_headers
+
+__all__ = ["AnswerRelay", "has_framing"]
+
+PROGRESS_TIMEOUT_MS = 15_000
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class AnswerRelay:
+    """Stream an answer to the caller and keep it where repeats may ask for it."""
+
+    def __init__(self, exchange: Exchange, resp: aiohttp.ClientResponse) -> None:
+        self.answer: KeptAnswer | None = None
+        self._exchange = exchange
+        self._resp = resp
+        self._writes = exchange.has_caller()
+        headers = end_to_end_headers(resp.headers)
+        self._keeper = AnswerKeeper(resp.status, headers)
+        headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
+        self._response = web.StreamResponse(
+            status=resp.status, reason=resp.reason, headers=headers
+        )
+        exchange.answer_with(self._response)
+
+    async def run(self) -> AttemptEnd:
+        """Stream to the end; raise TimeoutError for an answer without progress."""
+        await self._write(None)
+        try:
+            while chunk := await self._next_chunk():
+                if self._exchange.keeps_answer:
+                    self._keeper.add(chunk)
+                await self._write(chunk)
+                if not self._writes and not self._exchange.keeps_answer:
+                    return AttemptEnd.CALLER_GONE
+        except aiohttp.ClientPayloadError:
+            return AttemptEnd.CUT_SHORT
+        except (aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc, TimeoutError):
+                raise
+            return AttemptEnd.RESET_MID_BODY
+        if self._exchange.keeps_answer:
+            self.answer = self._keeper.finish()
+        await self._write(b"")
+        return AttemptEnd.ANSWERED
+
+    async def _next_chunk(self) -> bytes:
+        async with asyncio.timeout(PROGRESS_TIMEOUT_MS / 1_000):
+            return await self._resp.content.readany()
+
+    async def _write(self, chunk: bytes | None) -> None:
+        if not self._writes:
+            return
+        try:
+            if chunk is None:
+                await self._response.prepare(self._exchange.request)
+            elif chunk:
+                await self._response.write(chunk)
+            else:
+                await self._response.write_eof()
+        except (aiohttp.ClientConnectionResetError, ConnectionError):
+            self._writes = False
+
+
+def has_framing(resp: aiohttp.ClientResponse) -> bool:
+    """Tell whether a cut-short body would be noticed."""
+    if resp.method == hdrs.METH_HEAD or resp.status in NO_BODY_STATUSES:
+        return True
+    chunked = "chunked" in resp.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+    return chunked or hdrs.CONTENT_LENGTH in resp.headers
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -0,0 +1,213 @@
+"""One attempt: a request sent to its target and the judgement of the answer."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp import hdrs
+from multidict import CIMultiDict
+from rhubarbwell_core.messages import AttemptEnd, AttemptHeadersReceived, KeptAnswer
+from rhubarbwell_core.model import Address, Outcome, Reason
+from yarl import URL
+
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.proxy.bodies import BodyTooLargeError, CallerGoneError
+from rhubarbwell_entry.proxy.connections import (
+    AttemptError,
+    ProvenConnector,
+    send_once,
+)
+from rhubarbwell_entry.proxy.exchanges import Exchange
+from rhubarbwell_entry.proxy.headers import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    end_to_end_headers,
+    is_shed,
+)
+from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop, add_hop
+from rhubarbwell_entry.proxy.relays import AnswerRelay, has_framing
+
+__all__ = ["Attempt", "AttemptPlan"]
+
+_AUTOMATIC_HEADERS = (
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+    hdrs.USER_AGENT,
+)
+
+
+class AttemptPlan(NamedTuple):
+    """Say where an attempt goes; without a backend_id it goes to a peer."""
+
+    attempt_id: str
+    address: Address
+    deadline_ms: int
+    backend_id: str | None = None
+    grant_id: str = ""
+    fresh_connection: bool = False
+
+
+class Attempt:
+    """Send a request once and relay its answer."""
+
+    def __init__(
+        self,
+        plan: AttemptPlan,
+        exchange: Exchange,
+        driver: CoreDriver,
+        session: aiohttp.ClientSession,
+        connector: ProvenConnector,
+        hop: tuple[PeerHop, HopKeys] | None,
+    ) -> None:
+        self.status: int | None = None
+        self.peer_reason: Reason | None = None
+        self.answer: KeptAnswer | None = None
+        self._plan = plan
+        self._exchange = exchange
+        self._driver = driver
+        self._session = session
+        self._connector = connector
+        self._hop = hop
+
+    @property
+    def bytes_sent(self) -> int:
+        """Return at least 1 once a connection has been given to the attempt."""
+        if self._connector.connection_of(self._plan.attempt_id) is None:
+            return 0
+        return 1 + self._exchange.body.consumed_bytes
+
+    @property
+    def connection_was_fresh(self) -> bool:
+        """Tell whether the connection was opened for the attempt."""
+        used = self._connector.connection_of(self._plan.attempt_id)
+        return used is None or used.fresh
+
+    def is_silent(self, end: AttemptEnd) -> bool:
+        """Tell whether the attempt ended because its connection said nothing."""
+        if end is AttemptEnd.TIMEOUT:
+            return True
+        was_overtaken = self._exchange.response is not None and self.status is None
+        return end is AttemptEnd.CANCELLED and was_overtaken
+
+    async def run(self) -> AttemptEnd:
+        """Return how the attempt ended."""
+        is_to_peer = self._plan.backend_id is None
+        if is_to_peer and self._hop is None:
+            return AttemptEnd.CONNECT_REFUSED
+        try:
+            end = await self._exchange_messages()
+        except TimeoutError:
+            return AttemptEnd.TIMEOUT if self.bytes_sent else AttemptEnd.CONNECT_TIMEOUT
+        except AttemptError as exc:
+            end = _end_of_failure(exc)
+        if is_to_peer and end is AttemptEnd.RESET_BEFORE_ANSWER:
+            return AttemptEnd.PEER_LOST
+        return end
+
+    async def _exchange_messages(self) -> AttemptEnd:
+        resp: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(self._remaining_ms() / 1_000):
+                resp = await self._send()
+            return await self._take_answer(resp)
+        finally:
+            if resp is not None:
+                resp.close()
+
+    def _remaining_ms(self) -> int:
+        return max(self._plan.deadline_ms - self._driver.clock_ms(), 0)
+
+    async def _send(self) -> aiohttp.ClientResponse:
+        plan, exchange = self._plan, self._exchange
+        path = exchange.path
+        if plan.backend_id is None:
+            path = f"/{exchange.arrived.service}{path}"
+        self._connector.expect(
+            plan.attempt_id,
+            idempotent=exchange.arrived.idempotent,
+            fresh=plan.fresh_connection,
+        )
+        host, port = plan.address
+        return await self._session.request(
+            exchange.request.method,
+            URL(f"http://{host}:{port}{path}", encoded=True),
+            headers=self._headers(path),
+            data=exchange.body.chunks() if exchange.body.exists else None,
+            skip_auto_headers=_AUTOMATIC_HEADERS,
+            allow_redirects=False,
+            middlewares=(send_once,),
+        )
+
+    def _headers(self, path: str) -> CIMultiDict[str]:
+        request = self._exchange.request
+        headers = end_to_end_headers(request.headers)
+        headers[ATTEMPT_HEADER] = self._plan.attempt_id
+        headers[DEADLINE_HEADER] = str(self._remaining_ms())
+        if self._hop is not None:
+            hop, keys = self._hop
+            hop = hop._replace(caller=self._exchange.arrived.caller)
+            add_hop(headers, hop, keys, method=request.method, path=path)
+        return headers
+
+    async def _take_answer(self, resp: aiohttp.ClientResponse) -> AttemptEnd:
+        self.status = resp.status
+        if not self._is_own_answer(resp):
+            return AttemptEnd.CROSSED
+        refusal = self._find_refusal(resp)
+        if refusal is not None:
+            return refusal
+        if not has_framing(resp):
+            return AttemptEnd.CUT_SHORT
+        event = AttemptHeadersReceived(self._plan.attempt_id, resp.status)
+        self._driver.handle(event)
+        if self._exchange.response is not None:
+            return AttemptEnd.CANCELLED
+        relay = AnswerRelay(self._exchange, resp)
+        end = await relay.run()
+        self.answer = relay.answer
+        return end
+
+    def _is_own_answer(self, resp: aiohttp.ClientResponse) -> bool:
+        echoed = resp.headers.get(ATTEMPT_HEADER)
+        if echoed == self._plan.attempt_id:
+            self._connector.prove(self._plan.attempt_id)
+            return True
+        return echoed is None and self.connection_was_fresh
+
+    def _find_refusal(self, resp: aiohttp.ClientResponse) -> AttemptEnd | None:
+        if self._plan.backend_id is not None:
+            idempotent = self._exchange.arrived.idempotent
+            shed = is_shed(resp.status, resp.headers, idempotent=idempotent)
+            return AttemptEnd.SHED if shed else None
+        outcome = resp.headers.get(OUTCOME_HEADER)
+        self.peer_reason = _reason_of(resp.headers.get(REASON_HEADER, ""))
+        if outcome == Outcome.NOT_RUN.value:
+            return AttemptEnd.PEER_NOT_RUN
+        return None if outcome == Outcome.ANSWERED.value else AttemptEnd.PEER_UNKNOWN
+
+
+def _reason_of(name: str) -> Reason | None:
+    try:
+        return Reason(name)
+    except ValueError:
+        return None
+
+
+def _end_of_failure(exc: AttemptError) -> AttemptEnd:
+    cause = exc.__cause__
+    if isinstance(cause, aiohttp.ConnectionTimeoutError):
+        return AttemptEnd.CONNECT_TIMEOUT
+    if isinstance(cause, aiohttp.ClientConnectorError):
+        return AttemptEnd.CONNECT_REFUSED
+    seen: list[BaseException] = []
+    while cause is not None and cause not in seen:
+        if isinstance(cause, CallerGoneError):
+            return AttemptEnd.CALLER_GONE
+        if isinstance(cause, BodyTooLargeError):
+            return AttemptEnd.BODY_TOO_LARGE
+        seen.append(cause)
+        cause = cause.__cause__
+    return AttemptEnd.RESET_BEFORE_ANSWER
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -0,0 +1,95 @@
+"""The graceful shutdown of an entry instance."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from rhubarbwell_core.messages import StopNow
+
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.proxy import CallerHandler
+
+__all__ = ["GracefulShutdown"]
+
+_log = logging.getLogger(__name__)
+
+TTL_MARGIN_MS = 2_000
+FLUSH_TIMEOUT_MS = 5_000
+POLL_MS = 20
+
+
+class GracefulShutdown:
+    """Stop an entry instance without cutting a request.
+
+    announce tells peers that the instance is leaving; stop_listening closes the
+    callers' listeners. `run` returns once the process may exit; `hurry`, for a
+    second signal, ends the open requests with the outcome unknown.
+    """
+
+    def __init__(
+        self,
+        driver: CoreDriver,
+        handler: CallerHandler,
+        *,
+        max_ms: int,
+        announce: Callable[[], None],
+        stop_listening: Callable[[], Awaitable[None]],
+        margin_ms: int = TTL_MARGIN_MS,
+    ) -> None:
+        self._driver = driver
+        self._handler = handler
+        self._max_ms = max_ms
+        self._announce = announce
+        self._stop_listening = stop_listening
+        self._margin_ms = margin_ms
+        self._hurried = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Wait for no open request any longer."""
+        self._hurried.set()
+
+    async def run(self) -> bool:
+        """Leave, serve on, finish; return whether every request ran to its end."""
+        deadline_ms = self._driver.clock_ms() + self._max_ms
+        self._announce()
+        self._handler.leaving = True
+        _log.info("leaving: serving callers that hold cached look-up answers")
+        cached_ms = min(self._look_up_ttl_ms() + self._margin_ms, self._max_ms)
+        await self._wait(lambda: False, self._driver.clock_ms() + cached_ms)
+        self._handler.refusing = True
+        await self._stop_listening()
+        _log.info("waiting for %d open requests", self._handler.open_requests)
+        graceful = await self._wait(
+            lambda: self._handler.open_requests == 0, deadline_ms
+        )
+        if not graceful:
+            _log.warning(
+                "ending %d open requests with the outcome unknown",
+                self._handler.open_requests,
+            )
+            self._driver.handle(StopNow())
+            await self._handler.closed(FLUSH_TIMEOUT_MS)
+        await self._flush_outcomes()
+        return graceful
+
+    async def _wait(self, done: Callable[[], bool], until_ms: int) -> bool:
+        while not done():
+            left_ms = until_ms - self._driver.clock_ms()
+            if left_ms <= 0 or self._hurried.is_set():
+                return done()
+            try:
+                async with asyncio.timeout(min(left_ms, POLL_MS) / 1_000):
+                    await self._hurried.wait()
+            except TimeoutError:
+                continue
+        return True
+
+    async def _flush_outcomes(self) -> None:
+        until_ms = self._driver.clock_ms() + FLUSH_TIMEOUT_MS
+        outcomes = self._driver.core.keys.outcomes
+        while len(outcomes) and self._driver.clock_ms() < until_ms:
+            await asyncio.sleep(POLL_MS / 1_000)
+
+    def _look_up_ttl_ms(self) -> int:
+        cfg = self._driver.core.configuration
+        return 0 if cfg is None else cfg.deployment.look_up_ttl_ms
