--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/connections.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/connections.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import aiohttp
-from rhubarbwell_platform import ClientOptions, Platform, PlatformUrls, http_platform
+from rhubarbwell_platform import ClientOptions, Platform, http_platform
 from rhubarbwell_platform.errors import UnavailableError
 
 __all__ = ["PLATFORM_VARIABLE", "open_platform"]
@@ -26,6 +26,5 @@
         raise UnavailableError(
             f"give --platform or set {PLATFORM_VARIABLE} to the platform's http URL"
         )
-    urls = PlatformUrls(url, url, url)
     async with aiohttp.ClientSession() as session:
-        yield http_platform(session, urls, Random(), options=OPTIONS)
+        yield http_platform(session, url, Random(), options=OPTIONS)
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
@@ -46,14 +46,20 @@
 
 def http_platform(
     session: aiohttp.ClientSession,
-    urls: PlatformUrls,
+    urls: PlatformUrls | str,
     rng: Random,
     *,
     options: ClientOptions | None = None,
+    limits: RateLimits | None = None,
 ) -> Platform:
-    """Return the platform at the URLs; its services share the rate limits."""
+    """Return the platform at the URLs, or with all its services at one.
+
+    Its services share the rate limits.
+    """
     options = options or ClientOptions()
-    limits = RateLimits(options)
+    limits = limits or RateLimits(options)
+    if isinstance(urls, str):
+        urls = PlatformUrls(urls, urls, urls)
     table_client, object_client, list_client = (
         PlatformClient(session, url, rng, options=options, limits=limits)
         for url in urls
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -29,7 +29,6 @@
     "ClientOptions",
     "PlatformClient",
     "RateLimits",
-    "fleet_share",
 ]
 
 FLEET_READS_PER_S = 1_600.0
@@ -50,18 +49,6 @@
     open_ms: int = 2_000
 
 
-def fleet_share(instances: int, options: ClientOptions) -> ClientOptions:
-    """Return options by which a fleet of instances stays within the platform's rates.
-
-    >>> fleet_share(100, ClientOptions()).reads_per_s
-    16.0
-    """
-    return options._replace(
-        reads_per_s=FLEET_READS_PER_S / instances,
-        writes_per_s=FLEET_WRITES_PER_S / instances,
-    )
-
-
 class CallKind(Enum):
     """Tell what a call may do when it is sent twice."""
 
@@ -74,9 +61,16 @@
     """Limit the rate of reads and of writes that clients share."""
 
     def __init__(self, options: ClientOptions) -> None:
-        self._reads = _limiter(options.reads_per_s)
-        self._writes = _limiter(options.writes_per_s)
+        self._options = options
         self._longest_s = options.timeout_ms / 1_000
+        self._set_rates(options.reads_per_s, options.writes_per_s)
+
+    def share_among(self, instances: int) -> None:
+        """Lower the rates so that a fleet of instances stays within the platform's."""
+        self._set_rates(
+            min(self._options.reads_per_s, FLEET_READS_PER_S / instances),
+            min(self._options.writes_per_s, FLEET_WRITES_PER_S / instances),
+        )
 
     async def acquire(self, kind: CallKind) -> None:
         """Wait for a call's turn; raise UnavailableError after the time-out."""
@@ -87,6 +81,10 @@
         except TimeoutError:
             raise UnavailableError("the rate of calls is at its limit") from None
 
+    def _set_rates(self, reads_per_s: float, writes_per_s: float) -> None:
+        self._reads = _limiter(reads_per_s)
+        self._writes = _limiter(writes_per_s)
+
 
 class PlatformClient:
     """Make calls to one service of the platform."""
--- a/tests/platform/http/test_client.py
+++ b/tests/platform/http/test_client.py
@@ -16,6 +16,7 @@
     Operation,
     PlatformError,
     PlatformUrls,
+    RateLimits,
     ScriptedFaults,
     UnavailableError,
     Write,
@@ -167,6 +168,19 @@
     assert len(refused) == 20
 
 
+async def test_a_fleet_shares_the_rate(remote):
+    limits = RateLimits(OPTIONS._replace(timeout_ms=50))
+    limits.share_among(16_000)
+    platform = http_platform(
+        remote.session, remote.urls, Random(1), options=OPTIONS, limits=limits
+    )
+    results = await asyncio.gather(
+        *(platform.tables.read(["k"]) for _ in range(15)), return_exceptions=True
+    )
+    refused = [result for result in results if isinstance(result, UnavailableError)]
+    assert len(refused) == 5
+
+
 ANSWERS = [
     (200, "not json", UnavailableError, AnswerLostError),
     (200, '{"rows": [{}]}', UnavailableError, AnswerLostError),
