--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := $(ROOT)/packages/rhubarbwell-core/src:$(ROOT)/packages/rhubarbwell-platform/src:$(ROOT)/packages/rhubarbwell-entry/src:$(ROOT)/packages/rhubarbwell-ops/src
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test check format
+.PHONY: demo test check format proto
 
 demo: $(VENV)/.ready
 	$(BIN)/rhubarbwell demo
@@ -24,6 +24,11 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+proto:
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I packages/rhubarbwell-entry/proto \
+		--python_out=packages/rhubarbwell-entry/src --pyi_out=packages/rhubarbwell-entry/src \
+		--grpclib_python_out=packages/rhubarbwell-entry/src rhubarbwell_entry/peers/wire/peers.proto
+
 $(VENV)/.ready: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements.txt
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/__init__.py
@@ -1,3 +1,4 @@
 """Adoption of published configurations: versions only upwards, proven by a chain."""
 
 from rhubarbwell_core.adoption.log import *
+from rhubarbwell_core.adoption.messages import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/mail.py
@@ -0,0 +1,106 @@
+"""The heartbeats that an instance writes, and the news that ride on them."""
+
+from rhubarbwell_core.engine import Table
+from rhubarbwell_core.membership.members import MemberTable
+from rhubarbwell_core.membership.news import NewsQueue
+from rhubarbwell_core.membership.own import OwnRow
+from rhubarbwell_core.messages import (
+    Heartbeat,
+    Liveness,
+    MemberNews,
+    SendPeerMessage,
+    ZoneReach,
+    ZoneSummary,
+)
+from rhubarbwell_core.model import Address
+
+__all__ = ["Mail"]
+
+MEMBER_NEWS_SENDS = 8
+ZONE_NEWS_SENDS = 4
+REACH_NEWS_SENDS = 6
+MEMBERS_PER_HEARTBEAT = 6
+ZONES_PER_HEARTBEAT = 4
+REACHES_PER_HEARTBEAT = 4
+MAX_TOLD = 4_096
+
+
+class Mail:
+    """Write heartbeats of bounded size."""
+
+    def __init__(self, own: OwnRow, members: MemberTable) -> None:
+        self.log_version = 0
+        self._own = own
+        self._members = members
+        self._member_news = NewsQueue[str, MemberNews](sends=MEMBER_NEWS_SENDS)
+        self._zone_news = NewsQueue[str, ZoneSummary](sends=ZONE_NEWS_SENDS)
+        self._reach_news = NewsQueue[tuple[str, str], ZoneReach](sends=REACH_NEWS_SENDS)
+        self._told = Table[Address, int]("own rows told")
+
+    def tell_member(self, news: MemberNews) -> None:
+        """Let news of an instance ride on the next heartbeats."""
+        self._member_news.put(news.heard.instance_id, news)
+
+    def tell_zone(self, summary: ZoneSummary) -> None:
+        """Let a summary ride on the next heartbeats."""
+        self._zone_news.put(summary.zone, summary)
+
+    def tell_reach(self, reach: ZoneReach) -> None:
+        """Let a report ride on the next heartbeats within the zone."""
+        self._reach_news.put((reach.zone, reach.watcher), reach)
+
+    def probe(
+        self, address: Address, probe_id: int, instance_id: str | None
+    ) -> SendPeerMessage:
+        """Return a probe of an instance, None for one that is not known yet."""
+        return self._write(address, probe_id, instance_id, False, False)
+
+    def answer(self, address: Address, probe: Heartbeat) -> SendPeerMessage:
+        """Return the answer to a probe."""
+        return self._write(
+            address, probe.probe_id, probe.instance_id, True, probe.wants_own
+        )
+
+    def _write(
+        self,
+        address: Address,
+        probe_id: int,
+        instance_id: str | None,
+        is_answer: bool,
+        wants_own: bool,
+    ) -> SendPeerMessage:
+        heard = self._own.heard
+        row = None if instance_id is None else self._members.get(instance_id)
+        in_zone = row is not None and row.news.heard.zone == heard.zone
+        heartbeat = Heartbeat(
+            probe_id,
+            is_answer,
+            heard.instance_id,
+            heard.incarnation,
+            heard.sequence,
+            self.log_version,
+            self._members.view_digest(),
+            load=heard.load,
+            own=heard if wants_own or self._is_untold(address) else None,
+            members=self._members_for(instance_id),
+            zones=self._zone_news.take(ZONES_PER_HEARTBEAT),
+            reaches=self._reach_news.take(REACHES_PER_HEARTBEAT) if in_zone else (),
+            wants_own=row is None,
+        )
+        return SendPeerMessage(address, heartbeat)
+
+    def _is_untold(self, address: Address) -> bool:
+        sequence = self._own.heard.sequence
+        if self._told.get(address) == sequence:
+            return False
+        if len(self._told) >= MAX_TOLD:
+            self._told.remove(next(iter(self._told)))
+        self._told.put(address, sequence)
+        return True
+
+    def _members_for(self, instance_id: str | None) -> tuple[MemberNews, ...]:
+        news = self._member_news.take(MEMBERS_PER_HEARTBEAT)
+        row = None if instance_id is None else self._members.get(instance_id)
+        if row is None or row.news.liveness is Liveness.ALIVE:
+            return news
+        return (row.news, *news)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/syncs.py
@@ -0,0 +1,76 @@
+"""Comparison of whole views between two instances, which repairs lost news."""
+
+from rhubarbwell_core.engine import Action
+from rhubarbwell_core.membership.members import MemberTable
+from rhubarbwell_core.membership.summaries import SummaryTable
+from rhubarbwell_core.messages import (
+    Heartbeat,
+    MemberNews,
+    PeerState,
+    SendPeerMessage,
+    SyncAnswer,
+    SyncAsk,
+    SyncAsked,
+    ZoneSummary,
+)
+from rhubarbwell_core.model import Address
+
+__all__ = ["Syncs"]
+
+QUIET_MS = 5_000
+SYNC_PERIOD_MS = 15_000
+JOINING_SYNC_PERIOD_MS = 500
+MEMBERS_PER_ANSWER = 200
+
+
+class Syncs:
+    """Ask a peer for the zones that it knows otherwise, when news are quiet."""
+
+    def __init__(self, members: MemberTable, summaries: SummaryTable) -> None:
+        self.wanted = True
+        self._members = members
+        self._summaries = summaries
+        self._changed_ms = 0
+        self._asked_ms = -SYNC_PERIOD_MS
+
+    def changed(self, now_ms: int) -> None:
+        """Wait again for news to be quiet."""
+        self._changed_ms = now_ms
+
+    def compare(
+        self, address: Address, heartbeat: Heartbeat, state: PeerState, now_ms: int
+    ) -> list[Action]:
+        """Ask the sender of a heartbeat if its view differs and it is time to."""
+        if heartbeat.view_digest == self._members.view_digest():
+            return []
+        urgent = self.wanted or state is PeerState.JOINING
+        quiet = now_ms - self._changed_ms >= QUIET_MS
+        period_ms = JOINING_SYNC_PERIOD_MS if urgent else SYNC_PERIOD_MS
+        if not (urgent or quiet) or now_ms - self._asked_ms < period_ms:
+            return []
+        return [self.ask(address, now_ms)]
+
+    def ask(self, address: Address, now_ms: int) -> SendPeerMessage:
+        """Return the wish to compare views."""
+        self._asked_ms = now_ms
+        self.wanted = False
+        return SendPeerMessage(address, SyncAsk(self._members.digests()))
+
+    def answer(self, event: SyncAsked) -> SendPeerMessage:
+        """Return what is known of the zones that the asker knows otherwise."""
+        theirs = {digest.zone: digest.digest for digest in event.ask.digests}
+        members: list[MemberNews] = []
+        zones: list[ZoneSummary] = []
+        is_last = True
+        for zone, digest in self._members.digests():
+            if theirs.get(zone) == digest:
+                continue
+            known = self._members.of_zone(zone)
+            if members and len(members) + len(known) > MEMBERS_PER_ANSWER:
+                is_last = False
+                break
+            members += known
+            summary = self._summaries.get(zone)
+            zones += [] if summary is None else [summary]
+        answer = SyncAnswer(tuple(members), tuple(zones), is_last)
+        return SendPeerMessage(event.address, answer)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/peers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/peers.py
@@ -17,7 +17,11 @@
 
 
 class PeerHeard(NamedTuple):
-    """Report what an entry instance says of itself."""
+    """Report what an entry instance says of itself.
+
+    generation orders the incarnations of an instance id, sequence the changes
+    of one incarnation.
+    """
 
     instance_id: str
     incarnation: str
@@ -29,3 +33,4 @@
     config_version: int
     sequence: int
     load: float = 0.0
+    generation: int = 0
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/codec.py
@@ -0,0 +1,167 @@
+"""Conversion of peer messages to protobuf and back."""
+
+from collections.abc import Callable, Sequence
+from enum import Enum, IntEnum
+from functools import cache
+from types import NoneType
+from typing import Any, NamedTuple, get_args, get_origin, get_type_hints
+
+from google.protobuf.message import DecodeError
+from google.protobuf.message import Message as Wire
+from rhubarbwell_core.adoption import LogAnswer, LogAsk
+from rhubarbwell_core.messages import (
+    GrantAsk,
+    GrantReply,
+    Heartbeat,
+    RenewalResult,
+    SlotRenewal,
+    SyncAnswer,
+    SyncAsk,
+)
+
+from rhubarbwell_entry.peers.wire import peers_pb2
+
+__all__ = [
+    "PeerMessageError",
+    "Relay",
+    "RelayAnswer",
+    "decode_body",
+    "encode_body",
+]
+
+
+class PeerMessageError(Exception):
+    """Tell that a peer's message cannot be read or must not be trusted."""
+
+
+class Relay(NamedTuple):
+    """Carry a slot renewal to the zone peer that is to relay it."""
+
+    peer_id: str
+    relay_id: int
+    renewal: SlotRenewal
+
+
+class RelayAnswer(NamedTuple):
+    """Carry the result of a relayed renewal back."""
+
+    peer_id: str
+    relay_id: int
+    result: RenewalResult
+    store_silent_ms: int | None
+
+
+MESSAGE_KINDS: dict[str, type[Any]] = {
+    "heartbeat": Heartbeat,
+    "sync_ask": SyncAsk,
+    "sync_answer": SyncAnswer,
+    "log_ask": LogAsk,
+    "log_answer": LogAnswer,
+    "grant_ask": GrantAsk,
+    "grant_reply": GrantReply,
+    "relay": Relay,
+    "relay_answer": RelayAnswer,
+}
+KIND_OF_TYPE = {cls: kind for kind, cls in MESSAGE_KINDS.items()}
+
+
+def encode_body(messages: Sequence[Any]) -> bytes:
+    """Return the serialized form of messages; raise KeyError for an unknown type."""
+    body = peers_pb2.Body()
+    for message in messages:
+        kind = KIND_OF_TYPE[type(message)]
+        part = getattr(body.messages.add(), kind)
+        part.SetInParent()
+        _fill(part, message)
+    return body.SerializeToString()
+
+
+def decode_body(data: bytes) -> list[Any]:
+    """Return the messages of a body without those of kinds unknown here.
+
+    Raises PeerMessageError for anything that is not a body.
+    """
+    try:
+        body = peers_pb2.Body.FromString(data)
+        parts = [(part.WhichOneof("kind"), part) for part in body.messages]
+        return [
+            _read(getattr(part, kind), MESSAGE_KINDS[kind])
+            for kind, part in parts
+            if kind is not None
+        ]
+    except (DecodeError, ValueError, IndexError) as exc:
+        raise PeerMessageError(f"unreadable message: {exc}") from exc
+
+
+class _Field(NamedTuple):
+    name: str
+    write: Callable[[Wire, str, Any], None]
+    read: Callable[[Wire, str], Any]
+
+
+@cache
+def _plan(cls: type[Any]) -> tuple[_Field, ...]:
+    hints = get_type_hints(cls)
+    return tuple(_plan_field(name, hints[name]) for name in cls._fields)
+
+
+def _plan_field(name: str, hint: Any) -> _Field:
+    if get_origin(hint) is tuple:
+        item = get_args(hint)[0]
+        return _Field(name, _add_each, lambda wire, key: _read_each(wire, key, item))
+    if NoneType in get_args(hint):
+        inner = _plan_field(name, get_args(hint)[0])
+        return _Field(name, _optional_writer(inner), _optional_reader(inner))
+    if issubclass(hint, IntEnum):
+        return _Field(name, setattr, lambda wire, key: hint(getattr(wire, key)))
+    if issubclass(hint, Enum):
+        members = list(hint)
+        return _Field(
+            name,
+            lambda wire, key, value: setattr(wire, key, members.index(value)),
+            lambda wire, key: members[getattr(wire, key)],
+        )
+    if hasattr(hint, "_fields"):
+        return _Field(name, _fill_nested, lambda wire, key: _read(wire, hint, key))
+    return _Field(name, setattr, getattr)
+
+
+def _fill(wire: Wire, message: Any) -> None:
+    for field in _plan(type(message)):
+        field.write(wire, field.name, getattr(message, field.name))
+
+
+def _read(wire: Wire, cls: type[Any], key: str | None = None) -> Any:
+    source = wire if key is None else getattr(wire, key)
+    return cls(*(field.read(source, field.name) for field in _plan(cls)))
+
+
+def _fill_nested(wire: Wire, key: str, value: Any) -> None:
+    part = getattr(wire, key)
+    part.SetInParent()
+    _fill(part, value)
+
+
+def _add_each(wire: Wire, key: str, values: Sequence[Any]) -> None:
+    repeated = getattr(wire, key)
+    for value in values:
+        _fill(repeated.add(), value)
+
+
+def _read_each(wire: Wire, key: str, cls: type[Any]) -> tuple[Any, ...]:
+    return tuple(_read(item, cls) for item in getattr(wire, key))
+
+
+def _optional_writer(inner: _Field) -> Callable[[Wire, str, Any], None]:
+    def write(wire: Wire, key: str, value: Any) -> None:
+        if value is not None:
+            inner.write(wire, key, value)
+
+    return write
+
+
+def _optional_reader(inner: _Field) -> Callable[[Wire, str], Any]:
+    def read(wire: Wire, key: str) -> Any:
+        return inner.read(wire, key) if wire.HasField(key) else None
+
+    return read
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/envelopes.py
@@ -0,0 +1,109 @@
+"""Envelopes that carry authenticated messages in a version of the protocol."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from rhubarbwell_core.model import Address
+
+from rhubarbwell_entry.peers.codec import (
+    KIND_OF_TYPE,
+    PeerMessageError,
+    decode_body,
+    encode_body,
+)
+from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_entry.peers.wire import peers_pb2
+
+__all__ = [
+    "MAX_ENVELOPE_BYTES",
+    "PROTOCOLS",
+    "OpenedEnvelope",
+    "Protocols",
+    "open_envelope",
+    "seal_envelope",
+]
+
+MAX_ENVELOPE_BYTES = 4 << 20
+KINDS_SINCE_PROTOCOL = dict.fromkeys(KIND_OF_TYPE.values(), 1)
+
+
+class Protocols(NamedTuple):
+    """Name the oldest and the newest version of the protocol that is spoken.
+
+    >>> Protocols(1, 2).common(Protocols(2, 3))
+    2
+    >>> Protocols(1, 1).common(Protocols(2, 3)) is None
+    True
+    """
+
+    oldest: int = 1
+    newest: int = 1
+
+    def common(self, other: "Protocols") -> int | None:
+        """Return the newest version that both speak, None without one."""
+        version = min(self.newest, other.newest)
+        return version if version >= max(self.oldest, other.oldest) else None
+
+
+PROTOCOLS = Protocols()
+
+
+class OpenedEnvelope(NamedTuple):
+    """Hold the sender, what it speaks and the messages of a proven envelope."""
+
+    sender: Address
+    protocols: Protocols
+    messages: tuple[Any, ...]
+
+
+def seal_envelope(
+    messages: Sequence[Any],
+    *,
+    sender: Address,
+    keys: PeerKeys,
+    protocols: Protocols,
+    protocol: int,
+) -> peers_pb2.Envelope:
+    """Return an envelope of the messages that the version knows."""
+    known = [message for message in messages if _since(message) <= protocol]
+    envelope = peers_pb2.Envelope(
+        protocol=protocol,
+        oldest_protocol=protocols.oldest,
+        newest_protocol=protocols.newest,
+        sender=peers_pb2.Address(host=sender.host, port=sender.port),
+        body=encode_body(known),
+    )
+    envelope.tag = keys.sign(_signed_bytes(envelope))
+    return envelope
+
+
+def open_envelope(
+    envelope: peers_pb2.Envelope, *, keys: PeerKeys, protocols: Protocols
+) -> OpenedEnvelope:
+    """Return what a proven envelope holds.
+
+    Raises PeerMessageError when it is too large, unproven or of a version that
+    is not spoken.
+    """
+    if envelope.ByteSize() > MAX_ENVELOPE_BYTES:
+        raise PeerMessageError(f"larger than {MAX_ENVELOPE_BYTES} bytes")
+    if not keys.verify(_signed_bytes(envelope), envelope.tag):
+        raise PeerMessageError("authentication failed")
+    if not protocols.oldest <= envelope.protocol <= protocols.newest:
+        raise PeerMessageError(f"protocol {envelope.protocol} is not spoken")
+    return OpenedEnvelope(
+        Address(envelope.sender.host, envelope.sender.port),
+        Protocols(envelope.oldest_protocol, envelope.newest_protocol),
+        tuple(decode_body(envelope.body)),
+    )
+
+
+def _since(message: Any) -> int:
+    return KINDS_SINCE_PROTOCOL[KIND_OF_TYPE[type(message)]]
+
+
+def _signed_bytes(envelope: peers_pb2.Envelope) -> bytes:
+    unsigned = peers_pb2.Envelope()
+    unsigned.CopyFrom(envelope)
+    unsigned.ClearField("tag")
+    return unsigned.SerializeToString(deterministic=True)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/node.py
@@ -0,0 +1,109 @@
+"""The entry instance's end of the peer transport."""
+
+from typing import Any
+
+from rhubarbwell_core.adoption import LogAnswer, LogAnswered, LogAsk, LogAsked
+from rhubarbwell_core.messages import (
+    AnswerRelay,
+    GrantAnswered,
+    GrantAsk,
+    GrantAsked,
+    GrantReply,
+    Heartbeat,
+    HeartbeatHeard,
+    RelayAnswered,
+    RelayAsked,
+    RelayRenewal,
+    SendGrantAsk,
+    SendGrantReply,
+    SendPeerMessage,
+    SyncAnswer,
+    SyncAnswered,
+    SyncAsk,
+    SyncAsked,
+)
+from rhubarbwell_core.model import Address
+
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.peers.codec import Relay, RelayAnswer
+from rhubarbwell_entry.peers.envelopes import PROTOCOLS, Protocols
+from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_entry.peers.transport import PeerTransport
+
+__all__ = ["PeerNode"]
+
+EVENT_OF_MESSAGE: dict[type, type[Any]] = {
+    Heartbeat: HeartbeatHeard,
+    SyncAsk: SyncAsked,
+    SyncAnswer: SyncAnswered,
+    LogAsk: LogAsked,
+    LogAnswer: LogAnswered,
+    GrantAsk: GrantAsked,
+}
+
+
+class PeerNode:
+    """Connect a core with its peers: PeerNode(driver, keys), start(), close().
+
+    The core's identity gives the address that peers use. Seeds and the
+    platform's instance list reach the core as InstancesListed events.
+    """
+
+    def __init__(
+        self,
+        driver: CoreDriver,
+        keys: PeerKeys,
+        *,
+        protocols: Protocols = PROTOCOLS,
+    ) -> None:
+        self._driver = driver
+        self._instance_id = driver.core.identity.instance_id
+        self.transport = PeerTransport(
+            driver.core.identity.peers, keys, self._receive, protocols=protocols
+        )
+        driver.register(SendPeerMessage, self._send_message)
+        driver.register(SendGrantAsk, self._send_grant_ask)
+        driver.register(SendGrantReply, self._send_grant_reply)
+        driver.register(RelayRenewal, self._relay_renewal)
+        driver.register(AnswerRelay, self._answer_relay)
+
+    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
+        """Listen for peers on the identity's peers address or one in its place."""
+        await self.transport.start(host=host, port=port)
+
+    async def close(self) -> None:
+        """Stop listening and sending."""
+        await self.transport.close()
+
+    def _receive(self, address: Address, message: Any) -> None:
+        if isinstance(message, Relay):
+            self._driver.handle(RelayAsked(message.peer_id, address, *message[1:]))
+        elif isinstance(message, RelayAnswer):
+            self._driver.handle(RelayAnswered(*message))
+        elif isinstance(message, GrantReply):
+            self._driver.handle(GrantAnswered(message))
+        else:
+            event = EVENT_OF_MESSAGE[type(message)](address, message)
+            self._driver.handle(event)
+
+    def _send_message(self, action: SendPeerMessage) -> None:
+        self.transport.send(action.address, action.message)
+
+    def _send_grant_ask(self, action: SendGrantAsk) -> None:
+        self.transport.send(action.address, action.ask)
+
+    def _send_grant_reply(self, action: SendGrantReply) -> None:
+        self.transport.send(action.address, action.reply)
+
+    def _relay_renewal(self, action: RelayRenewal) -> None:
+        relay = Relay(self._instance_id, action.relay_id, action.renewal)
+        self.transport.send(action.address, relay)
+
+    def _answer_relay(self, action: AnswerRelay) -> None:
+        answer = RelayAnswer(
+            self._instance_id,
+            action.relay_id,
+            action.result,
+            action.store_silent_ms,
+        )
+        self.transport.send(action.address, answer)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
@@ -0,0 +1,196 @@
+"""Transport of messages to and from peers over grpclib."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+from rhubarbwell_core.model import Address
+
+from rhubarbwell_entry.peers.codec import PeerMessageError
+from rhubarbwell_entry.peers.envelopes import (
+    PROTOCOLS,
+    OpenedEnvelope,
+    Protocols,
+    open_envelope,
+    seal_envelope,
+)
+from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_entry.peers.wire.peers_grpc import PeersBase, PeersStub
+from rhubarbwell_entry.peers.wire.peers_pb2 import Envelope
+
+__all__ = ["PeerTransport"]
+
+_log = logging.getLogger(__name__)
+
+DELIVERY_TIMEOUT_S = 2.0
+IDLE_CONNECTION_S = 60.0
+MAX_QUEUED_MESSAGES = 64
+MAX_PROTOCOLS_KNOWN = 8_192
+
+MessageReceiver = Callable[[Address, Any], None]
+
+
+class PeerTransport(PeersBase):
+    """Send messages to peers and pass on those that arrive.
+
+    Messages to one peer go out in order, as many as wait in one call; the
+    receiver's messages to the caller ride on the reply. A call that fails
+    closes its connection, so that the next one uses a fresh connection, and
+    loses its messages.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        keys: PeerKeys,
+        receive: MessageReceiver,
+        *,
+        protocols: Protocols = PROTOCOLS,
+    ) -> None:
+        self.address = address
+        self.protocols = protocols
+        self.rejected_count = 0
+        self.failed_count = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._keys = keys
+        self._receive = receive
+        self._server = Server([self])
+        self._outboxes: dict[Address, deque[Any]] = {}
+        self._tasks: dict[Address, asyncio.Task[None]] = {}
+        self._channels: dict[Address, Channel] = {}
+        self._closers: dict[Address, asyncio.TimerHandle] = {}
+        self._spoken: dict[Address, Protocols] = {}
+        self._replies: dict[Address, list[Any]] = {}
+
+    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
+        """Listen on the address, or on another host and port bound in its place."""
+        await self._server.start(
+            host or self.address.host, self.address.port if port is None else port
+        )
+
+    async def close(self) -> None:
+        """Stop listening, drop what is queued and close every connection."""
+        self._server.close()
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for address in list(self._channels):
+            self._disconnect(address)
+        await self._server.wait_closed()
+
+    def send(self, address: Address, message: Any) -> None:
+        """Queue a message to a peer; beyond the limit the oldest is dropped."""
+        reply = self._replies.get(address)
+        if reply is not None:
+            reply.append(message)
+            return
+        outbox = self._outboxes.setdefault(address, deque(maxlen=MAX_QUEUED_MESSAGES))
+        outbox.append(message)
+        if address not in self._tasks:
+            task = asyncio.ensure_future(self._drain(address))
+            self._tasks[address] = task
+
+    async def Deliver(self, stream: Stream[Envelope, Envelope]) -> None:
+        """Take in a peer's messages and reply with those to it."""
+        envelope = await stream.recv_message()
+        if envelope is None:
+            return
+        try:
+            opened = self._open(envelope)
+        except PeerMessageError as exc:
+            self.rejected_count += 1
+            _log.warning("rejected a peer message: %s", exc)
+            raise GRPCError(Status.PERMISSION_DENIED, str(exc)) from exc
+        reply = self._collect_reply(opened)
+        await stream.send_message(self._seal(opened.sender, reply))
+
+    def _collect_reply(self, opened: OpenedEnvelope) -> list[Any]:
+        reply: list[Any] = []
+        self._replies[opened.sender] = reply
+        try:
+            for message in opened.messages:
+                self._receive(opened.sender, message)
+        finally:
+            del self._replies[opened.sender]
+        return reply
+
+    async def _drain(self, address: Address) -> None:
+        outbox = self._outboxes[address]
+        try:
+            while outbox:
+                messages = list(outbox)
+                outbox.clear()
+                await self._deliver(address, messages)
+        finally:
+            del self._tasks[address]
+            del self._outboxes[address]
+
+    async def _deliver(self, address: Address, messages: list[Any]) -> None:
+        try:
+            stub = PeersStub(self._connect(address))
+            envelope = self._seal(address, messages)
+            reply = await stub.Deliver(envelope, timeout=DELIVERY_TIMEOUT_S)
+            opened = self._open(reply)
+        except (
+            OSError,
+            TimeoutError,
+            GRPCError,
+            StreamTerminatedError,
+            PeerMessageError,
+        ) as exc:
+            self.failed_count += 1
+            self._disconnect(address)
+            _log.debug("peer %s:%d did not take messages: %s", *address, exc)
+            return
+        for message in opened.messages:
+            self._receive(opened.sender, message)
+
+    def _seal(self, address: Address, messages: list[Any]) -> Envelope:
+        spoken = self._spoken.get(address)
+        common = self.protocols.common(spoken) if spoken else self.protocols.oldest
+        envelope = seal_envelope(
+            messages,
+            sender=self.address,
+            keys=self._keys,
+            protocols=self.protocols,
+            protocol=common or self.protocols.oldest,
+        )
+        self.sent_bytes += envelope.ByteSize()
+        return envelope
+
+    def _open(self, envelope: Envelope) -> OpenedEnvelope:
+        self.received_bytes += envelope.ByteSize()
+        opened = open_envelope(envelope, keys=self._keys, protocols=self.protocols)
+        if len(self._spoken) >= MAX_PROTOCOLS_KNOWN:
+            self._spoken.pop(next(iter(self._spoken)))
+        self._spoken[opened.sender] = opened.protocols
+        return opened
+
+    def _connect(self, address: Address) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = Channel(address.host, address.port)
+            self._channels[address] = channel
+        closer = self._closers.pop(address, None)
+        if closer is not None:
+            closer.cancel()
+        loop = asyncio.get_running_loop()
+        self._closers[address] = loop.call_later(
+            IDLE_CONNECTION_S, self._disconnect, address
+        )
+        return channel
+
+    def _disconnect(self, address: Address) -> None:
+        closer = self._closers.pop(address, None)
+        if closer is not None:
+            closer.cancel()
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from peers.proto; make proto brings it up to date."""
