--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from rhubarbwell_core.admission import Admission, SlotAdmission
+from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
 from rhubarbwell_core.lookups import (
@@ -14,13 +15,16 @@
     index_blocks,
 )
 from rhubarbwell_core.messages import (
+    AttemptEnded,
     BackendLeaving,
     BackendReturned,
     ConfigReceived,
     ConnectionSilent,
+    EndRequest,
     LoadReported,
     PeerHeard,
     PeerState,
+    RequestArrived,
 )
 from rhubarbwell_core.model import (
     Configuration,
@@ -34,6 +38,7 @@
     RegionalRouteChooser,
     RetryBudget,
     RouteChooser,
+    ShareBackends,
 )
 
 __all__ = ["Core"]
@@ -51,20 +56,33 @@
     True
     """
 
-    def __init__(self, identity: Identity, rng: Random, *, now_ms: int = 0) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        rng: Random,
+        *,
+        now_ms: int = 0,
+        on_ended: Callable[[EndedRequest], None] | None = None,
+    ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
         self.state = PeerState.JOINING
         self.timers = TimerService(now_ms=now_ms)
         self.peers = Table[str, PeerHeard]("peers")
-        self.backends = BackendTable(identity.region, rng)
-        self.admission: Admission = SlotAdmission(identity.region)
+        self.backends = BackendTable(
+            identity.region, rng, instance_id=identity.instance_id
+        )
+        admission = RankAdmission(self.backends, now_ms=now_ms)
+        self.admission: Admission = admission
+        self._members = ShareBackends(identity, self.peers, self.backends)
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
         self.requests = RequestPart(
             identity.incarnation, self.admission, self.routes, RetryBudget()
         )
+        self.burn = BurnObserver()
+        self._on_ended = on_ended
         self._rng = rng
         self._blocks: PrefixIndex = index_blocks(())
         self._handlers: dict[type, EventHandler] = {
@@ -76,14 +94,23 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_system(self._members)
+        self._add_system(AdjustLimits(admission))
 
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
-        return list(self._handlers[type(event)](event, now_ms))
+        if isinstance(event, RequestArrived):
+            self.burn.request_arrived(event, now_ms)
+        actions = list(self._handlers[type(event)](event, now_ms))
+        status = event.status if isinstance(event, AttemptEnded) else None
+        self._observe_ends(actions, now_ms, status)
+        return actions
 
     def advance(self, now_ms: int) -> list[Action]:
         """Run the systems that are due at now_ms."""
-        return self.timers.advance(now_ms)
+        actions = self.timers.advance(now_ms)
+        self._observe_ends(actions, now_ms, None)
+        return actions
 
     def next_due_ms(self) -> int | None:
         """Return the time in ms at which a system is due next."""
@@ -100,10 +127,23 @@
             rng=self._rng,
         )
 
+    def _observe_ends(
+        self, actions: Sequence[Action], now_ms: int, status: int | None
+    ) -> None:
+        for action in actions:
+            if not isinstance(action, EndRequest):
+                continue
+            ended = self.burn.request_ended(action, now_ms, status=status)
+            if ended is not None and self._on_ended is not None:
+                self._on_ended(ended)
+
     def _add_part(self, part: Part) -> None:
         self._handlers.update(part.handlers())
         for system in part.systems():
-            self.timers.subscribe(system.period_ms, _run_of(system))
+            self._add_system(system)
+
+    def _add_system(self, system: System) -> None:
+        self.timers.subscribe(system.period_ms, _run_of(system))
 
     def _on_config(self, event: ConfigReceived, now_ms: int) -> list[Action]:
         cfg = event.configuration
@@ -111,8 +151,10 @@
             return []
         self.configuration = cfg
         self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self.burn.configure(cfg)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
+        self._members.configure(cfg, now_ms)
         if self.state is PeerState.JOINING:
             self.state = PeerState.READY
         return []
