Connect entry instances over grpclib and keep a view of who runs

Instances probe one zone peer and one instance of a watched zone per period, so the cost per instance does not grow with the fleet; news ride on probes and answers in bounded number, and a comparison of digests repairs what was lost. Messages carry a tag under one of two keys and the protocol versions spoken. A call that fails closes its connection, so a silent connection costs one time-out.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -14,6 +14,7 @@
     answer_look_up,
     index_blocks,
 )
+from rhubarbwell_core.membership import MembershipPart, zone_headroom
 from rhubarbwell_core.messages import (
     AttemptEnded,
     BackendLeaving,
@@ -25,6 +26,7 @@
     PeerHeard,
     PeerState,
     RequestArrived,
+    ServiceHeadroom,
 )
 from rhubarbwell_core.model import (
     Configuration,
@@ -66,7 +68,6 @@
     ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
-        self.state = PeerState.JOINING
         self.timers = TimerService(now_ms=now_ms)
         self.peers = Table[str, PeerHeard]("peers")
         self.backends = BackendTable(
@@ -81,22 +82,30 @@
         self.requests = RequestPart(
             identity.incarnation, self.admission, self.routes, RetryBudget()
         )
+        self.membership = MembershipPart(
+            identity, self.peers, rng, now_ms=now_ms, read_headroom=self._headroom
+        )
         self.burn = BurnObserver()
         self._on_ended = on_ended
         self._rng = rng
         self._blocks: PrefixIndex = index_blocks(())
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
-            PeerHeard: self._on_peer,
             LoadReported: self.backends.on_load,
             BackendLeaving: self.backends.on_leaving,
             BackendReturned: self.backends.on_returned,
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self.membership)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
+    @property
+    def state(self) -> PeerState:
+        """Return the state that this instance announces."""
+        return self.membership.state
+
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
         if isinstance(event, RequestArrived):
@@ -155,17 +164,12 @@
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
         self._members.configure(cfg, now_ms)
-        if self.state is PeerState.JOINING:
-            self.state = PeerState.READY
+        self.membership.measure(config_version=cfg.version)
+        self.membership.configured(now_ms)
         return []
 
-    def _on_peer(self, event: PeerHeard, now_ms: int) -> list[Action]:
-        known = self.peers.get(event.instance_id)
-        same = known is not None and known.incarnation == event.incarnation
-        if same and known is not None and event.sequence <= known.sequence:
-            return []
-        self.peers.put(event.instance_id, event)
-        return []
+    def _headroom(self) -> tuple[ServiceHeadroom, ...]:
+        return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
     def _zone_preference(self, query: LookUpQuery) -> tuple[str, ...]:
         cfg = self.configuration
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/__init__.py
@@ -1,5 +1,6 @@
 """Membership: which entry instances run, zone by zone."""
 
+from rhubarbwell_core.membership.headroom import *
 from rhubarbwell_core.membership.mail import *
 from rhubarbwell_core.membership.members import *
 from rhubarbwell_core.membership.news import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/members.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/members.py
@@ -56,7 +56,9 @@
     def refresh(self, heard: PeerHeard) -> None:
         """Replace what an instance measures of itself without making it news."""
         row = self._rows[heard.instance_id]
-        self._rows.put(heard.instance_id, row._replace(news=row.news._replace(heard=heard)))
+        self._rows.put(
+            heard.instance_id, row._replace(news=row.news._replace(heard=heard))
+        )
 
     def remove_expired(self, now_ms: int) -> None:
         """Forget the instances that have been gone for long."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
@@ -5,11 +5,11 @@
 
 from rhubarbwell_core.engine import Action, EventHandler, Table
 from rhubarbwell_core.engine.systems import Part, System
-from rhubarbwell_core.membership.members import MemberTable
 from rhubarbwell_core.membership.mail import Mail
+from rhubarbwell_core.membership.members import MemberTable
 from rhubarbwell_core.membership.own import OwnRow, Verdict
-from rhubarbwell_core.membership.probes import ProbeTable
 from rhubarbwell_core.membership.prober import Prober
+from rhubarbwell_core.membership.probes import ProbeTable
 from rhubarbwell_core.membership.rendezvous import rendezvous
 from rhubarbwell_core.membership.summaries import SummaryTable, has_changed
 from rhubarbwell_core.membership.syncs import Syncs
@@ -102,10 +102,20 @@
         """Return the systems that probe peers and sum up the zone."""
         return (_ProbeSystem(self), _SummarySystem(self))
 
-    def measure(self, *, load: float, config_version: int, log_version: int) -> None:
-        """Set the figures that ride on heartbeats."""
-        self.own.measure(load=load, config_version=config_version)
-        self.mail.log_version = log_version
+    def measure(
+        self,
+        *,
+        load: float | None = None,
+        config_version: int | None = None,
+        log_version: int | None = None,
+    ) -> None:
+        """Set figures that ride on heartbeats; None leaves a figure as it is."""
+        heard = self.own.heard
+        self.own.measure(
+            load=heard.load if load is None else load,
+            config_version=config_version or heard.config_version,
+        )
+        self.mail.log_version = log_version or self.mail.log_version
         self.members.refresh(self.own.heard)
         self._peers.put(self.identity.instance_id, self.own.heard)
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
@@ -63,7 +63,9 @@
         return True
 
     def is_reachable(self, zone: str) -> bool:
-        """Return whether no watcher, or not every watcher, reports it unreachable."""
+        """Return whether any watcher can reach the zone or has not yet said."""
+        if zone == self._identity.zone:
+            return True
         reports = self._reports.get(zone, {})
         watchers = self._current_watchers().get(zone, ())
         said = [reports[name].reachable for name in watchers if name in reports]
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/codec.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/codec.py
@@ -127,11 +127,12 @@
 
 
 def _fill(wire: Wire, message: Any) -> None:
-    for field in _plan(type(message)):
+    cls: Any = type(message)
+    for field in _plan(cls):
         field.write(wire, field.name, getattr(message, field.name))
 
 
-def _read(wire: Wire, cls: type[Any], key: str | None = None) -> Any:
+def _read(wire: Wire, cls: Any, key: str | None = None) -> Any:
     source = wire if key is None else getattr(wire, key)
     return cls(*(field.read(source, field.name) for field in _plan(cls)))
 
--- /dev/null
+++ b/tests/entry/peers/test_node.py
@@ -0,0 +1,125 @@
+"""Nodes on the loopback with real cores."""
+
+import asyncio
+import socket
+from random import Random
+
+import pytest
+from rhubarbwell_core import Core
+from rhubarbwell_core.messages import Heartbeat, InstancesListed, SendPeerMessage
+from rhubarbwell_core.model import Address, Identity
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.peers import PeerKeys, PeerNode, Protocols
+
+KEYS = PeerKeys([b"0123456789abcdef"])
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address(*sock.getsockname())
+
+
+class Nodes:
+    def __init__(self):
+        self.drivers = []
+        self.nodes = []
+        self._tasks = []
+
+    async def start(self, name, *, zone="r-a", keys=KEYS, protocols=Protocols()):  # noqa: B008
+        address = free_address()
+        identity = Identity(name, f"{name}-1", zone, "r", address, address)
+        driver = CoreDriver(Core(identity, Random(name)))
+        node = PeerNode(driver, keys, protocols=protocols)
+        await node.start()
+        self.drivers.append(driver)
+        self.nodes.append(node)
+        return driver
+
+    def run(self, seeds=None):
+        addresses = [driver.core.identity.peers for driver in self.drivers]
+        for driver in self.drivers:
+            driver.handle(InstancesListed(tuple(seeds or addresses)))
+            self._tasks.append(asyncio.ensure_future(driver.run()))
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    def everybody_sees(self, count):
+        return all(len(driver.core.peers) == count for driver in self.drivers)
+
+    async def close(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for node in self.nodes:
+            await node.close()
+
+
+@pytest.fixture
+async def nodes():
+    nodes = Nodes()
+    yield nodes
+    await nodes.close()
+
+
+async def test_instances_of_two_zones_find_each_other_from_one_seed(nodes):
+    first = await nodes.start("a1")
+    for name, zone in [("a2", "r-a"), ("b1", "r-b"), ("b2", "r-b")]:
+        await nodes.start(name, zone=zone)
+    nodes.run(seeds=[first.core.identity.peers])
+    await asyncio.wait_for(nodes.until(lambda: nodes.everybody_sees(4)), 20)
+
+
+async def test_keys_rotate_and_strangers_are_rejected(nodes):
+    old, new = b"o" * 16, b"n" * 16
+    await nodes.start("old", keys=PeerKeys([old, new]))
+    await nodes.start("new", keys=PeerKeys([new, old]))
+    await nodes.start("stranger", keys=PeerKeys([b"s" * 16]))
+    nodes.run()
+    members, stranger = nodes.drivers[:2], nodes.drivers[2]
+    await asyncio.wait_for(
+        nodes.until(lambda: all(len(driver.core.peers) == 2 for driver in members)), 20
+    )
+    await asyncio.wait_for(
+        nodes.until(lambda: nodes.nodes[0].transport.rejected_count > 0), 20
+    )
+    assert len(stranger.core.peers) == 1
+
+
+async def test_neighbouring_protocol_versions_run_side_by_side(nodes):
+    await nodes.start("old", protocols=Protocols(1, 1))
+    await nodes.start("new", protocols=Protocols(1, 2))
+    nodes.run()
+    await asyncio.wait_for(nodes.until(lambda: nodes.everybody_sees(2)), 20)
+
+
+async def test_versions_without_a_common_one_are_rejected(nodes):
+    await nodes.start("old", protocols=Protocols(1, 1))
+    await nodes.start("new", protocols=Protocols(2, 3))
+    nodes.run()
+    rejected = nodes.until(
+        lambda: all(node.transport.rejected_count for node in nodes.nodes)
+    )
+    await asyncio.wait_for(rejected, 20)
+    assert nodes.everybody_sees(1)
+
+
+async def test_silent_peer_costs_a_timeout_and_a_fresh_connection(nodes):
+    driver = await nodes.start("a1")
+    transport = nodes.nodes[0].transport
+    taken = asyncio.Event()
+
+    async def swallow(reader, writer):
+        taken.set()
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(swallow, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname())
+    heartbeat = Heartbeat(1, False, "a1", "a1-1", 1, 0, 0)
+    driver._execute([SendPeerMessage(address, heartbeat)])
+    await asyncio.wait_for(taken.wait(), 20)
+    await asyncio.wait_for(nodes.until(lambda: transport.failed_count == 1), 20)
+    server.close()
