--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -7,6 +7,7 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
+<<<<<<< HEAD
 from rhubarbwell_core.lookups import (
     LookUpAnswer,
     LookUpQuery,
@@ -15,6 +16,10 @@
     index_blocks,
 )
 from rhubarbwell_core.membership import MembershipPart, zone_headroom
+=======
+from rhubarbwell_core.keys import KeyedPart, mint_ticket
+from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
+>>>>>>> main
 from rhubarbwell_core.messages import (
     AttemptEnded,
     BackendLeaving,
@@ -28,12 +33,7 @@
     RequestArrived,
     ServiceHeadroom,
 )
-from rhubarbwell_core.model import (
-    Configuration,
-    Identity,
-    region_of_zone,
-    zones_of_region,
-)
+from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
@@ -79,8 +79,13 @@
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
+        self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
-            identity.incarnation, self.admission, self.routes, RetryBudget()
+            identity.incarnation,
+            self.admission,
+            self.routes,
+            RetryBudget(),
+            self.keys,
         )
         self.membership = MembershipPart(
             identity, self.peers, rng, now_ms=now_ms, read_headroom=self._headroom
@@ -88,7 +93,7 @@
         self.burn = BurnObserver()
         self._on_ended = on_ended
         self._rng = rng
-        self._blocks: PrefixIndex = index_blocks(())
+        self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
             LoadReported: self.backends.on_load,
@@ -97,7 +102,12 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+<<<<<<< HEAD
         self._add_part(self.membership)
+=======
+        self._add_part(self.keys)
+        self._add_part(self._look_ups)
+>>>>>>> main
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
@@ -126,15 +136,20 @@
         return self.timers.next_due_ms()
 
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
-        """Answer which entry instances the caller should use."""
-        cfg = self.configuration
-        ttl_ms = 0 if cfg is None else cfg.deployment.look_up_ttl_ms
-        return answer_look_up(
-            self.peers.rows(),
-            self._zone_preference(query),
-            ttl_ms=ttl_ms,
-            rng=self._rng,
-        )
+        """Answer a look-up; raise ValueError for a malformed address."""
+        ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
+        return self._look_ups.look_up(query, shares={}, ticket=ticket)
+
+    def _mint_ticket(self, now_ms: int) -> str | None:
+        if self.state is not PeerState.READY:
+            return None
+        return mint_ticket(self.identity.incarnation, self._rng, now_ms)
+
+    def _find_owner(self, incarnation: str) -> Address | None:
+        for peer in self.peers.rows():
+            if peer.incarnation == incarnation:
+                return peer.callers
+        return None
 
     def _observe_ends(
         self, actions: Sequence[Action], now_ms: int, status: int | None
@@ -159,7 +174,7 @@
         if self.configuration and cfg.version <= self.configuration.version:
             return []
         self.configuration = cfg
-        self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self._look_ups.configure(cfg, now_ms)
         self.burn.configure(cfg)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
@@ -171,20 +186,6 @@
     def _headroom(self) -> tuple[ServiceHeadroom, ...]:
         return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
-    def _zone_preference(self, query: LookUpQuery) -> tuple[str, ...]:
-        cfg = self.configuration
-        if cfg is None:
-            return (self.identity.zone,)
-        if query.address is not None and query.zone is None:
-            name = self._blocks.site_of(query.address)
-            for site in cfg.deployment.sites:
-                if site.name == name:
-                    return site.zones
-        zone = query.zone or self.identity.zone
-        region = region_of_zone(cfg.deployment, zone) or self.identity.region
-        sisters = zones_of_region(cfg.deployment, region)
-        return (zone, *(sister for sister in sisters if sister != zone))
-
 
 def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
     return system.run
