--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -7,19 +7,9 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
-<<<<<<< HEAD
-from rhubarbwell_core.lookups import (
-    LookUpAnswer,
-    LookUpQuery,
-    PrefixIndex,
-    answer_look_up,
-    index_blocks,
-)
-from rhubarbwell_core.membership import MembershipPart, zone_headroom
-=======
 from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
->>>>>>> main
+from rhubarbwell_core.membership import MembershipPart, zone_headroom
 from rhubarbwell_core.messages import (
     AttemptEnded,
     BackendLeaving,
@@ -102,12 +92,9 @@
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
-<<<<<<< HEAD
         self._add_part(self.membership)
-=======
         self._add_part(self.keys)
         self._add_part(self._look_ups)
->>>>>>> main
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
