--- a/tests/platform/http/test_client.py
+++ b/tests/platform/http/test_client.py
@@ -15,6 +15,8 @@
     FaultKind,
     Operation,
     PlatformError,
+    PlatformUrls,
+    RateLimits,
     ScriptedFaults,
     UnavailableError,
     Write,
@@ -33,6 +35,7 @@
     writes_per_s=10_000,
     failures_to_open=100,
 )
+NOTHING_LISTENS = PlatformUrls(*["http://127.0.0.1:9"] * 3)
 DOWN = Fault(FaultKind.DOWN)
 REQUEST_LOST = Fault(FaultKind.REQUEST_LOST)
 ANSWER_LOST = Fault(FaultKind.ANSWER_LOST)
@@ -69,11 +72,15 @@
 class Remote(NamedTuple):
     inner: object
     faults: ScriptedFaults
-    url: str
+    urls: PlatformUrls
     session: aiohttp.ClientSession
 
     def connect(self, options=OPTIONS):
-        return http_platform(self.session, self.url, Random(1), options=options)
+        return http_platform(self.session, self.urls, Random(1), options=options)
+
+
+def urls_of(server):
+    return PlatformUrls(*[str(server.make_url(""))] * 3)
 
 
 @pytest.fixture
@@ -84,7 +91,7 @@
     server = TestServer(platform_app(with_faults(inner, faults)))
     await server.start_server()
     async with aiohttp.ClientSession() as session:
-        yield Remote(inner, faults, str(server.make_url("")), session)
+        yield Remote(inner, faults, urls_of(server), session)
     await server.close()
 
 
@@ -124,7 +131,7 @@
 async def test_nothing_listening_means_not_carried_out(remote):
     options = OPTIONS._replace(max_tries=2)
     platform = http_platform(
-        remote.session, "http://127.0.0.1:9", Random(1), options=options
+        remote.session, NOTHING_LISTENS, Random(1), options=options
     )
     with pytest.raises(UnavailableError):
         await platform.tables.transact([Write("k", "1")])
@@ -161,6 +168,19 @@
     assert len(refused) == 20
 
 
+async def test_a_fleet_shares_the_rate(remote):
+    limits = RateLimits(OPTIONS._replace(timeout_ms=50))
+    limits.share_among(16_000)
+    platform = http_platform(
+        remote.session, remote.urls, Random(1), options=OPTIONS, limits=limits
+    )
+    results = await asyncio.gather(
+        *(platform.tables.read(["k"]) for _ in range(15)), return_exceptions=True
+    )
+    refused = [result for result in results if isinstance(result, UnavailableError)]
+    assert len(refused) == 5
+
+
 ANSWERS = [
     (200, "not json", UnavailableError, AnswerLostError),
     (200, '{"rows": [{}]}', UnavailableError, AnswerLostError),
@@ -179,7 +199,7 @@
     server = TestServer(app)
     await server.start_server()
     platform = http_platform(
-        remote.session, str(server.make_url("")), Random(1), options=OPTIONS
+        remote.session, urls_of(server), Random(1), options=OPTIONS
     )
     with pytest.raises(read_error):
         await platform.tables.read(["k"])
