--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,8 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src
 	$(BIN)/python -m pytest
+	$(BIN)/python -m rhubarbwell_entry --help > /dev/null 2>&1
+	$(BIN)/python -m rhubarbwell_ops demo > /dev/null
 
 format:
 	$(BIN)/ruff format .
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -11,11 +11,13 @@
 import aiohttp
 from aiohttp import web
 from rhubarbwell_core import Core
+from rhubarbwell_core.messages import IncarnationSuperseded, LeaveAsked
 from rhubarbwell_core.model import Address, Identity
 from rhubarbwell_platform.services import Platform
 
 from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
 from rhubarbwell_entry.gauges import add_core_gauges
+from rhubarbwell_entry.hints import PeerHints
 from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import (
     Listener,
@@ -28,15 +30,18 @@
 from rhubarbwell_entry.metrics import InstanceMetrics
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
+from rhubarbwell_entry.peers import PeerKeys, PeerNode
 from rhubarbwell_entry.polling import ConfigurationPoller
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 from rhubarbwell_entry.settings import Settings
+from rhubarbwell_entry.shutdown import GracefulShutdown
 
 __all__ = ["EntryInstance"]
 
 _log = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
+MS_PER_S = 1_000
 
 
 class _Sockets(NamedTuple):
@@ -70,7 +75,7 @@
             ticket_rng=SystemRandom(),
         )
         self.driver = CoreDriver(core, clock_ms=clock_ms)
-        self._listeners: list[Listener] = []
+        self._shutdown: GracefulShutdown | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -90,24 +95,18 @@
 
     async def start(self) -> None:
         """Start the listeners and the background tasks."""
+        keys = PeerKeys([key.encode() for key in self.settings.peer_keys])
         self._session = aiohttp.ClientSession()
-        self._callers = CallerHandler(self.driver)
-        self._keys = KeyStore(self.driver, self._platform.tables)
+        self._handler = CallerHandler(self.driver, keys)
+        self._keystore = KeyStore(self.driver, self._platform.tables)
+        self._peers = PeerNode(self.driver, keys)
+        self.driver.register(IncarnationSuperseded, self._on_superseded)
         add_core_gauges(self.metrics, self.driver)
-        tls = tls_context(self.settings.tls)
-        caller_app = self._caller_app()
-        operator_app = self._operator_app()
-        self._listeners = [
-            Listener(caller_runner(caller_app), self._sockets.callers, tls=tls),
-            Listener(
-                web.AppRunner(operator_app, access_log=None, shutdown_timeout=0.0),
-                self._sockets.operators,
-                tls=tls,
-            ),
-        ]
-        for listener in self._listeners:
-            await listener.start()
+        await self._peers.start(sock=self._sockets.peers)
+        await self._listen()
+        hints = PeerHints(self.driver, self._platform.instances, self.settings.seeds)
         self._spawn(self.driver.run())
+        self._spawn(hints.run())
         self._spawn(ConfigurationPoller(self.driver, self._platform).run())
         self._spawn(BackendMonitor(self.driver, self._session).run())
         log_event(
@@ -119,22 +118,62 @@
             callers=f"{self.callers.host}:{self.callers.port}",
         )
 
+    async def shut_down(self) -> bool:
+        """Leave, serve to their end what runs, stop; return whether nothing was cut."""
+        self._shutdown = GracefulShutdown(
+            self.driver,
+            self._handler,
+            max_ms=round(self.settings.stop_max_s * MS_PER_S),
+            announce=lambda: self.driver.handle(LeaveAsked()),
+            stop_listening=self._callers_listener.stop_accepting,
+        )
+        graceful = await self._shutdown.run()
+        await self.stop()
+        return graceful
+
+    def hurry(self) -> None:
+        """End a graceful shutdown that is under way without further waiting."""
+        if self._shutdown is not None:
+            self._shutdown.hurry()
+
     async def stop(self) -> None:
-        """Stop at once; a graceful shutdown ends before."""
+        """Stop at once, without a graceful shutdown."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for listener in self._listeners:
-            await listener.stop()
-        await self._callers.close()
-        await self._keys.close()
+        await self._callers_listener.stop()
+        await self._operators_listener.stop()
+        await self._peers.close()
+        await self._handler.close()
+        await self._keystore.close()
         await self._session.close()
         self.metrics.close()
 
+    async def _listen(self) -> None:
+        tls = tls_context(self.settings.tls)
+        self._callers_listener = Listener(
+            caller_runner(self._caller_app()), self._sockets.callers, tls=tls
+        )
+        operators = web.AppRunner(
+            self._operator_app(), access_log=None, shutdown_timeout=0.0
+        )
+        self._operators_listener = Listener(operators, self._sockets.operators, tls=tls)
+        await self._callers_listener.start()
+        await self._operators_listener.start()
+
+    def _on_superseded(self, action: IncarnationSuperseded) -> None:
+        log_event(
+            _log,
+            logging.ERROR,
+            "incarnation_superseded",
+            "a newer incarnation has this instance id; leaving",
+            incarnation=action.incarnation,
+        )
+
     def _caller_app(self) -> web.Application:
         app = web.Application(client_max_size=0)
         LookUpHandler(self.driver, self.metrics).add_routes(app)
-        app.router.add_route("*", "/{service}/{rest:.*}", self._callers.handle)
+        app.router.add_route("*", "/{service}/{rest:.*}", self._handler.handle)
         return app
 
     def _operator_app(self) -> web.Application:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -56,6 +56,7 @@
         self._runner = runner
         self._sock = sock
         self._tls = tls
+        self._site: web.SockSite | None = None
 
     @property
     def address(self) -> Address:
@@ -65,7 +66,14 @@
     async def start(self) -> None:
         """Accept connections."""
         await self._runner.setup()
-        await web.SockSite(self._runner, self._sock, ssl_context=self._tls).start()
+        self._site = web.SockSite(self._runner, self._sock, ssl_context=self._tls)
+        await self._site.start()
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket and keep open connections."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
 
     async def stop(self) -> None:
         """Close the socket and every connection."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/node.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/node.py
@@ -1,5 +1,6 @@
 """The entry instance's end of the peer transport."""
 
+import socket
 from typing import Any
 
 from rhubarbwell_core.adoption import LogAnswer, LogAnswered, LogAsk, LogAsked
@@ -67,9 +68,15 @@
         driver.register(RelayRenewal, self._relay_renewal)
         driver.register(AnswerRelay, self._answer_relay)
 
-    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
+    async def start(
+        self,
+        *,
+        host: str | None = None,
+        port: int | None = None,
+        sock: socket.socket | None = None,
+    ) -> None:
         """Listen for peers on the identity's peers address or one in its place."""
-        await self.transport.start(host=host, port=port)
+        await self.transport.start(host=host, port=port, sock=sock)
 
     async def close(self) -> None:
         """Stop listening and sending."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -69,8 +70,17 @@
         self._spoken: dict[Address, Protocols] = {}
         self._replies: dict[Address, list[Any]] = {}
 
-    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
-        """Listen on the address, or on another host and port bound in its place."""
+    async def start(
+        self,
+        *,
+        host: str | None = None,
+        port: int | None = None,
+        sock: socket.socket | None = None,
+    ) -> None:
+        """Listen on the address, on another host and port or on a bound socket."""
+        if sock is not None:
+            await self._server.start(sock=sock)
+            return
         await self._server.start(
             host or self.address.host, self.address.port if port is None else port
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -1,5 +1,7 @@
 """The aiomisc service that runs one entry instance in a process."""
 
+import asyncio
+import signal
 from random import SystemRandom
 from typing import Any
 
@@ -26,6 +28,9 @@
         await self._instance.start()
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Stop the instance."""
-        await self._instance.stop()
+        """Shut the instance down gracefully; a second SIGTERM hurries it."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._instance.hurry)
+        await self._instance.shut_down()
         await self._session.close()
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/deployment.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/deployment.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure
 from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.messages import PeerState
 from rhubarbwell_core.model import (
     Address,
     DeploymentSpec,
@@ -142,6 +143,6 @@
 
 
 def _knows_all(instance: EntryInstance, others: Sequence[EntryInstance]) -> bool:
-    core = instance.core
-    ready = core.configuration is not None
-    return ready and True
+    peers = instance.core.peers.rows()
+    ready = sum(1 for peer in peers if peer.state is PeerState.READY)
+    return instance.core.configuration is not None and ready == len(others)
