--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/messages.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/messages.py
@@ -25,6 +25,7 @@
     "ReadLogRows",
     "ReadObject",
     "ReadSnapshot",
+    "RestoreLog",
     "SnapshotRead",
 ]
 
@@ -87,7 +88,7 @@
 
 
 class PackedDocument(NamedTuple):
-    """Hold a document's name, digest and zlib-compressed text."""
+    """Hold a document's name, digest and zlib-compressed text, empty if left out."""
 
     name: str
     digest: str
@@ -109,9 +110,9 @@
 
 
 class LogAnswer(NamedTuple):
-    """Give the rows that follow a version, or all documents at a base version.
+    """Give the rows that follow a version and the documents that they change.
 
-    base_version 0 stands for rows that follow the asked version.
+    A base_version above 0 stands for all documents at that version, without rows.
     """
 
     rows: tuple[LogRow, ...]
@@ -148,6 +149,18 @@
     findings: tuple[str, ...]
 
 
+class RestoreLog(NamedTuple):
+    """Ask the shell to append rows that the table service has lost.
+
+    They may be written only while the head is the expected one.
+    """
+
+    expected: LogHead
+    head: LogHead
+    rows: tuple[LogRow, ...]
+    documents: Mapping[str, str]
+
+
 class ConfigurationAlarmKind(Enum):
     """Name what is wrong with the configuration as published or heard."""
 
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
@@ -0,0 +1,276 @@
+"""The part that brings published configurations into force."""
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+from rhubarbwell_core.adoption.alarms import AlarmLog
+from rhubarbwell_core.adoption.log import (
+    EMPTY_CHAIN,
+    InvalidLogError,
+    LogHead,
+    LogRow,
+    chain_digest,
+)
+from rhubarbwell_core.adoption.messages import (
+    ConfigurationAlarmKind,
+    ConfigurationParsed,
+    ConfigurationRefused,
+    HeadRead,
+    LogAnswered,
+    LogAsk,
+    LogAsked,
+    LogRowsRead,
+    ObjectRead,
+    ParseConfiguration,
+    ReadHead,
+    ReadLogRows,
+    ReadObject,
+    ReadSnapshot,
+    RestoreLog,
+    SnapshotRead,
+)
+from rhubarbwell_core.adoption.position import Candidate, LogPosition, pack_document
+from rhubarbwell_core.engine import Action, EventHandler
+from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.messages import ConfigReceived, SendPeerMessage
+from rhubarbwell_core.model import Address
+
+__all__ = ["AdoptionPart"]
+
+POLL_PERIOD_MS = 2_000
+POLLERS_PER_ZONE = 2
+CALL_TIMEOUT_MS = 8_000
+PEER_TIMEOUT_MS = 800
+ROWS_PER_READ = 512
+READS_BEHIND_UNTIL_RESTORE = 5
+
+ConfigListener = Callable[[ConfigReceived, int], Sequence[Action]]
+
+
+class AdoptionPart(Part):
+    """Follow the log by polls and peers, and move only upwards.
+
+    is_poller tells whether this instance polls for its zone, on_configuration
+    takes a parsed configuration into force, on_moved hears of a new position.
+    """
+
+    def __init__(
+        self,
+        rng: Random,
+        *,
+        is_poller: Callable[[], bool],
+        on_configuration: ConfigListener,
+        on_moved: Callable[[int], Sequence[Action]],
+    ) -> None:
+        self.position = LogPosition()
+        self.in_force_version = 0
+        self.store_answered_ms: int | None = None
+        self.alarms = AlarmLog()
+        self._rng = rng
+        self._is_poller = is_poller
+        self._on_configuration = on_configuration
+        self._on_moved = on_moved
+        self._candidate: Candidate | None = None
+        self._head = LogHead(0, EMPTY_CHAIN)
+        self._call_id = 0
+        self._call_due_ms = 0
+        self._calls_open: set[int] = set()
+        self._peer_due_ms = 0
+        self._poll_due_ms = 0
+        self._reads_behind = 0
+
+    def handlers(self) -> Mapping[type, EventHandler]:
+        """Return the handlers of the store's and the peers' answers."""
+        return {
+            HeadRead: self._on_head,
+            LogRowsRead: self._on_rows,
+            SnapshotRead: self._on_snapshot,
+            ObjectRead: self._on_object,
+            LogAsked: self._on_asked,
+            LogAnswered: self._on_answered,
+            ConfigurationParsed: self._on_parsed,
+            ConfigurationRefused: self._on_refused,
+        }
+
+    def systems(self) -> Sequence[System]:
+        """Return the system that polls."""
+        return (_PollSystem(self),)
+
+    def poll(self, now_ms: int) -> list[Action]:
+        """Read the head if this instance is to poll and no call is open."""
+        if self._calls_open and now_ms < self._call_due_ms:
+            return []
+        self._calls_open.clear()
+        self._candidate = None
+        is_fresh = self.position.version == 0
+        if now_ms < self._poll_due_ms or not (is_fresh or self._is_poller()):
+            return []
+        jitter = self._rng.uniform(0.8, 1.2)
+        self._poll_due_ms = now_ms + round(POLL_PERIOD_MS * jitter)
+        return [ReadHead(self._open_call(now_ms))]
+
+    def hear_version(self, address: Address, version: int, now_ms: int) -> list[Action]:
+        """Ask the peer for the log if its position is ahead of this one."""
+        if version <= self.position.version or now_ms < self._peer_due_ms:
+            return []
+        self._peer_due_ms = now_ms + PEER_TIMEOUT_MS
+        ask = LogAsk(self.position.version, self.position.chain)
+        return [SendPeerMessage(address, ask)]
+
+    def _on_head(self, event: HeadRead, now_ms: int) -> list[Action]:
+        if not self._close_call(event.call_id) or event.head is None:
+            return []
+        self.store_answered_ms = now_ms
+        head, position = event.head, self.position
+        if head.version < position.version:
+            return self._on_head_behind(head)
+        self._reads_behind = 0
+        if head.version == position.version:
+            return self._on_same_version(head)
+        self._head = head
+        call_id = self._open_call(now_ms)
+        if position.version == 0 and head.snapshot_version > 0:
+            return [ReadSnapshot(call_id, head.snapshot_version)]
+        last = min(head.version, position.version + ROWS_PER_READ)
+        return [ReadLogRows(call_id, position.version + 1, last)]
+
+    def _on_same_version(self, head: LogHead) -> list[Action]:
+        if head.chain == self.position.chain:
+            self.alarms.clear()
+            return []
+        detail = "the table service holds another log"
+        return self.alarms.tell(ConfigurationAlarmKind.FORKED, head.version, detail)
+
+    def _on_head_behind(self, head: LogHead) -> list[Action]:
+        self._reads_behind += 1
+        if self._reads_behind < READS_BEHIND_UNTIL_RESTORE:
+            return []
+        self._reads_behind = 0
+        detail = f"the head is at {head.version}, in force is a later version"
+        kind = ConfigurationAlarmKind.STORE_BEHIND
+        actions = self.alarms.tell(kind, self.position.version, detail)
+        rows = self.position.rows_after(head.version, head.chain)
+        if rows:
+            actions.append(self._restore(head, rows))
+        return actions
+
+    def _restore(self, head: LogHead, rows: Sequence[LogRow]) -> RestoreLog:
+        newest = head._replace(
+            version=self.position.version, chain=chain_digest(rows[-1])
+        )
+        return RestoreLog(head, newest, tuple(rows), self.position.texts())
+
+    def _on_rows(self, event: LogRowsRead, now_ms: int) -> list[Action]:
+        if not self._close_call(event.call_id) or event.rows is None:
+            return []
+        try:
+            candidate = self.position.follow(event.rows)
+        except InvalidLogError as exc:
+            return self.alarms.tell(
+                ConfigurationAlarmKind.FORKED, self._head.version, str(exc)
+            )
+        return self._gather(candidate, now_ms)
+
+    def _on_snapshot(self, event: SnapshotRead, now_ms: int) -> list[Action]:
+        if not self._close_call(event.call_id):
+            return []
+        snapshot = event.snapshot
+        if snapshot is None:
+            call_id = self._open_call(now_ms)
+            last = min(self._head.version, ROWS_PER_READ)
+            return [ReadLogRows(call_id, 1, last)]
+        documents = [pack_document(*item) for item in snapshot.documents.items()]
+        candidate = self.position.start_at(snapshot.version, snapshot.chain, documents)
+        self._poll_due_ms = now_ms
+        return self._gather(candidate, now_ms)
+
+    def _on_object(self, event: ObjectRead, now_ms: int) -> list[Action]:
+        if not self._close_call(event.call_id) or self._candidate is None:
+            return []
+        if event.text is None:
+            self._candidate = None
+            return []
+        try:
+            self._candidate = self._candidate.with_text(event.digest, event.text)
+        except InvalidLogError as exc:
+            self._candidate = None
+            kind = ConfigurationAlarmKind.FORKED
+            return self.alarms.tell(kind, self._head.version, str(exc))
+        return self._move_if_complete(now_ms)
+
+    def _on_asked(self, event: LogAsked, now_ms: int) -> list[Action]:
+        answer = self.position.answer(event.ask)
+        return [] if answer is None else [SendPeerMessage(event.address, answer)]
+
+    def _on_answered(self, event: LogAnswered, now_ms: int) -> list[Action]:
+        self._peer_due_ms = now_ms
+        rows, documents, base_version, base_chain = event.answer
+        try:
+            if base_version:
+                candidate = self.position.start_at(base_version, base_chain, documents)
+            else:
+                candidate = self.position.follow(rows, documents)
+        except InvalidLogError as exc:
+            version = base_version or max((row.version for row in rows), default=0)
+            kind = ConfigurationAlarmKind.PEER_UNPROVEN
+            return self.alarms.tell(kind, version, str(exc))
+        return self._gather(candidate, now_ms)
+
+    def _gather(self, candidate: Candidate | None, now_ms: int) -> list[Action]:
+        if candidate is None:
+            return []
+        known = self._candidate
+        if known is not None and known.version >= candidate.version:
+            return []
+        self._candidate = candidate
+        reads = [
+            ReadObject(self._open_call(now_ms), digest)
+            for digest in candidate.missing()
+        ]
+        return [*reads, *self._move_if_complete(now_ms)]
+
+    def _move_if_complete(self, now_ms: int) -> list[Action]:
+        candidate = self._candidate
+        if candidate is None or candidate.missing():
+            return []
+        self._candidate = None
+        if not self.position.move(candidate):
+            return []
+        position = self.position
+        if position.version < self._head.version:
+            self._poll_due_ms = now_ms
+        parse = ParseConfiguration(position.version, position.chain, position.texts())
+        return [parse, *self._on_moved(now_ms)]
+
+    def _on_parsed(self, event: ConfigurationParsed, now_ms: int) -> list[Action]:
+        cfg = event.configuration
+        if cfg.version <= self.in_force_version:
+            return []
+        self.in_force_version = cfg.version
+        return list(self._on_configuration(ConfigReceived(cfg), now_ms))
+
+    def _on_refused(self, event: ConfigurationRefused, now_ms: int) -> list[Action]:
+        kind = ConfigurationAlarmKind.REFUSED
+        return self.alarms.tell(kind, event.version, "; ".join(event.findings))
+
+    def _open_call(self, now_ms: int) -> int:
+        self._call_id += 1
+        self._calls_open.add(self._call_id)
+        self._call_due_ms = now_ms + CALL_TIMEOUT_MS
+        return self._call_id
+
+    def _close_call(self, call_id: int) -> bool:
+        if call_id not in self._calls_open:
+            return False
+        self._calls_open.discard(call_id)
+        return True
+
+
+class _PollSystem(System):
+    period_ms = 250
+
+    def __init__(self, part: AdoptionPart) -> None:
+        self._part = part
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        return self._part.poll(now_ms)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/position.py
@@ -0,0 +1,190 @@
+"""The verified position in the log and the documents that stand there."""
+
+import zlib
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from rhubarbwell_core.adoption.log import (
+    EMPTY_CHAIN,
+    InvalidLogError,
+    LogRow,
+    chain_digest,
+    document_digest,
+    verify_rows,
+)
+from rhubarbwell_core.adoption.messages import LogAnswer, LogAsk, PackedDocument
+
+__all__ = ["Candidate", "LogPosition", "pack_document", "unpack_text"]
+
+ROWS_KEPT = 1_024
+ROWS_PER_ANSWER = 256
+MAX_DOCUMENT_BYTES = 64 << 20
+ANSWER_DOCUMENT_BYTES = 3 << 20
+
+
+class Candidate(NamedTuple):
+    """Hold a later position whose documents may be incomplete."""
+
+    version: int
+    chain: str
+    rows: tuple[LogRow, ...]
+    digests: Mapping[str, str]
+    packed: Mapping[str, bytes]
+
+    def missing(self) -> list[str]:
+        """Return the digests of the documents that have not come."""
+        return [d for d in dict.fromkeys(self.digests.values()) if d not in self.packed]
+
+    def with_text(self, digest: str, text: str) -> "Candidate":
+        """Return the candidate with a document's text.
+
+        Raises InvalidLogError if the text has another digest.
+        """
+        if document_digest(text) != digest:
+            raise InvalidLogError(f"document {digest} has another text")
+        packed = {**self.packed, digest: zlib.compress(text.encode())}
+        return self._replace(packed=packed)
+
+
+class LogPosition:
+    """Hold the newest version that is proven and complete.
+
+    It moves upwards only.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.chain = EMPTY_CHAIN
+        self._rows: deque[LogRow] = deque(maxlen=ROWS_KEPT)
+        self._digests: dict[str, str] = {}
+        self._packed: dict[str, bytes] = {}
+
+    def follow(
+        self, rows: Iterable[LogRow], documents: Sequence[PackedDocument] = ()
+    ) -> Candidate | None:
+        """Return the candidate after rows, without a publish that is incomplete.
+
+        Rows up to the position are skipped. Returns None if nothing follows;
+        raises InvalidLogError for rows of another log or a damaged document.
+        """
+        newer = _whole_publishes([row for row in rows if row.version > self.version])
+        if not newer:
+            return None
+        chain = verify_rows(newer, version=self.version, chain=self.chain)
+        digests = dict(self._digests)
+        for row in newer:
+            digests.pop(row.document, None)
+            if row.digest:
+                digests[row.document] = row.digest
+        packed = {**self._packed, **_proven(documents)}
+        return _candidate(newer[-1].version, chain, tuple(newer), digests, packed)
+
+    def start_at(
+        self, version: int, chain: str, documents: Sequence[PackedDocument]
+    ) -> Candidate | None:
+        """Return the candidate of all documents at a version, None if not fresh."""
+        if self.version > 0 or version <= 0:
+            return None
+        digests = {document.name: document.digest for document in documents}
+        return _candidate(version, chain, (), digests, _proven(documents))
+
+    def move(self, candidate: Candidate) -> bool:
+        """Take a complete candidate's place; return False for an older one."""
+        if candidate.version <= self.version or candidate.missing():
+            return False
+        self.version = candidate.version
+        self.chain = candidate.chain
+        self._rows.extend(candidate.rows)
+        self._digests = dict(candidate.digests)
+        self._packed = dict(candidate.packed)
+        return True
+
+    def texts(self) -> dict[str, str]:
+        """Return the text of each document by name."""
+        return {
+            name: unpack_text(self._packed[digest])
+            for name, digest in self._digests.items()
+        }
+
+    def answer(self, ask: LogAsk) -> LogAnswer | None:
+        """Return what follows an asked version, None if that is not known here."""
+        if ask.version == 0 and self.version > 0:
+            return LogAnswer((), self._documents(self._digests), *self._base())
+        rows = self.rows_after(ask.version, ask.chain)
+        if not rows:
+            return None
+        sent = _whole_publishes(rows[:ROWS_PER_ANSWER]) or rows
+        names = [row.document for row in sent if row.document in self._digests]
+        return LogAnswer(tuple(sent), self._documents(dict.fromkeys(names)))
+
+    def rows_after(self, version: int, chain: str) -> list[LogRow]:
+        """Return the rows that follow a version and its chain, if they are kept."""
+        rows = [row for row in self._rows if row.version > version]
+        if not rows or rows[0].version != version + 1:
+            return []
+        return rows if rows[0].previous_chain == chain else []
+
+    def _documents(self, names: Iterable[str]) -> tuple[PackedDocument, ...]:
+        left_bytes = ANSWER_DOCUMENT_BYTES
+        documents = []
+        for name in names:
+            digest = self._digests[name]
+            packed = self._packed[digest]
+            fits = len(packed) <= left_bytes
+            left_bytes -= len(packed) if fits else 0
+            documents.append(PackedDocument(name, digest, packed if fits else b""))
+        return tuple(documents)
+
+    def _base(self) -> tuple[int, str]:
+        return self.version, self.chain
+
+
+def pack_document(name: str, text: str) -> PackedDocument:
+    """Return a document with its digest and compressed text.
+
+    >>> unpack_text(pack_document("deployment", "{}").packed)
+    '{}'
+    """
+    return PackedDocument(name, document_digest(text), zlib.compress(text.encode()))
+
+
+def unpack_text(packed: bytes) -> str:
+    """Return a compressed text; raise InvalidLogError if it is damaged or huge."""
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MAX_DOCUMENT_BYTES)
+        if unpacker.unconsumed_tail or not unpacker.eof:
+            raise InvalidLogError("a document is cut short or too large")
+        return data.decode()
+    except (zlib.error, UnicodeDecodeError) as exc:
+        raise InvalidLogError(f"unreadable document: {exc}") from exc
+
+
+def _candidate(
+    version: int,
+    chain: str,
+    rows: tuple[LogRow, ...],
+    digests: Mapping[str, str],
+    packed: Mapping[str, bytes],
+) -> Candidate:
+    used = set(digests.values())
+    kept = {digest: data for digest, data in packed.items() if digest in used}
+    return Candidate(version, chain, rows, digests, kept)
+
+
+def _proven(documents: Iterable[PackedDocument]) -> dict[str, bytes]:
+    """Return compressed texts by digest; raise InvalidLogError for a wrong one."""
+    proven = {}
+    for document in documents:
+        if not document.packed:
+            continue
+        if document_digest(unpack_text(document.packed)) != document.digest:
+            raise InvalidLogError(f"document {document.name} has another text")
+        proven[document.digest] = document.packed
+    return proven
+
+
+def _whole_publishes(rows: Sequence[LogRow]) -> list[LogRow]:
+    ends = [place for place, row in enumerate(rows, 1) if row.rows_left == 0]
+    return list(rows[: ends[-1]]) if ends else []
