--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
@@ -1,29 +1,32 @@
 """The command line for operators."""
 
-import sys
 from pathlib import Path
-from typing import NoReturn
 
 import fire
 import uvloop
 
+from rhubarbwell_ops.commands import ConfigurationCommands
 from rhubarbwell_ops.demo import DemoError, format_demo, run_demo
+from rhubarbwell_ops.exits import ExitCode, Report, exit_with
 
 __all__ = ["Commands", "main"]
 
 DEMO_FILES = "examples/demo"
-EXIT_FAILED = 1
 
 
-class Commands:
-    """Steer a rhubarbwell deployment."""
+class Commands(ConfigurationCommands):
+    """Steer a rhubarbwell deployment.
+
+    Exit codes: 0 done, 1 findings, 2 wrong use, 3 conflict, 4 nothing done,
+    5 outcome unknown, 6 published but not in force everywhere.
+    """
 
     def demo(self, files: str = DEMO_FILES) -> None:
         """Run a small deployment on this machine for about twenty seconds."""
         try:
             result = uvloop.run(run_demo(Path(files)))
         except DemoError as exc:
-            _fail(str(exc))
+            exit_with(Report(ExitCode.FINDINGS, str(exc)), as_json=False)
         print(format_demo(result))
 
 
@@ -32,10 +35,5 @@
     fire.Fire(Commands, name="rhubarbwell")
 
 
-def _fail(message: str) -> NoReturn:
-    print(message, file=sys.stderr)
-    raise SystemExit(EXIT_FAILED)
-
-
 if __name__ == "__main__":
     main()
