--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/alarms.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/alarms.py
@@ -41,4 +41,6 @@
             ConfigurationAlarmKind.FORKED,
             ConfigurationAlarmKind.STORE_BEHIND,
         )
-        self._told = {key: v for key, v in self._told.items() if key[0] not in store_kinds}
+        self._told = {
+            key: v for key, v in self._told.items() if key[0] not in store_kinds
+        }
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/messages.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/messages.py
@@ -12,6 +12,7 @@
     "ConfigurationAlarmKind",
     "ConfigurationParsed",
     "ConfigurationRefused",
+    "FollowLog",
     "HeadRead",
     "LogAnswer",
     "LogAnswered",
@@ -30,6 +31,10 @@
 ]
 
 
+class FollowLog(NamedTuple):
+    """Report that a platform is there whose log is to be followed."""
+
+
 class ReadHead(NamedTuple):
     """Ask the shell to read the head of the log from the table service."""
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
@@ -15,6 +15,7 @@
     ConfigurationAlarmKind,
     ConfigurationParsed,
     ConfigurationRefused,
+    FollowLog,
     HeadRead,
     LogAnswered,
     LogAsk,
@@ -35,7 +36,7 @@
 from rhubarbwell_core.messages import ConfigReceived, SendPeerMessage
 from rhubarbwell_core.model import Address
 
-__all__ = ["AdoptionPart"]
+__all__ = ["POLLERS_PER_ZONE", "AdoptionPart"]
 
 POLL_PERIOD_MS = 2_000
 POLLERS_PER_ZONE = 2
@@ -67,6 +68,7 @@
         self.store_answered_ms: int | None = None
         self.alarms = AlarmLog()
         self._rng = rng
+        self._follows = False
         self._is_poller = is_poller
         self._on_configuration = on_configuration
         self._on_moved = on_moved
@@ -82,6 +84,7 @@
     def handlers(self) -> Mapping[type, EventHandler]:
         """Return the handlers of the store's and the peers' answers."""
         return {
+            FollowLog: self._on_follow,
             HeadRead: self._on_head,
             LogRowsRead: self._on_rows,
             SnapshotRead: self._on_snapshot,
@@ -98,6 +101,8 @@
 
     def poll(self, now_ms: int) -> list[Action]:
         """Read the head if this instance is to poll and no call is open."""
+        if not self._follows:
+            return []
         if self._calls_open and now_ms < self._call_due_ms:
             return []
         self._calls_open.clear()
@@ -111,12 +116,17 @@
 
     def hear_version(self, address: Address, version: int, now_ms: int) -> list[Action]:
         """Ask the peer for the log if its position is ahead of this one."""
-        if version <= self.position.version or now_ms < self._peer_due_ms:
+        known = self._candidate or self.position
+        if version <= known.version or now_ms < self._peer_due_ms:
             return []
         self._peer_due_ms = now_ms + PEER_TIMEOUT_MS
         ask = LogAsk(self.position.version, self.position.chain)
         return [SendPeerMessage(address, ask)]
 
+    def _on_follow(self, event: FollowLog, now_ms: int) -> list[Action]:
+        self._follows = True
+        return self.poll(now_ms)
+
     def _on_head(self, event: HeadRead, now_ms: int) -> list[Action]:
         if not self._close_call(event.call_id) or event.head is None:
             return []
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/position.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/position.py
@@ -9,7 +9,6 @@
     EMPTY_CHAIN,
     InvalidLogError,
     LogRow,
-    chain_digest,
     document_digest,
     verify_rows,
 )
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.adoption import POLLERS_PER_ZONE, AdoptionPart
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
@@ -22,6 +23,8 @@
     PeerState,
     RequestArrived,
     ServiceHeadroom,
+    ZoneHeadroomHeard,
+    ZoneSummary,
 )
 from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
@@ -79,7 +82,19 @@
             self.keys,
         )
         self.membership = MembershipPart(
-            identity, self.peers, rng, now_ms=now_ms, read_headroom=self._headroom
+            identity,
+            self.peers,
+            rng,
+            now_ms=now_ms,
+            on_version=self._on_peer_version,
+            on_summary=self._on_zone_summary,
+            read_headroom=self._headroom,
+        )
+        self.adoption = AdoptionPart(
+            rng,
+            is_poller=self._is_poller,
+            on_configuration=self._on_config,
+            on_moved=self._on_log_moved,
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
@@ -94,6 +109,7 @@
         }
         self._add_part(self.requests)
         self._add_part(self.membership)
+        self._add_part(self.adoption)
         self._add_part(self.keys)
         self._add_part(self._look_ups)
         self._add_system(self._members)
@@ -171,6 +187,25 @@
         self.membership.configured(now_ms)
         return []
 
+    def _is_poller(self) -> bool:
+        return self.membership.is_chosen("poll", POLLERS_PER_ZONE)
+
+    def _on_log_moved(self, now_ms: int) -> list[Action]:
+        self.membership.measure(log_version=self.adoption.position.version)
+        return self.membership.nudge(now_ms)
+
+    def _on_peer_version(
+        self, address: Address, version: int, now_ms: int
+    ) -> list[Action]:
+        return self.adoption.hear_version(address, version, now_ms)
+
+    def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
+        handler = self._handlers.get(ZoneHeadroomHeard)
+        if handler is None:
+            return []
+        heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
+        return list(handler(heard, now_ms))
+
     def _headroom(self) -> tuple[ServiceHeadroom, ...]:
         return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
