Name the attempt in shed answers of the backend stand-in

Cause: a shed answer on a reused connection carried no attempt id, so it was judged crossed and its outcome unknown: 15 unknown outcomes in the flood of the demonstration. Ruled out: a time-out, the attempts ended after 1 to 8 ms.

--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/backend.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/backend.py
@@ -103,8 +103,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if self.sheds and self.in_flight >= self.slots:
             self.shed += 1
-            headers = {OUTCOME_HEADER: "not_run", "Retry-After": "1"}
-            return web.Response(status=503, headers=headers)
+            return self._shed(request.headers.get(ATTEMPT_HEADER, ""))
         self.in_flight += 1
         try:
             async with self._free:
@@ -115,6 +114,12 @@
         finally:
             self.in_flight -= 1
 
+    def _shed(self, attempt_id: str) -> web.Response:
+        headers = {OUTCOME_HEADER: "not_run", "Retry-After": "1"}
+        if self.echoes_attempt:
+            headers[ATTEMPT_HEADER] = attempt_id
+        return web.Response(status=503, headers=headers)
+
     async def _run(self, request: web.Request) -> web.Response:
         self.started += 1
         size, digest = 0, hashlib.sha256()
