--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/node.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/node.py
@@ -1,5 +1,6 @@
 """The entry instance's end of the peer transport."""
 
+import socket
 from typing import Any
 
 from rhubarbwell_core.adoption import LogAnswer, LogAnswered, LogAsk, LogAsked
@@ -45,6 +46,9 @@
 class PeerNode:
     """Connect a core with its peers: PeerNode(driver, keys), start(), close().
 
+    Construct it before the driver runs, with PeerKeys([key.encode(), ...]) of
+    the settings; start(sock=...) takes the bound peers socket.
+
     The core's identity gives the address that peers use. Seeds and the
     platform's instance list reach the core as InstancesListed events.
     """
@@ -67,9 +71,9 @@
         driver.register(RelayRenewal, self._relay_renewal)
         driver.register(AnswerRelay, self._answer_relay)
 
-    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
-        """Listen for peers on the identity's peers address or one in its place."""
-        await self.transport.start(host=host, port=port)
+    async def start(self, *, sock: socket.socket | None = None) -> None:
+        """Listen for peers on the identity's address, or on its bound socket."""
+        await self.transport.start(sock=sock)
 
     async def close(self) -> None:
         """Stop listening and sending."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -69,11 +70,12 @@
         self._spoken: dict[Address, Protocols] = {}
         self._replies: dict[Address, list[Any]] = {}
 
-    async def start(self, *, host: str | None = None, port: int | None = None) -> None:
-        """Listen on the address, or on another host and port bound in its place."""
-        await self._server.start(
-            host or self.address.host, self.address.port if port is None else port
-        )
+    async def start(self, *, sock: socket.socket | None = None) -> None:
+        """Listen on the address, or on a bound socket in its place."""
+        if sock is None:
+            await self._server.start(self.address.host, self.address.port)
+        else:
+            await self._server.start(sock=sock)
 
     async def close(self) -> None:
         """Stop listening, drop what is queued and close every connection."""
