--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/hints.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/hints.py
@@ -1,4 +1,4 @@
-"""Addresses at which peers may be found: the settings and the platform's list."""
+"""Hints where peers may be: the settings' seeds and the platform's list."""
 
 import asyncio
 import logging
@@ -6,48 +6,53 @@
 
 from rhubarbwell_core.messages import InstancesListed
 from rhubarbwell_core.model import Address
-from rhubarbwell_platform import InstanceList, UnavailableError
+from rhubarbwell_platform.errors import UnavailableError
+from rhubarbwell_platform.services import InstanceList, ListedState
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 
 __all__ = ["PeerHints"]
 
 _log = logging.getLogger(__name__)
 
-FIRST_PERIOD_S = 2.0
-PERIOD_S = 60.0
+PERIOD_S = 30.0
 
 
 class PeerHints:
-    """Tell a core the seeds and the lagging list: PeerHints(...), run()."""
+    """Tell the core, once a period, which addresses peers may have."""
 
     def __init__(
         self,
         driver: CoreDriver,
-        instances: InstanceList,
-        seeds: Sequence[Address] = (),
+        listing: InstanceList,
+        seeds: Sequence[Address],
+        *,
+        period_s: float = PERIOD_S,
     ) -> None:
         self._driver = driver
-        self._instances = instances
+        self._listing = listing
         self._seeds = tuple(seeds)
+        self._period_s = period_s
 
     async def run(self) -> None:
-        """Read the list from time to time until cancelled."""
+        """Give the seeds at once and the list as soon as it can be read."""
         self._driver.handle(InstancesListed(self._seeds))
         while True:
-            listed = await self._read()
-            if listed is not None:
-                addresses = dict.fromkeys((*self._seeds, *listed))
-                self._driver.handle(InstancesListed(tuple(addresses)))
-            alone = len(self._driver.core.peers) < 2
-            await asyncio.sleep(FIRST_PERIOD_S if alone else PERIOD_S)
-
-    async def _read(self) -> tuple[Address, ...] | None:
+            self._driver.handle(InstancesListed(await self._read()))
+            await asyncio.sleep(self._period_s)
+
+    async def _read(self) -> tuple[Address, ...]:
         try:
-            listing = await self._instances.read()
+            listing = await self._listing.read()
         except UnavailableError as exc:
-            _log.warning("the instance list could not be read: %s", exc)
-            return None
-        own = self._driver.core.identity.peers
-        addresses = (instance.peers for instance in listing.instances)
-        return tuple(address for address in addresses if address != own)
+            log_event(
+                _log,
+                logging.WARNING,
+                "instance_list_unavailable",
+                "could not read the platform's instance list",
+                error=str(exc),
+            )
+            return self._seeds
+        live = [row for row in listing.instances if row.state is ListedState.LIVE]
+        return (*self._seeds, *(row.peers for row in live))
