--- /dev/null
+++ b/tests/entry/proxy/test_faults.py
@@ -0,0 +1,181 @@
+"""Contract of the backend interface: what callers are told of each fault."""
+
+from typing import NamedTuple
+
+import pytest
+from rhubarbwell_core.model import Address
+from rhubarbwell_platform.standins import Fault, FaultScript, FaultyBackend
+from support.entries import RunningEntry, make_configuration
+
+WARM_UPS = 20
+OTHERS = 4
+DEADLINE = {"Rhubarbwell-Deadline-Ms": "320"}
+
+
+class Case(NamedTuple):
+    fault: Fault
+    page: str
+    book: str
+    book_status: int
+    book_runs: int
+
+
+CASES = [
+    Case(Fault.CLOSE_ON_ACCEPT, "answered", "unknown", 502, 0),
+    Case(Fault.RESET_ON_HEAD, "answered", "unknown", 502, 0),
+    Case(Fault.RESET_MID_UPLOAD, "answered", "unknown", 502, 0),
+    Case(Fault.SILENT, "answered", "unknown", 504, 1),
+    Case(Fault.RESET_AFTER_REQUEST, "answered", "unknown", 502, 1),
+    Case(Fault.CLOSE_AFTER_REQUEST, "answered", "unknown", 502, 1),
+    Case(Fault.RESET_MID_HEADERS, "answered", "unknown", 502, 1),
+    Case(Fault.RESET_AFTER_HEADERS, "broken", "broken", 0, 1),
+    Case(Fault.RESET_MID_BODY, "broken", "broken", 0, 1),
+    Case(Fault.CUT_SHORT, "broken", "broken", 0, 1),
+    Case(Fault.CUT_SHORT_CHUNKED, "broken", "broken", 0, 1),
+    Case(Fault.NO_FRAMING, "answered", "unknown", 502, 1),
+    Case(Fault.GARBAGE, "answered", "unknown", 502, 1),
+    Case(Fault.HUGE_HEADERS, "answered", "unknown", 502, 1),
+    Case(Fault.DOUBLED, "answered", "answered", 200, 1),
+    Case(Fault.DOUBLED_LATER, "answered", "answered", 200, 1),
+    Case(Fault.LATE, "answered", "answered", 200, 1),
+    Case(Fault.DRIP, "answered", "answered", 200, 1),
+    Case(Fault.INTERIM, "answered", "answered", 200, 1),
+    Case(Fault.SHED_RETRY_AFTER, "answered", "answered", 200, 1),
+    Case(Fault.SHED_OUTCOME, "answered", "answered", 200, 1),
+    Case(Fault.SHED_TOO_MANY, "answered", "answered", 200, 1),
+    Case(Fault.BARE_503, "answered", "answered", 503, 0),
+]
+
+WAYS = [
+    (case, reused)
+    for case in CASES
+    for reused in (False, True)
+    if not (reused and case.fault is Fault.CLOSE_ON_ACCEPT)
+]
+
+
+def name_way(value):
+    if isinstance(value, Case):
+        return value.fault.value
+    return "reused" if value else "fresh"
+
+
+async def send_through_fault(case, method, path, *, reused, data=None, warm=WARM_UPS):
+    script = FaultScript(case.fault, after=warm)
+    servers = [FaultyBackend(script, echoes_attempt=reused) for _ in range(2)]
+    addresses = [await server.start() for server in servers]
+    try:
+        async with RunningEntry(make_configuration(addresses)) as entry:
+            for n in range(warm):
+                await entry.ask("GET", f"/warm/{n}")
+            answer = await entry.ask(method, path, data=data, headers=DEADLINE)
+            others = [await entry.ask("GET", f"/other/{n}") for n in range(OTHERS)]
+    finally:
+        for server in servers:
+            await server.stop()
+    expected = [(200, "answered", f"GET /other/{n}") for n in range(OTHERS)]
+    assert others == expected
+    return answer, script.runs.count(f"{method} {path}")
+
+
+@pytest.mark.parametrize(("case", "reused"), WAYS, ids=name_way)
+async def test_non_idempotent_request_meets_fault(case, reused):
+    answer, runs = await send_through_fault(
+        case, "POST", "/book/1", reused=reused, data=b"x" * 100
+    )
+    status, outcome, text = answer
+    assert (status, outcome) == (case.book_status, case.book)
+    assert runs == case.book_runs
+    if status == 200:
+        assert text == "POST /book/1"
+
+
+@pytest.mark.parametrize(("case", "reused"), WAYS, ids=name_way)
+async def test_idempotent_request_meets_fault(case, reused):
+    answer, runs = await send_through_fault(case, "GET", "/page/1", reused=reused)
+    status, outcome, text = answer
+    assert outcome == case.page and runs <= 2
+    if outcome == "answered":
+        assert (status, text) == (200, "GET /page/1")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "outcome", "runs"),
+    [
+        ("GET", "/page/1", "answered", 2),
+        ("PUT", "/notes/1", "answered", 2),
+        ("POST", "/book/1", "unknown", 1),
+        ("PUT", "/clips/1", "unknown", 1),
+    ],
+)
+async def test_crossed_answer_reaches_nobody(method, path, outcome, runs):
+    case = Case(Fault.CROSSED, "", "", 0, 0)
+    data = None if method == "GET" else b"x"
+    answer, ran = await send_through_fault(case, method, path, reused=True, data=data)
+    assert (answer[1], ran) == (outcome, runs)
+
+
+@pytest.mark.parametrize(
+    ("path", "size", "outcome"),
+    [
+        ("/notes/1", 1_000, "answered"),
+        ("/notes/1", 4 << 20, "unknown"),
+        ("/clips/1", 1_000, "unknown"),
+        ("/films/1", 4 << 20, "unknown"),
+    ],
+)
+async def test_upload_is_repeated_only_when_idempotent_and_small(path, size, outcome):
+    case = Case(Fault.RESET_MID_UPLOAD, "", "", 0, 0)
+    answer, _ = await send_through_fault(
+        case, "PUT", path, reused=True, data=b"x" * size
+    )
+    assert answer[1] == outcome
+
+
+async def test_answer_given_before_the_body_is_passed_on():
+    case = Case(Fault.EARLY, "", "", 0, 0)
+    answer, runs = await send_through_fault(
+        case, "POST", "/book/1", reused=False, data=b"x" * 10
+    )
+    assert (answer[:2], runs) == ((413, "answered"), 0)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_refused_connections_are_not_run(method):
+    server = FaultyBackend(FaultScript(Fault.SILENT))
+    address = await server.start()
+    await server.stop()
+    async with RunningEntry(make_configuration([address])) as entry:
+        status, outcome, _ = await entry.ask(method, "/book/1")
+    assert (status, outcome) == (502, "not_run")
+
+
+async def test_refused_server_is_replaced_by_another():
+    good = FaultyBackend(FaultScript(Fault.SILENT, after=1_000))
+    addresses = [Address("127.0.0.1", 1), await good.start()]
+    try:
+        async with RunningEntry(make_configuration(addresses)) as entry:
+            for n in range(WARM_UPS):
+                await entry.ask("GET", f"/warm/{n}")
+            answers = [await entry.ask("POST", f"/book/{n}") for n in range(5)]
+    finally:
+        await good.stop()
+    assert {answer[:2] for answer in answers} == {(200, "answered")}
+
+
+async def test_late_answer_reaches_no_later_request():
+    case = Case(Fault.LATE, "", "", 0, 0)
+    script = FaultScript(case.fault, after=2)
+    server = FaultyBackend(script)
+    address = await server.start()
+    try:
+        async with RunningEntry(make_configuration([address])) as entry:
+            for n in range(2):
+                await entry.ask("GET", f"/warm/{n}")
+            headers = {"Rhubarbwell-Deadline-Ms": "40"}
+            late = await entry.ask("POST", "/book/1", headers=headers)
+            others = [await entry.ask("GET", f"/other/{n}") for n in range(60)]
+    finally:
+        await server.stop()
+    assert late[1] == "unknown"
+    assert [text for *_, text in others] == [f"GET /other/{n}" for n in range(60)]
--- a/tests/entry/proxy/test_handler.py
+++ b/tests/entry/proxy/test_handler.py
@@ -1,67 +1,9 @@
 import asyncio
 import hashlib
-from random import Random
 
-import aiohttp
 import pytest
-from aiohttp import web
-from rhubarbwell_core import Core
-from rhubarbwell_core.messages import ConfigReceived
-from rhubarbwell_core.model import (
-    Address,
-    BackendSpec,
-    Configuration,
-    DeploymentSpec,
-    Identity,
-    RegionSpec,
-    ServiceSpec,
-    WorkKind,
-    ZoneSpec,
-)
-from rhubarbwell_entry.driver import CoreDriver
-from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 from rhubarbwell_platform.standins import BackendStandIn
-
-KINDS = (
-    WorkKind("page", "GET", "/", idempotent=True, deadline_ms=5_000),
-    WorkKind("book", "POST", "/book", deadline_ms=5_000),
-    WorkKind("clip", "PUT", "/clips", deadline_ms=5_000, max_body_bytes=1 << 20),
-)
-
-
-def make_configuration(addresses):
-    servers = tuple(BackendSpec(f"b{n}", "r-a", *a) for n, a in enumerate(addresses))
-    service = ServiceSpec("slotsvc", KINDS, servers)
-    deployment = DeploymentSpec("d", (RegionSpec("r"),), (ZoneSpec("r-a", "r", 1),))
-    return Configuration(1, "x", deployment, {"slotsvc": service})
-
-
-class Entry:
-    def __init__(self, addresses, name="i"):
-        here = Address("127.0.0.1", 1)
-        identity = Identity(name, f"{name}-1", "r-a", "r", here, here)
-        self.core = Core(identity, Random(1))
-        self.driver = CoreDriver(self.core)
-        self.driver.handle(ConfigReceived(make_configuration(addresses)))
-
-    async def __aenter__(self):
-        self.handler = CallerHandler(self.driver)
-        app = web.Application()
-        app.router.add_route("*", "/{service}/{rest:.*}", self.handler.handle)
-        self.runner = caller_runner(app)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
-        host, port = self.runner.addresses[0]
-        self.url = f"http://{host}:{port}"
-        self.task = asyncio.create_task(self.driver.run())
-        self.session = aiohttp.ClientSession()
-        return self
-
-    async def __aexit__(self, *exc):
-        await self.session.close()
-        self.task.cancel()
-        await self.handler.close()
-        await self.runner.cleanup()
+from support.entries import RunningEntry, make_configuration
 
 
 @pytest.fixture
@@ -74,12 +16,12 @@
 
 @pytest.fixture
 async def entry(backend):
-    async with Entry([backend.address]) as running:
+    async with RunningEntry(make_configuration([backend.address])) as running:
         yield running
 
 
 async def test_answer_is_whole_and_says_its_outcome(entry, backend):
-    async with entry.session.get(entry.url + "/slotsvc/page?a=%20b") as resp:
+    async with entry.session.get(entry.url + "/page?a=%20b") as resp:
         document = await resp.json()
     assert resp.status == 200
     assert resp.headers["Rhubarbwell-Outcome"] == "answered"
@@ -95,7 +37,7 @@
             yield body[start : start + 50_000]
 
     data = chunks() if chunked else body
-    async with entry.session.put(entry.url + "/slotsvc/clips/1", data=data) as resp:
+    async with entry.session.put(entry.url + "/clips/1", data=data) as resp:
         document = await resp.json()
     assert document["body_digest"] == hashlib.sha256(body).hexdigest()
     assert document["body_bytes"] == len(body)
@@ -113,7 +55,9 @@
     entry, backend, method, path, status, reason
 ):
     data = b"x" * (2 << 20) if status == 413 else None
-    async with entry.session.request(method, entry.url + path, data=data) as resp:
+    async with entry.session.request(
+        method, entry.url.removesuffix("/slotsvc") + path, data=data
+    ) as resp:
         problem = await resp.json()
     assert resp.content_type == "application/problem+json"
     assert (resp.status, problem["reason"]) == (status, reason)
@@ -125,7 +69,7 @@
     backend.service_ms = 60_000
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.2):
-            await entry.session.post(entry.url + "/slotsvc/book")
+            await entry.session.post(entry.url + "/book")
     while not backend.cancelled:
         await asyncio.sleep(0.01)
     assert backend.runs == [] and len(entry.handler.exchanges) == 0
@@ -134,7 +78,7 @@
 async def test_deadline_ends_a_silent_run_as_unknown(entry, backend):
     backend.service_ms = 60_000
     headers = {"Rhubarbwell-Deadline-Ms": "100"}
-    url = entry.url + "/slotsvc/book"
+    url = entry.url + "/book"
     async with entry.session.post(url, headers=headers) as resp:
         problem = await resp.json()
     assert (resp.status, problem["outcome"]) == (504, "unknown")
--- /dev/null
+++ b/tests/support/entries.py
@@ -0,0 +1,128 @@
+"""Entry instances in the test's process, on real sockets."""
+
+import asyncio
+from random import Random
+
+import aiohttp
+from aiohttp import web
+from rhubarbwell_core import Core
+from rhubarbwell_core.messages import ConfigReceived, PeerHeard, PeerState
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    Configuration,
+    DeploymentSpec,
+    Identity,
+    RegionSpec,
+    ServiceSpec,
+    WorkKind,
+    ZoneSpec,
+)
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.keystore import KeyStore
+from rhubarbwell_entry.proxy import CallerHandler, caller_runner
+
+KINDS = (
+    WorkKind("page", "GET", "/", idempotent=True, deadline_ms=5_000),
+    WorkKind("book", "POST", "/book", deadline_ms=5_000),
+    WorkKind("note", "PUT", "/notes", idempotent=True, deadline_ms=5_000),
+    WorkKind("clip", "PUT", "/clips", deadline_ms=5_000, max_body_bytes=1 << 20),
+    WorkKind("film", "PUT", "/films", deadline_ms=60_000),
+)
+
+
+class SecretKeys:
+    """Sign hops with a tag that only instances of one secret know."""
+
+    def __init__(self, secret="s"):
+        self.secret = secret
+
+    def sign_text(self, *parts):
+        return f"{self.secret}:{hash(parts)}"
+
+    def verify_text(self, tag, *parts):
+        return tag == self.sign_text(*parts)
+
+
+def make_configuration(addresses, *, ttl_ms=10_000, slots=3):
+    servers = tuple(
+        BackendSpec(f"b{n}", "r-a", *address, slots=slots)
+        for n, address in enumerate(addresses)
+    )
+    service = ServiceSpec("slotsvc", KINDS, servers)
+    zones = (ZoneSpec("r-a", "r", 1),)
+    deployment = DeploymentSpec("d", (RegionSpec("r"),), zones, look_up_ttl_ms=ttl_ms)
+    return Configuration(1, "x", deployment, {"slotsvc": service})
+
+
+class RunningEntry:
+    """Serve one core to callers; `kill` ends it as a lost process would."""
+
+    def __init__(self, configuration, *, name="i", tables=None, keys=None, seed=1):
+        self.configuration = configuration
+        self.name = name
+        self.tables = tables
+        self.keys = keys
+        self.seed = seed
+
+    async def __aenter__(self):
+        here = Address("127.0.0.1", 0)
+        identity = Identity(self.name, f"{self.name}-1", "r-a", "r", here, here)
+        self.core = Core(identity, Random(self.seed))
+        self.driver = CoreDriver(self.core)
+        self.driver.handle(ConfigReceived(self.configuration))
+        self.handler = CallerHandler(self.driver, self.keys)
+        self.store = KeyStore(self.driver, self.tables) if self.tables else None
+        app = web.Application()
+        app.router.add_route("*", "/{service}/{rest:.*}", self.handler.handle)
+        self.runner = caller_runner(app)
+        await self.runner.setup()
+        self.site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await self.site.start()
+        self.address = Address(*self.runner.addresses[0])
+        self.url = f"http://127.0.0.1:{self.address.port}/slotsvc"
+        self.task = asyncio.create_task(self.driver.run())
+        self.session = aiohttp.ClientSession()
+        self.running = True
+        return self
+
+    def meet(self, other):
+        """Let the core know another instance as ready."""
+        heard = PeerHeard(
+            other.name,
+            f"{other.name}-1",
+            "r-a",
+            "r",
+            other.address,
+            other.address,
+            PeerState.READY,
+            1,
+            1,
+        )
+        self.driver.handle(heard)
+
+    async def kill(self):
+        if not self.running:
+            return
+        self.running = False
+        self.task.cancel()
+        await self.handler.close()
+        if self.store:
+            await self.store.close()
+        for connection in list(self.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.runner.cleanup()
+
+    async def __aexit__(self, *exc):
+        await self.session.close()
+        await self.kill()
+
+    async def ask(self, method, path, **options):
+        """Return status, outcome and text; a broken answer has status 0."""
+        try:
+            async with self.session.request(method, self.url + path, **options) as resp:
+                text = await resp.text()
+                return resp.status, resp.headers.get("Rhubarbwell-Outcome"), text
+        except aiohttp.ClientError:
+            return 0, "broken", ""
