Report headroom by region and drains beside service-level burn

Cause: the report told what burnt, not where there was room. Instances report their zone's headroom; of a zone's instances the one that sees least room counts. The demonstration prints it; 'rhubarbwell report' asks every listed instance and names those that do not answer.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
@@ -2,12 +2,11 @@
 
 from aiohttp import web
 from rhubarbwell_core import Core
-from rhubarbwell_core.burn import BurnRow, burn_rows, encode_sketch
 from rhubarbwell_core.messages import PeerState
-from rhubarbwell_core.model import rank_name
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.metrics import InstanceMetrics
+from rhubarbwell_entry.reports import encode_report, make_report
 
 __all__ = ["OperatorHandler"]
 
@@ -42,13 +41,8 @@
 
     async def report(self, _: web.Request) -> web.Response:
         """Give the counts for the report on service-level burn."""
-        core = self._driver.core
-        rows = burn_rows(core.burn, self._driver.clock_ms())
-        body = {
-            "instance_id": core.identity.instance_id,
-            "rows": [_row_json(row) for row in rows],
-        }
-        return web.json_response(body)
+        report = make_report(self._driver.core, self._driver.clock_ms())
+        return web.json_response(encode_report(report))
 
 
 def _describe(core: Core) -> dict[str, object]:
@@ -80,22 +74,3 @@
             for row in core.backends.rows.rows()
         ],
     }
-
-
-def _row_json(row: BurnRow) -> dict[str, object]:
-    windows = [
-        {
-            "window_ms": window_ms,
-            "total": tally.total,
-            "bad": tally.bad,
-            "allowed_bad": tally.allowed_bad,
-            "causes": {reason.value: n for reason, n in tally.causes.items()},
-        }
-        for window_ms, tally in row.windows.items()
-    ]
-    return {
-        "service": row.key.service,
-        "rank": rank_name(row.key.rank),
-        "windows": windows,
-        "latencies": encode_sketch(row.latencies),
-    }
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/reports.py
@@ -0,0 +1,103 @@
+"""What one entry instance tells for the report, and its JSON form."""
+
+from typing import Any, NamedTuple
+
+from rhubarbwell_core import Core
+from rhubarbwell_core.burn import (
+    BurnRow,
+    SeriesKey,
+    Tally,
+    burn_rows,
+    decode_sketch,
+    encode_sketch,
+)
+from rhubarbwell_core.membership import zone_headroom
+from rhubarbwell_core.messages import ServiceHeadroom
+from rhubarbwell_core.model import Reason, rank_from_name, rank_name
+
+__all__ = ["InstanceReport", "decode_report", "encode_report", "make_report"]
+
+
+class InstanceReport(NamedTuple):
+    """Hold an instance's burn rows, its zone's headroom and drains in progress."""
+
+    instance_id: str
+    zone: str
+    region: str
+    rows: tuple[BurnRow, ...]
+    headroom: tuple[ServiceHeadroom, ...]
+    draining: tuple[str, ...]
+
+
+def make_report(core: Core, now_ms: int) -> InstanceReport:
+    """Report what the core counts and sees."""
+    backends = core.backends.rows.rows()
+    zone = core.identity.zone
+    return InstanceReport(
+        core.identity.instance_id,
+        zone,
+        core.identity.region,
+        tuple(burn_rows(core.burn, now_ms)),
+        zone_headroom(backends, zone),
+        tuple(row.backend_id for row in backends if row.draining),
+    )
+
+
+def encode_report(report: InstanceReport) -> dict[str, Any]:
+    """Return the report as values that JSON can hold."""
+    return {
+        "instance_id": report.instance_id,
+        "zone": report.zone,
+        "region": report.region,
+        "rows": [_encode_row(row) for row in report.rows],
+        "headroom": [headroom._asdict() for headroom in report.headroom],
+        "draining": list(report.draining),
+    }
+
+
+def decode_report(body: Any) -> InstanceReport:
+    """Return the report; raise KeyError, TypeError or ValueError if malformed."""
+    return InstanceReport(
+        str(body["instance_id"]),
+        str(body["zone"]),
+        str(body["region"]),
+        tuple(_decode_row(row) for row in body["rows"]),
+        tuple(_decode_headroom(item) for item in body["headroom"]),
+        tuple(str(backend_id) for backend_id in body["draining"]),
+    )
+
+
+def _encode_row(row: BurnRow) -> dict[str, Any]:
+    windows = [
+        {
+            "window_ms": window_ms,
+            "total": tally.total,
+            "bad": tally.bad,
+            "allowed_bad": tally.allowed_bad,
+            "causes": {reason.value: n for reason, n in tally.causes.items()},
+        }
+        for window_ms, tally in row.windows.items()
+    ]
+    return {
+        "service": row.key.service,
+        "rank": rank_name(row.key.rank),
+        "windows": windows,
+        "latencies": encode_sketch(row.latencies),
+    }
+
+
+def _decode_row(row: Any) -> BurnRow:
+    key = SeriesKey(str(row["service"]), rank_from_name(row["rank"]))
+    windows = {int(item["window_ms"]): _decode_tally(item) for item in row["windows"]}
+    return BurnRow(key, windows, decode_sketch(row["latencies"]))
+
+
+def _decode_tally(item: Any) -> Tally:
+    causes = {Reason(name): int(n) for name, n in item["causes"].items()}
+    return Tally(
+        int(item["total"]), int(item["bad"]), float(item["allowed_bad"]), causes
+    )
+
+
+def _decode_headroom(item: Any) -> ServiceHeadroom:
+    return ServiceHeadroom(str(item["service"]), int(item["slots"]), int(item["free"]))
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
@@ -4,8 +4,15 @@
 
 import fire
 import uvloop
+from rhubarbwell_platform import Platform
 
-from rhubarbwell_ops.commands import ConfigurationCommands
+from rhubarbwell_ops.commands import (
+    ConfigurationCommands,
+    listed_operators,
+    report,
+    run_command,
+    split_words,
+)
 from rhubarbwell_ops.demo import DemoError, format_demo, run_demo
 from rhubarbwell_ops.exits import ExitCode, Report, exit_with
 
@@ -21,6 +28,32 @@
     5 outcome unknown, 6 published but not in force everywhere.
     """
 
+    def report(
+        self,
+        platform: str = "",
+        instances: str = "",
+        plot: str = "",
+        json: bool = False,
+    ) -> None:
+        """Report on service-level burn, headroom and drains.
+
+        Args:
+            platform: URL of the platform, whose list names the instances.
+            instances: Operators' addresses host:port with commas between, in place
+                of the platform's list.
+            plot: Write burn rates to this image file, too.
+            json: Print JSON.
+        """
+        path = Path(plot) if plot else None
+        if instances:
+            command = report(split_words(instances), plot=path)
+            exit_with(uvloop.run(command), as_json=json)
+
+        async def ask_listed(opened: Platform) -> Report:
+            return await report(await listed_operators(opened), plot=path)
+
+        run_command(platform, ask_listed, as_json=json)
+
     def demo(self, files: str = DEMO_FILES) -> None:
         """Run a small deployment on this machine for about twenty seconds."""
         try:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/__init__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/__init__.py
@@ -1,3 +1,5 @@
 """The commands of operators, one module each."""
 
 from rhubarbwell_ops.commands.configuration import *
+from rhubarbwell_ops.commands.report import *
+from rhubarbwell_ops.commands.running import *
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
@@ -2,11 +2,8 @@
 
 import getpass
 import time
-from collections.abc import Awaitable, Callable
 
-import uvloop
-from rhubarbwell_core.adoption import InvalidLogError
-from rhubarbwell_platform import Platform, PlatformError
+from rhubarbwell_platform import Platform
 from rhubarbwell_platform.publishing import read_state
 
 from rhubarbwell_ops.commands.check import check
@@ -16,9 +13,9 @@
     publish_files,
     rollback,
 )
+from rhubarbwell_ops.commands.running import run_command, split_words
 from rhubarbwell_ops.commands.status import history, status
-from rhubarbwell_ops.connections import open_platform
-from rhubarbwell_ops.exits import ExitCode, Report, exit_with
+from rhubarbwell_ops.exits import Report, exit_with
 
 __all__ = ["ConfigurationCommands"]
 
@@ -47,7 +44,7 @@
         async def command(opened: Platform) -> Report:
             return check(paths, published=await read_state(opened))
 
-        _run(platform, command, as_json=json)
+        run_command(platform, command, as_json=json)
 
     def publish(
         self,
@@ -77,9 +74,9 @@
         options = _options(author, publish_id, dry_run, wait)._replace(
             base_version=base
         )
-        names = [name for name in _words(remove) if name]
+        names = [name for name in split_words(remove) if name]
         paths = [str(path) for path in files]
-        _run(
+        run_command(
             platform,
             lambda opened: publish_files(opened, paths, options, remove=names),
             as_json=json,
@@ -107,7 +104,7 @@
             json: Print JSON.
         """
         options = _options(author, publish_id, dry_run, wait)
-        _run(
+        run_command(
             platform,
             lambda opened: rollback(opened, int(version), options),
             as_json=json,
@@ -137,7 +134,7 @@
             json: Print JSON.
         """
         options = _options(author, publish_id, dry_run, wait)
-        _run(
+        run_command(
             platform,
             lambda opened: drain(opened, str(backend_id), options, undo=undo),
             as_json=json,
@@ -150,7 +147,7 @@
             platform: URL of the platform.
             json: Print JSON.
         """
-        _run(platform, status, as_json=json)
+        run_command(platform, status, as_json=json)
 
     def history(
         self, platform: str = "", limit: int = HISTORY_ROWS, json: bool = False
@@ -162,21 +159,7 @@
             limit: Number of log rows to go back.
             json: Print JSON.
         """
-        _run(platform, lambda opened: history(opened, limit=limit), as_json=json)
-
-
-def _run(
-    url: str, command: Callable[[Platform], Awaitable[Report]], *, as_json: bool
-) -> None:
-    async def connect_and_run() -> Report:
-        try:
-            async with open_platform(str(url)) as platform:
-                return await command(platform)
-        except (PlatformError, InvalidLogError) as exc:
-            fields = {"reason": str(exc)}
-            return Report(ExitCode.NOT_DONE, f"nothing was done: {exc}", fields)
-
-    exit_with(uvloop.run(connect_and_run()), as_json=as_json)
+        run_command(platform, lambda opened: history(opened, limit=limit), as_json=json)
 
 
 def _options(
@@ -189,9 +172,3 @@
         dry_run=dry_run,
         wait_s=float(wait),
     )
-
-
-def _words(text: str | tuple[str, ...]) -> list[str]:
-    """Return the words of a list, which the command line may have split."""
-    words = text.split(",") if isinstance(text, str) else text
-    return [str(word).strip() for word in words]
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/run.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/run.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 import aiohttp
-from rhubarbwell_core.burn import BurnReport, burn_rows, merge_rows
 from rhubarbwell_core.model import Rank
+from rhubarbwell_entry.reports import make_report
 
 from rhubarbwell_ops.demo.deployment import DemoDeployment, load_documents
 from rhubarbwell_ops.demo.workload import (
@@ -17,6 +17,7 @@
     run_workload,
     work_items,
 )
+from rhubarbwell_ops.report import FleetReport, merge_reports
 
 __all__ = ["DemoResult", "DrainResult", "run_demo"]
 
@@ -42,7 +43,7 @@
     quiet: dict[Rank, Tally]
     flood: dict[Rank, Tally]
     drain: DrainResult
-    burn: BurnReport
+    fleet: FleetReport
 
 
 async def run_demo(folder: Path) -> DemoResult:
@@ -67,7 +68,7 @@
         flooded = {**RATES_PER_S, Rank.BULK: FLOOD_PER_S}
         flood = await _run_ranks(callers, items, flooded, FLOOD_S, rng)
         drain = await _drain_one(demo, callers, items, rng)
-    return DemoResult(quiet, flood, drain, _burn_report(demo))
+    return DemoResult(quiet, flood, drain, _fleet_report(demo))
 
 
 def _items_by_rank(demo: DemoDeployment) -> dict[Rank, list[WorkItem]]:
@@ -114,11 +115,7 @@
     return DrainResult(backend_id, before, backend.started - at_rest)
 
 
-def _burn_report(demo: DemoDeployment) -> BurnReport:
-    rows = [
-        row
-        for instance in demo.instances
-        for row in burn_rows(instance.core.burn, instance.driver.clock_ms())
-    ]
-    answered = tuple(one.identity.instance_id for one in demo.instances)
-    return BurnReport(merge_rows(rows), answered, ())
+def _fleet_report(demo: DemoDeployment) -> FleetReport:
+    return merge_reports(
+        [make_report(one.core, one.driver.clock_ms()) for one in demo.instances]
+    )
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/tables.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/tables.py
@@ -5,7 +5,7 @@
 
 from rhubarbwell_ops.demo.run import DemoResult
 from rhubarbwell_ops.demo.workload import Tally
-from rhubarbwell_ops.report import format_burn_report
+from rhubarbwell_ops.report import format_fleet_report
 
 __all__ = ["format_demo"]
 
@@ -22,8 +22,8 @@
         _rank_table(result.flood),
         f"Drain of {drain.backend_id}: {drain.started_before} requests before, "
         f"{drain.started_after} new ones once the drain was in force.",
-        "Service-level burn:",
-        format_burn_report(result.burn),
+        "Service-level burn and headroom:",
+        format_fleet_report(result.fleet),
     ]
     return "\n\n".join(parts)
 
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/fleet.py
@@ -0,0 +1,56 @@
+"""The report on the whole fleet, merged from its instances' reports."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from rhubarbwell_core.burn import BurnReport, merge_rows
+from rhubarbwell_entry.reports import InstanceReport
+
+__all__ = ["FleetReport", "RegionHeadroom", "merge_reports"]
+
+
+class RegionHeadroom(NamedTuple):
+    """Give the endpoint slots of a service in a region and how many are free."""
+
+    region: str
+    service: str
+    slots: int
+    free: int
+
+
+class FleetReport(NamedTuple):
+    """Hold the burn, the headroom of regions and the drains in progress."""
+
+    burn: BurnReport
+    headroom: tuple[RegionHeadroom, ...]
+    draining: tuple[str, ...]
+
+
+def merge_reports(
+    reports: Sequence[InstanceReport], *, unreachable: Sequence[str] = ()
+) -> FleetReport:
+    """Merge instances' reports; zones without an answer have no headroom in it."""
+    answered = tuple(report.instance_id for report in reports)
+    rows = merge_rows(row for report in reports for row in report.rows)
+    draining = {backend_id for report in reports for backend_id in report.draining}
+    return FleetReport(
+        BurnReport(rows, answered, tuple(unreachable)),
+        _sum_headroom(reports),
+        tuple(sorted(draining)),
+    )
+
+
+def _sum_headroom(reports: Sequence[InstanceReport]) -> tuple[RegionHeadroom, ...]:
+    """Add up the zones; of a zone's instances the one that sees least room counts."""
+    zones: dict[tuple[str, str, str], tuple[int, int]] = {}
+    for report in reports:
+        for room in report.headroom:
+            key = (report.region, report.zone, room.service)
+            least = zones.get(key, (room.free, room.slots))
+            zones[key] = min(least, (room.free, room.slots))
+    regions: dict[tuple[str, str], RegionHeadroom] = {}
+    for (region, _, service), (free, slots) in sorted(zones.items()):
+        known = regions.get((region, service), RegionHeadroom(region, service, 0, 0))
+        total = known._replace(slots=known.slots + slots, free=known.free + free)
+        regions[region, service] = total
+    return tuple(regions.values())
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/json_form.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/json_form.py
@@ -1,23 +1,24 @@
 """The report on service-level burn as JSON."""
 
-import json
-
-from rhubarbwell_core.burn import BurnReport, BurnRow, budget_left, burn_rate
+from rhubarbwell_core.burn import BurnRow, budget_left, burn_rate
 from rhubarbwell_core.model import rank_name
 
-__all__ = ["burn_report_json"]
+from rhubarbwell_ops.report.fleet import FleetReport
+
+__all__ = ["fleet_report_json"]
 
 QUANTILES = (0.5, 0.9, 0.99)
 
 
-def burn_report_json(report: BurnReport) -> str:
-    """Return the report as one JSON object."""
-    body = {
-        "rows": [_row(row) for row in report.rows],
-        "answered": list(report.answered),
-        "unreachable": list(report.unreachable),
+def fleet_report_json(report: FleetReport) -> dict[str, object]:
+    """Return the report as values that JSON can hold."""
+    return {
+        "rows": [_row(row) for row in report.burn.rows],
+        "headroom": [room._asdict() for room in report.headroom],
+        "draining": list(report.draining),
+        "answered": list(report.burn.answered),
+        "unreachable": list(report.burn.unreachable),
     }
-    return json.dumps(body, indent=2)
 
 
 def _row(row: BurnRow) -> dict[str, object]:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/tables.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/tables.py
@@ -11,7 +11,9 @@
 from rhubarbwell_core.model import rank_name
 from tabulate import tabulate
 
-__all__ = ["format_burn_report", "format_duration"]
+from rhubarbwell_ops.report.fleet import FleetReport
+
+__all__ = ["format_burn_report", "format_duration", "format_fleet_report"]
 
 MS_PER_S = 1_000
 S_PER_MINUTE = 60
@@ -29,6 +31,18 @@
     return f"{table}\n\n{_coverage(report)}"
 
 
+def format_fleet_report(report: FleetReport) -> str:
+    """Return the burn, the headroom by region and the drains in progress."""
+    headroom = tabulate(report.headroom, headers=["region", "service", "slots", "free"])
+    draining = ", ".join(report.draining) or "none"
+    parts = [
+        format_burn_report(report.burn),
+        headroom,
+        f"drains in progress: {draining}",
+    ]
+    return "\n\n".join(parts)
+
+
 def format_duration(duration_ms: int) -> str:
     """Return a duration in whole hours or minutes.
 
--- a/tests/ops/report/test_report.py
+++ b/tests/ops/report/test_report.py
@@ -1,14 +1,18 @@
 import json
 
 from ddsketch import DDSketch
-from rhubarbwell_core.burn import BurnReport, BurnRow, SeriesKey, Tally, encode_sketch
+from rhubarbwell_core.burn import BurnReport, BurnRow, SeriesKey, Tally
+from rhubarbwell_core.messages import ServiceHeadroom
 from rhubarbwell_core.model import Rank, Reason
+from rhubarbwell_entry.reports import InstanceReport, decode_report, encode_report
 from rhubarbwell_ops.report import (
-    burn_report_json,
+    FleetReport,
+    RegionHeadroom,
+    fleet_report_json,
     format_burn_report,
     gather_report,
+    merge_reports,
     plot_burn,
-    read_rows,
 )
 from rhubarbwell_platform.standins import BackendStandIn
 
@@ -16,7 +20,7 @@
 WINDOWS = dict.fromkeys((60_000, 300_000, 3_600_000, 21_600_000), TALLY)
 
 
-def make_report():
+def make_burn():
     sketch = DDSketch(0.02)
     sketch.add(8)
     row = BurnRow(SeriesKey("slotsvc", Rank.URGENT), WINDOWS, sketch)
@@ -24,35 +28,40 @@
 
 
 def test_table_shows_burn_causes_and_unreachable_instances():
-    text = format_burn_report(make_report())
+    text = format_burn_report(make_burn())
     assert "slotsvc" in text and "2.00" in text and "-100%" in text
     assert "overload 3, deadline 1" in text
     assert text.endswith("1 instances answered; unreachable: b")
 
 
 def test_json_holds_every_window():
-    (row,) = json.loads(burn_report_json(make_report()))["rows"]
+    (row,) = fleet_report_json(FleetReport(make_burn(), (), ()))["rows"]
     assert [window["burn_rate"] for window in row["windows"]] == [2.0] * 4
 
 
 def test_plot_is_written(tmp_path):
-    plot_burn(make_report(), tmp_path / "burn.png")
+    plot_burn(make_burn(), tmp_path / "burn.png")
     assert (tmp_path / "burn.png").read_bytes().startswith(b"\x89PNG")
 
 
-def test_rows_survive_the_way_through_json():
-    sketch = DDSketch(0.02)
-    sketch.add(8)
-    window = {"window_ms": 60_000, "total": 2, "bad": 1, "allowed_bad": 0.5}
-    row = {
-        "service": "s",
-        "rank": "bulk",
-        "windows": [{**window, "causes": {"overload": 1}}],
-        "latencies": encode_sketch(sketch),
-    }
-    (read,) = read_rows(json.loads(json.dumps({"rows": [row]})))
-    assert read.windows[60_000] == Tally(2, 1, 0.5, {Reason.OVERLOAD: 1})
-    assert read.latencies.count == 1
+def test_report_survives_the_way_through_json():
+    row = make_burn().rows[0]
+    headroom = (ServiceHeadroom("slotsvc", 9, 4),)
+    sent = InstanceReport("i", "r-a", "r", (row,), headroom, ("b1",))
+    got = decode_report(json.loads(json.dumps(encode_report(sent))))
+    assert got.rows[0].windows == row.windows
+    assert got.rows[0].latencies.count == 1
+    assert got._replace(rows=()) == sent._replace(rows=())
+
+
+def test_headroom_adds_up_zones_and_takes_the_least_of_a_zone():
+    views = [("r-a", 4), ("r-a", 2), ("r-b", 5)]
+    reports = [
+        InstanceReport("i", zone, "r", (), (ServiceHeadroom("s", 9, free),), ())
+        for zone, free in views
+    ]
+    (room,) = merge_reports(reports).headroom
+    assert room == RegionHeadroom("r", "s", 18, 7)
 
 
 async def test_instances_that_do_not_answer_a_report_are_named():
@@ -61,4 +70,4 @@
     name = f"{address.host}:{address.port}"
     report = await gather_report([name, "127.0.0.1:1"])
     await other.stop()
-    assert report.unreachable == (name, "127.0.0.1:1")
+    assert report.burn.unreachable == (name, "127.0.0.1:1")
