--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -118,7 +118,9 @@
             "instance_started",
             "entry instance listens for callers",
             instance_id=self.identity.instance_id,
-            callers=f"{self.callers.host}:{self.callers.port}",
+            callers=_host_port(self.callers),
+            operators=_host_port(self.operators),
+            peers=_host_port(self.identity.peers),
         )
 
     async def shut_down(self) -> bool:
@@ -202,6 +204,10 @@
     return _Sockets(*bound)
 
 
+def _host_port(address: Address) -> str:
+    return f"{address.host}:{address.port}"
+
+
 def _make_identity(settings: Settings, sockets: _Sockets) -> Identity:
     return Identity(
         settings.instance_id,
