--- /dev/null
+++ b/tests/models/test_grants_spec.py
@@ -0,0 +1,37 @@
+"""Exhaustive check of the grant protocol and its deliberately wrong variants."""
+
+import pytest
+from models import grants_spec as spec
+from models.explorer import explore
+from models.grants_spec import Rules, State
+
+
+def run(rules):
+    return explore(State(), lambda state: spec.steps(state, rules), spec.check)
+
+
+@pytest.mark.parametrize(
+    ("rules", "states"),
+    [(Rules(asks=1, work=1), 13_210), (Rules(asks=2, work=0), 65_556)],
+)
+def test_invariants_hold_in_every_state(rules, states, monkeypatch):
+    monkeypatch.setattr(spec, "LAST_TICK", 6 if rules.work else 5)
+    found = run(rules)
+    assert found.violation is None, found.trace
+    assert found.states == states
+
+
+@pytest.mark.parametrize(
+    ("rules", "violation"),
+    [
+        (Rules(clock_starts_at_receipt=True, asks=1), "may still use"),
+        (Rules(claimer_waits=False, asks=1), "link"),
+        (Rules(renewal_keeps_reservation=False, work=0), "may still use"),
+        (Rules(rereads_clock=False, asks=1), "refused in time"),
+    ],
+    ids=["clock at receipt", "claimer grants at once", "renewal frees", "stale clock"],
+)
+def test_wrong_variant_is_caught(rules, violation):
+    found = run(rules)
+    print(*found.trace, found.violation, sep="\n")
+    assert found.violation is not None and violation in found.violation
