--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -3,37 +3,37 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from rhubarbwell_core.admission import Admission, SlotAdmission
+from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.adoption import POLLERS_PER_ZONE, AdoptionPart
+from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
-from rhubarbwell_core.lookups import (
-    LookUpAnswer,
-    LookUpQuery,
-    PrefixIndex,
-    answer_look_up,
-    index_blocks,
-)
+from rhubarbwell_core.keys import KeyedPart, mint_ticket
+from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
+from rhubarbwell_core.membership import MembershipPart, zone_headroom
 from rhubarbwell_core.messages import (
+    AttemptEnded,
     BackendLeaving,
     BackendReturned,
     ConfigReceived,
     ConnectionSilent,
+    EndRequest,
     LoadReported,
     PeerHeard,
     PeerState,
+    RequestArrived,
+    ServiceHeadroom,
+    ZoneHeadroomHeard,
+    ZoneSummary,
 )
-from rhubarbwell_core.model import (
-    Configuration,
-    Identity,
-    region_of_zone,
-    zones_of_region,
-)
+from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
     RegionalRouteChooser,
     RetryBudget,
     RouteChooser,
+    ShareBackends,
 )
 
 __all__ = ["Core"]
@@ -51,93 +51,163 @@
     True
     """
 
-    def __init__(self, identity: Identity, rng: Random, *, now_ms: int = 0) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        rng: Random,
+        *,
+        now_ms: int = 0,
+        on_ended: Callable[[EndedRequest], None] | None = None,
+        ticket_rng: Random | None = None,
+    ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
-        self.state = PeerState.JOINING
         self.timers = TimerService(now_ms=now_ms)
         self.peers = Table[str, PeerHeard]("peers")
-        self.backends = BackendTable(identity.region, rng)
-        self.admission: Admission = SlotAdmission(identity.region)
+        self.backends = BackendTable(
+            identity.region, rng, instance_id=identity.instance_id
+        )
+        admission = RankAdmission(self.backends, now_ms=now_ms)
+        self.admission: Admission = admission
+        self._members = ShareBackends(identity, self.peers, self.backends)
         self.routes: RouteChooser = RegionalRouteChooser(
             identity.zone, identity.region, self.backends
         )
+        self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
-            identity.incarnation, self.admission, self.routes, RetryBudget()
+            identity.incarnation,
+            self.admission,
+            self.routes,
+            RetryBudget(),
+            self.keys,
         )
-        self._rng = rng
-        self._blocks: PrefixIndex = index_blocks(())
+        self.membership = MembershipPart(
+            identity,
+            self.peers,
+            rng,
+            now_ms=now_ms,
+            on_version=self._on_peer_version,
+            on_summary=self._on_zone_summary,
+            read_headroom=self._headroom,
+        )
+        self.adoption = AdoptionPart(
+            rng,
+            is_poller=self._is_poller,
+            on_configuration=self._on_config,
+            on_moved=self._on_log_moved,
+        )
+        self.burn = BurnObserver()
+        self._on_ended = on_ended
+        self._ticket_rng = ticket_rng or rng
+        self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
-            PeerHeard: self._on_peer,
             LoadReported: self.backends.on_load,
             BackendLeaving: self.backends.on_leaving,
             BackendReturned: self.backends.on_returned,
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self.membership)
+        self._add_part(self.adoption)
+        self._add_part(self.keys)
+        self._add_part(self._look_ups)
+        self._add_system(self._members)
+        self._add_system(AdjustLimits(admission))
+
+    @property
+    def state(self) -> PeerState:
+        """Return the state that this instance announces."""
+        return self.membership.state
 
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
-        return list(self._handlers[type(event)](event, now_ms))
+        if isinstance(event, RequestArrived):
+            self.burn.request_arrived(event, now_ms)
+        actions = list(self._handlers[type(event)](event, now_ms))
+        status = event.status if isinstance(event, AttemptEnded) else None
+        self._observe_ends(actions, now_ms, status)
+        return actions
 
     def advance(self, now_ms: int) -> list[Action]:
         """Run the systems that are due at now_ms."""
-        return self.timers.advance(now_ms)
+        actions = self.timers.advance(now_ms)
+        self._observe_ends(actions, now_ms, None)
+        return actions
 
     def next_due_ms(self) -> int | None:
         """Return the time in ms at which a system is due next."""
         return self.timers.next_due_ms()
 
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
-        """Answer which entry instances the caller should use."""
-        cfg = self.configuration
-        ttl_ms = 0 if cfg is None else cfg.deployment.look_up_ttl_ms
-        return answer_look_up(
-            self.peers.rows(),
-            self._zone_preference(query),
-            ttl_ms=ttl_ms,
-            rng=self._rng,
-        )
+        """Answer a look-up; raise ValueError for a malformed address."""
+        ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
+        return self._look_ups.look_up(query, shares={}, ticket=ticket)
+
+    def _mint_ticket(self, now_ms: int) -> str | None:
+        if self.state is not PeerState.READY:
+            return None
+        return mint_ticket(self.identity.incarnation, self._ticket_rng, now_ms)
+
+    def _find_owner(self, incarnation: str) -> Address | None:
+        for peer in self.peers.rows():
+            if peer.incarnation == incarnation:
+                return peer.callers
+        return None
+
+    def _observe_ends(
+        self, actions: Sequence[Action], now_ms: int, status: int | None
+    ) -> None:
+        for action in actions:
+            if not isinstance(action, EndRequest):
+                continue
+            ended = self.burn.request_ended(action, now_ms, status=status)
+            if ended is not None and self._on_ended is not None:
+                self._on_ended(ended)
 
     def _add_part(self, part: Part) -> None:
         self._handlers.update(part.handlers())
         for system in part.systems():
-            self.timers.subscribe(system.period_ms, _run_of(system))
+            self._add_system(system)
+
+    def _add_system(self, system: System) -> None:
+        self.timers.subscribe(system.period_ms, _run_of(system))
 
     def _on_config(self, event: ConfigReceived, now_ms: int) -> list[Action]:
         cfg = event.configuration
         if self.configuration and cfg.version <= self.configuration.version:
             return []
         self.configuration = cfg
-        self._blocks = index_blocks(cfg.deployment.client_blocks)
+        self._look_ups.configure(cfg, now_ms)
+        self.burn.configure(cfg)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
-        if self.state is PeerState.JOINING:
-            self.state = PeerState.READY
+        self._members.configure(cfg, now_ms)
+        self.membership.measure(config_version=cfg.version)
+        self.membership.configured(now_ms)
         return []
 
-    def _on_peer(self, event: PeerHeard, now_ms: int) -> list[Action]:
-        known = self.peers.get(event.instance_id)
-        same = known is not None and known.incarnation == event.incarnation
-        if same and known is not None and event.sequence <= known.sequence:
+    def _is_poller(self) -> bool:
+        return self.membership.is_chosen("poll", POLLERS_PER_ZONE)
+
+    def _on_log_moved(self, now_ms: int) -> list[Action]:
+        self.membership.measure(log_version=self.adoption.position.version)
+        return self.membership.nudge(now_ms)
+
+    def _on_peer_version(
+        self, address: Address, version: int, now_ms: int
+    ) -> list[Action]:
+        return self.adoption.hear_version(address, version, now_ms)
+
+    def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
+        handler = self._handlers.get(ZoneHeadroomHeard)
+        if handler is None:
             return []
-        self.peers.put(event.instance_id, event)
-        return []
+        heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
+        return list(handler(heard, now_ms))
 
-    def _zone_preference(self, query: LookUpQuery) -> tuple[str, ...]:
-        cfg = self.configuration
-        if cfg is None:
-            return (self.identity.zone,)
-        if query.address is not None and query.zone is None:
-            name = self._blocks.site_of(query.address)
-            for site in cfg.deployment.sites:
-                if site.name == name:
-                    return site.zones
-        zone = query.zone or self.identity.zone
-        region = region_of_zone(cfg.deployment, zone) or self.identity.region
-        sisters = zones_of_region(cfg.deployment, region)
-        return (zone, *(sister for sister in sisters if sister != zone))
+    def _headroom(self) -> tuple[ServiceHeadroom, ...]:
+        return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
 
 def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -0,0 +1,131 @@
+"""The attempts that the core has decided on and that are under way."""
+
+import asyncio
+import logging
+
+from rhubarbwell_core.messages import (
+    AttemptEnd,
+    AttemptEnded,
+    CancelAttempt,
+    ConnectionSilent,
+    PassToOwner,
+    SendAttempt,
+)
+
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.proxy.connections import ProvenConnector, make_client_session
+from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
+from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop
+from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan
+
+__all__ = ["AttemptSender"]
+
+_log = logging.getLogger(__name__)
+
+
+class AttemptSender:
+    """Carry out the core's attempts at backend servers and peers."""
+
+    def __init__(
+        self, driver: CoreDriver, exchanges: ExchangeTable, hop_keys: HopKeys | None
+    ) -> None:
+        self._driver = driver
+        self._exchanges = exchanges
+        self._hop_keys = hop_keys
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._connector = ProvenConnector()
+        self._session = make_client_session(self._connector)
+        driver.register(SendAttempt, self.send)
+        driver.register(PassToOwner, self.pass_on)
+        driver.register(CancelAttempt, self.cancel)
+
+    def send(self, action: SendAttempt) -> None:
+        """Start an attempt at a backend server or, with a grant, at a peer."""
+        target = action.target
+        plan = AttemptPlan(
+            action.attempt_id,
+            target.address,
+            action.deadline_ms,
+            backend_id=target.target_id if target.grant_id is None else None,
+            grant_id=target.grant_id or "",
+            fresh_connection=action.fresh_connection,
+        )
+        self._start(action.request_id, plan)
+
+    def pass_on(self, action: PassToOwner) -> None:
+        """Start an attempt at the entry instance that owns the request's key."""
+        plan = AttemptPlan(action.attempt_id, action.address, action.deadline_ms)
+        self._start(action.request_id, plan)
+
+    def cancel(self, action: CancelAttempt) -> None:
+        """Cancel a running attempt, its backend server's part included."""
+        task = self._tasks.get(action.attempt_id)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Cancel what runs and close every connection."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._session.close()
+
+    def _start(self, request_id: int, plan: AttemptPlan) -> None:
+        exchange = self._exchanges.get(request_id)
+        if exchange is None:
+            return
+        run = self._run(plan, exchange)
+        self._tasks[plan.attempt_id] = asyncio.create_task(run)
+
+    async def _run(self, plan: AttemptPlan, exchange: Exchange) -> None:
+        started_ms = self._driver.clock_ms()
+        attempt = Attempt(
+            plan,
+            exchange,
+            self._driver,
+            self._session,
+            self._connector,
+            self._hop(plan),
+        )
+        try:
+            end = await attempt.run()
+        except asyncio.CancelledError:
+            end = AttemptEnd.CANCELLED
+        except Exception:
+            _log.exception("attempt %s failed unexpectedly", plan.attempt_id)
+            end = AttemptEnd.RESET_BEFORE_ANSWER
+        self._tasks.pop(plan.attempt_id, None)
+        if attempt.is_silent(end):
+            self._retire_connections(plan)
+        event = AttemptEnded(
+            plan.attempt_id,
+            end,
+            attempt.bytes_sent,
+            self._driver.clock_ms() - started_ms,
+            attempt.status,
+            attempt.connection_was_fresh,
+            exchange.body.replayable and exchange.response is None,
+            attempt.peer_reason,
+            attempt.answer,
+        )
+        self._connector.forget(plan.attempt_id)
+        self._driver.handle(event)
+
+    def _hop(self, plan: AttemptPlan) -> tuple[PeerHop, HopKeys] | None:
+        if plan.backend_id is not None or self._hop_keys is None:
+            return None
+        instance_id = self._driver.core.identity.instance_id
+        hop = PeerHop(instance_id, plan.attempt_id, "", plan.grant_id)
+        return hop, self._hop_keys
+
+    def _retire_connections(self, plan: AttemptPlan) -> None:
+        retired = self._connector.retire(plan.address)
+        _log.warning(
+            "connection to %s:%d made no progress; retired %d idle connections",
+            plan.address.host,
+            plan.address.port,
+            retired,
+        )
+        if plan.backend_id is not None:
+            self._driver.handle(ConnectionSilent(plan.backend_id))
