Spill to other regions under grants, slot leases and link accounts

Requests that a region refuses are forwarded under grants, no larger share of arrivals than weights that move under the shift cap; link rates are charged per request and large bodies are paced.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -8,6 +8,7 @@
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.grants import GrantPart
 from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
 from rhubarbwell_core.membership import MembershipPart, zone_headroom
@@ -30,11 +31,12 @@
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
-    RegionalRouteChooser,
     RetryBudget,
     RouteChooser,
     ShareBackends,
 )
+from rhubarbwell_core.shifts import MeasureOwnZone, ZoneShares
+from rhubarbwell_core.slots import SlotPart
 
 __all__ = ["Core"]
 
@@ -70,9 +72,21 @@
         admission = RankAdmission(self.backends, now_ms=now_ms)
         self.admission: Admission = admission
         self._members = ShareBackends(identity, self.peers, self.backends)
-        self.routes: RouteChooser = RegionalRouteChooser(
-            identity.zone, identity.region, self.backends
+        self.slots = SlotPart(
+            identity,
+            rng,
+            zone_peers=self._zone_peers,
+            is_leaving=lambda: self.state is PeerState.LEAVING,
+        )
+        self.grants = GrantPart(
+            identity,
+            self.peers,
+            self.backends,
+            rng,
+            may_grant=self.slots.may_grant,
         )
+        self.routes: RouteChooser = self.grants.routes
+        self.zone_shares = ZoneShares()
         self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
             identity.incarnation,
@@ -112,8 +126,11 @@
         self._add_part(self.adoption)
         self._add_part(self.keys)
         self._add_part(self._look_ups)
+        self._add_part(self.slots)
+        self._add_part(self.grants)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
+        self._add_system(MeasureOwnZone(identity, self.zone_shares, self._headroom))
 
     @property
     def state(self) -> PeerState:
@@ -142,7 +159,12 @@
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
         """Answer a look-up; raise ValueError for a malformed address."""
         ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
-        return self._look_ups.look_up(query, shares={}, ticket=ticket)
+        zones = self._look_ups.zone_order(query)
+        shares = self.zone_shares.shares(query.service, zones, now_ms)
+        return self._look_ups.look_up(query, shares=shares, ticket=ticket)
+
+    def _zone_peers(self) -> list[PeerHeard]:
+        return self.membership.zone_peers()
 
     def _mint_ticket(self, now_ms: int) -> str | None:
         if self.state is not PeerState.READY:
@@ -180,6 +202,8 @@
         self.configuration = cfg
         self._look_ups.configure(cfg, now_ms)
         self.burn.configure(cfg)
+        self.zone_shares.configure(cfg.deployment)
+        self.slots.configure(cfg, now_ms)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
         self._members.configure(cfg, now_ms)
@@ -200,11 +224,9 @@
         return self.adoption.hear_version(address, version, now_ms)
 
     def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
-        handler = self._handlers.get(ZoneHeadroomHeard)
-        if handler is None:
-            return []
         heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
-        return list(handler(heard, now_ms))
+        self.zone_shares.hear(heard, now_ms)
+        return list(self._handlers[ZoneHeadroomHeard](heard, now_ms))
 
     def _headroom(self) -> tuple[ServiceHeadroom, ...]:
         return zone_headroom(self.backends.rows.rows(), self.identity.zone)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/__init__.py
@@ -2,4 +2,9 @@
 
 from rhubarbwell_core.grants.allowances import *
 from rhubarbwell_core.grants.borrower import *
+from rhubarbwell_core.grants.borrowing import *
+from rhubarbwell_core.grants.capacity import *
 from rhubarbwell_core.grants.grantor import *
+from rhubarbwell_core.grants.lending import *
+from rhubarbwell_core.grants.part import *
+from rhubarbwell_core.grants.routes import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/capacity.py
@@ -0,0 +1,45 @@
+"""The share of a region's measured headroom that one instance may grant."""
+
+from collections.abc import Iterable
+
+from rhubarbwell_core.routing.backends import BackendTable
+from rhubarbwell_core.routing.loads import BackendRow, other_load
+
+__all__ = ["lendable_slots", "measured_part"]
+
+SAFE_PART = 0.9
+UNMEASURED_PART = 0.5
+
+
+def lendable_slots(
+    backends: BackendTable,
+    service: str,
+    *,
+    members: int,
+    running: int,
+    max_age_ms: int,
+    now_ms: int,
+) -> int:
+    """Return how many requests of a service may be granted and running in all.
+
+    members share the region evenly; running are this instance's forwarded ones.
+    """
+    rows = [row for row in backends.rows.rows() if row.service == service]
+    share = backends.usable_slots(service) / members
+    fresh = measured_part(rows, max_age_ms=max_age_ms, now_ms=now_ms)
+    share *= min(SAFE_PART, UNMEASURED_PART + (1.0 - UNMEASURED_PART) * fresh)
+    own = sum(row.in_flight for row in rows) - running
+    region = sum(row.in_flight + other_load(row, now_ms) for row in rows)
+    return max(0, int(share - max(own, region / members - running, 0)))
+
+
+def measured_part(rows: Iterable[BackendRow], *, max_age_ms: int, now_ms: int) -> float:
+    """Return how far reports cover the backend servers, 1 for all just measured."""
+    weights = [
+        0.0
+        if row.reported is None
+        else max(0.0, 1.0 - (now_ms - row.reported.measured_ms) / max_age_ms)
+        for row in rows
+        if not row.draining
+    ]
+    return sum(weights) / len(weights) if weights else 0.0
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/grantor.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/grantor.py
@@ -114,16 +114,16 @@
             ask, self._terms(ask, key, allowance, cap, duration_ms, end_ms)
         )
 
-    def accept(self, grant_id: str, rank: Rank, now_ms: int) -> bool:
-        """Count a forwarded request that has arrived; return False to refuse it."""
+    def accept(self, grant_id: str, rank: Rank, now_ms: int) -> LineKey | None:
+        """Count a forwarded request and return its line, None to refuse it."""
         grant = self.grants.get(grant_id)
         if grant is None or now_ms >= grant.end_ms or rank > grant.rank_floor:
-            return False
+            return None
         line = self.lines[grant.line]
         if line.running >= _granted(line, now_ms).concurrent:
-            return False
+            return None
         self.lines.put(grant.line, line._replace(running=line.running + 1))
-        return True
+        return grant.line
 
     def ended(self, line_key: LineKey) -> None:
         """Count the end of a forwarded request that was accepted."""
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/lending.py
@@ -0,0 +1,118 @@
+"""The lending side of an entry instance: what it grants to other regions."""
+
+from collections.abc import Callable
+
+from rhubarbwell_core.engine import Action, Table
+from rhubarbwell_core.grants.capacity import lendable_slots
+from rhubarbwell_core.grants.grantor import Grantor, LineKey
+from rhubarbwell_core.links import link_share
+from rhubarbwell_core.messages import (
+    Allowance,
+    GrantAsk,
+    GrantAsked,
+    GrantReply,
+    RequestArrived,
+    SendGrantReply,
+)
+from rhubarbwell_core.model import Configuration, Identity, zones_of_region
+from rhubarbwell_core.routing.backends import BackendTable
+from rhubarbwell_core.shifts import GrowthRamp
+
+__all__ = ["Lending"]
+
+
+class Lending:
+    """Answer asks and count the forwarded requests that come of them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        backends: BackendTable,
+        *,
+        may_grant: Callable[[int], bool],
+        is_spilling: Callable[[str], bool],
+    ) -> None:
+        self.grantor = Grantor(identity.instance_id, identity.incarnation)
+        self._identity = identity
+        self._backends = backends
+        self._may_grant = may_grant
+        self._is_spilling = is_spilling
+        self._ramp = GrowthRamp()
+        self._cfg: Configuration | None = None
+        self._members = 1
+        self._accepted = Table[int, LineKey]("forwarded requests accepted")
+
+    def configure(self, configuration: Configuration, now_ms: int) -> None:
+        """Take links, zones and the growth of grants into force."""
+        self._cfg = configuration
+        deployment = configuration.deployment
+        zones = zones_of_region(deployment, self._identity.region)
+        counts = [
+            zone.entry_instances for zone in deployment.zones if zone.name in zones
+        ]
+        self._members = max(1, sum(counts))
+
+    def on_asked(self, event: GrantAsked, now_ms: int) -> list[Action]:
+        """Answer an ask; one that a later ask overtook gets no answer."""
+        ask = event.ask
+        reply = self.grantor.answer(ask, self.cap(ask, now_ms), now_ms)
+        if reply is None:
+            return []
+        return [_to_borrower(event, reply)]
+
+    def cap(self, ask: GrantAsk, now_ms: int) -> Allowance:
+        """Return what this instance may have granted in all when it answers."""
+        cfg = self._cfg
+        own = self._identity.region
+        is_peer_region = ask.borrower_region != own
+        if cfg is None or not is_peer_region or not self._may_grant(now_ms):
+            return Allowance()
+        if self._is_spilling(ask.service):
+            return Allowance()
+        deployment = cfg.deployment
+        zone = self._identity.zone
+        link = link_share(deployment, zone, own, ask.borrower_region)
+        return Allowance(self._slots(ask.service, cfg, now_ms), link, link)
+
+    def accept(self, req: RequestArrived, now_ms: int) -> bool:
+        """Count a forwarded request; return False if no grant covers it."""
+        hop = req.forwarded
+        if hop is None or hop.hops > 1:
+            return False
+        line = self.grantor.accept(hop.grant_id, req.rank, now_ms)
+        if line is None:
+            return False
+        self._accepted.put(req.request_id, line)
+        return True
+
+    def ended(self, req: RequestArrived) -> None:
+        """Count the end of a forwarded request."""
+        line = self._accepted.remove(req.request_id)
+        if line is not None:
+            self.grantor.ended(line)
+
+    def _slots(self, service: str, cfg: Configuration, now_ms: int) -> int:
+        lendable = lendable_slots(
+            self._backends,
+            service,
+            members=self._members,
+            running=self.grantor.running(service),
+            max_age_ms=cfg.deployment.measurement_max_age_ms,
+            now_ms=now_ms,
+        )
+        if lendable == 0:
+            return 0
+        return min(
+            lendable,
+            self._ramp.limit(
+                service,
+                self.grantor.reserved_slots(service, now_ms),
+                lendable,
+                growth_per_s=cfg.deployment.cold_start_growth_per_s,
+                now_ms=now_ms,
+            ),
+        )
+
+
+def _to_borrower(event: GrantAsked, reply: GrantReply) -> SendGrantReply:
+    return SendGrantReply(event.ask.borrower_id, event.address, reply)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/part.py
@@ -0,0 +1,94 @@
+"""The part that lends capacity to other regions and borrows it from them."""
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
+from rhubarbwell_core.grants.borrowing import BORROW_PERIOD_MS, Borrowing
+from rhubarbwell_core.grants.capacity import measured_part
+from rhubarbwell_core.grants.lending import Lending
+from rhubarbwell_core.grants.routes import GrantedRouteChooser
+from rhubarbwell_core.messages import (
+    GrantAnswered,
+    GrantAsked,
+    PeerHeard,
+    ZoneHeadroomHeard,
+)
+from rhubarbwell_core.model import Identity
+from rhubarbwell_core.routing import BackendTable
+from rhubarbwell_core.routing.loads import other_load
+
+__all__ = ["GrantPart"]
+
+SPILLING_PART = 0.005
+MIN_MEASURED_PART = 0.2
+MEASUREMENT_MAX_AGE_MS = 3_000
+
+
+class GrantPart(Part):
+    """Bring grants, shift weights and link accounts into a core."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        peers: Table[str, PeerHeard],
+        backends: BackendTable,
+        rng: Random,
+        *,
+        may_grant: Callable[[int], bool],
+    ) -> None:
+        self._backends = backends
+        self.borrowing = Borrowing(identity, peers, rng, free_part=self._free_part)
+        self.lending = Lending(
+            identity,
+            backends,
+            may_grant=may_grant,
+            is_spilling=self._is_spilling,
+        )
+        self.routes = GrantedRouteChooser(
+            identity, backends, self.borrowing, self.lending
+        )
+
+    def handlers(self) -> Mapping[type, EventHandler]:
+        """Return the handlers of asks, replies and other zones' headroom."""
+        return {
+            GrantAsked: self.lending.on_asked,
+            GrantAnswered: self.borrowing.on_answered,
+            ZoneHeadroomHeard: self._on_headroom,
+        }
+
+    def systems(self) -> Sequence[System]:
+        """Return the system that asks for grants and moves weights."""
+        return (_BorrowSystem(self),)
+
+    def run(self, now_ms: int) -> list[Action]:
+        """Forget what is over and return the asks that are due."""
+        self.lending.grantor.forget_ended(now_ms)
+        return self.borrowing.run(now_ms)
+
+    def _on_headroom(self, event: ZoneHeadroomHeard, now_ms: int) -> list[Action]:
+        self.borrowing.lenders.hear(event, now_ms)
+        return []
+
+    def _is_spilling(self, service: str) -> bool:
+        return self.borrowing.away(service) > SPILLING_PART
+
+    def _free_part(self, service: str, now_ms: int) -> float | None:
+        """Return the free part of the region's slots, None without measurements."""
+        rows = [row for row in self._backends.rows.rows() if row.service == service]
+        slots = self._backends.usable_slots(service)
+        fresh = measured_part(rows, max_age_ms=MEASUREMENT_MAX_AGE_MS, now_ms=now_ms)
+        if not slots or fresh < MIN_MEASURED_PART:
+            return None
+        busy = sum(row.in_flight + other_load(row, now_ms) for row in rows)
+        return max(0.0, 1.0 - busy / slots)
+
+
+class _BorrowSystem(System):
+    period_ms = BORROW_PERIOD_MS
+
+    def __init__(self, part: GrantPart) -> None:
+        self._part = part
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        return self._part.run(now_ms)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/links/accounts.py
@@ -0,0 +1,63 @@
+"""Accounts of the bytes that a granted rate lets through."""
+
+__all__ = ["ByteAccount"]
+
+BURST_MS = 100
+
+
+class ByteAccount:
+    """Let small messages through at a rate and reserve rates for large ones.
+
+    A message may overdraw the account; the next waits until that is made up.
+
+    >>> account = ByteAccount()
+    >>> account.set_rate(1_000_000, now_ms=0)
+    >>> account.charge(300_000), account.has_credit(100), account.has_credit(300)
+    (None, False, True)
+    """
+
+    def __init__(self) -> None:
+        self._rate = 0
+        self._reserved = 0
+        self._balance = 0.0
+        self._at_ms = 0
+
+    def set_rate(self, bytes_per_s: int, now_ms: int) -> None:
+        """Change the rate; a higher one adds at most its burst at once."""
+        self._refill(now_ms)
+        if self._rate == 0:
+            self._balance = min(self._balance, 0.0) + bytes_per_s * BURST_MS / 1_000
+        self._rate = bytes_per_s
+        self._balance = min(self._balance, self._burst())
+
+    def has_credit(self, now_ms: int) -> bool:
+        """Tell whether one more message may be charged."""
+        self._refill(now_ms)
+        return self._balance > 0.0
+
+    def charge(self, count: int) -> None:
+        """Take the bytes of a message off the balance."""
+        self._balance -= count
+
+    def can_reserve(self, bytes_per_s: int) -> bool:
+        """Tell whether a paced message of the rate fits beside the others."""
+        return 0 < bytes_per_s <= self._rate - self._reserved
+
+    def reserve(self, bytes_per_s: int, now_ms: int) -> None:
+        """Keep a rate for a paced message."""
+        self._refill(now_ms)
+        self._reserved += bytes_per_s
+
+    def release(self, bytes_per_s: int, now_ms: int) -> None:
+        """Give back the rate of a paced message that has ended."""
+        self._refill(now_ms)
+        self._reserved -= bytes_per_s
+
+    def _refill(self, now_ms: int) -> None:
+        free = max(0, self._rate - self._reserved)
+        earned = free * max(0, now_ms - self._at_ms) / 1_000
+        self._balance = min(self._burst(), self._balance + earned)
+        self._at_ms = max(self._at_ms, now_ms)
+
+    def _burst(self) -> float:
+        return self._rate * BURST_MS / 1_000
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/links/budgets.py
@@ -0,0 +1,31 @@
+"""Budgets of the links between regions and their split among entry instances."""
+
+from rhubarbwell_core.model import DeploymentSpec, zones_of_region
+
+__all__ = ["FORWARDING_PART", "link_bytes_per_s", "link_share"]
+
+BYTES_PER_MBIT = 125_000
+FORWARDING_PART = 0.85
+GRANTING_SIDES = 2
+
+
+def link_bytes_per_s(deployment: DeploymentSpec, first: str, second: str) -> int:
+    """Return the bytes/s of the link of two regions each way, 0 without a link."""
+    for link in deployment.links:
+        if {link.first, link.second} == {first, second}:
+            return int(link.mbit_per_s * BYTES_PER_MBIT)
+    return 0
+
+
+def link_share(deployment: DeploymentSpec, zone: str, region: str, other: str) -> int:
+    """Return the bytes/s each way that an entry instance of the zone may grant.
+
+    Either region of a link grants half of what forwarding may use of it, split
+    evenly among its zones and, within a zone, among its configured instances.
+    """
+    zones = zones_of_region(deployment, region)
+    counts = [spec.entry_instances for spec in deployment.zones if spec.name == zone]
+    if not zones or not counts or counts[0] == 0:
+        return 0
+    usable = link_bytes_per_s(deployment, region, other) * FORWARDING_PART
+    return int(usable / GRANTING_SIDES / len(zones) / counts[0])
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/messages/requests.py
@@ -99,12 +99,18 @@
 
 
 class Target(NamedTuple):
-    """Name the backend server or, with a grant, the peer that gets an attempt."""
+    """Name the backend server or, with a grant, the peer that gets an attempt.
+
+    An attempt not yet sent at send_before_ms must not be sent; bytes_per_s paces
+    the request's body.
+    """
 
     target_id: str
     address: Address
     grant_id: str | None = None
     fresh_connection: bool = False
+    send_before_ms: int | None = None
+    bytes_per_s: int | None = None
 
 
 class SendAttempt(NamedTuple):
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/spills.py
@@ -0,0 +1,57 @@
+"""The share of a service's requests that is forwarded to other regions."""
+
+from collections.abc import Mapping
+
+from rhubarbwell_core.shifts.weights import move_weights
+
+__all__ = ["SpillWeights"]
+
+MAX_CREDIT = 2.0
+
+
+class SpillWeights:
+    """Forward no larger share of arrivals than weights that move under a cap.
+
+    >>> spill = SpillWeights("north")
+    >>> spill.move({"north": 0.5, "south": 0.5}, step=0.05)
+    >>> for _ in range(20):
+    ...     spill.request_arrived()
+    >>> spill.can_forward("south"), round(spill.away, 2)
+    (True, 0.05)
+    """
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        self.weights: dict[str, float] = {region: 1.0}
+        self._credits: dict[str, float] = {}
+
+    @property
+    def away(self) -> float:
+        """Return the share that may leave the region."""
+        return 1.0 - self.weights.get(self._region, 0.0)
+
+    def request_arrived(self) -> None:
+        """Let each region earn its weight of one request."""
+        for region, weight in self.weights.items():
+            credit = self._credits.get(region, 0.0) + weight
+            self._credits[region] = min(credit, MAX_CREDIT)
+
+    def can_forward(self, region: str) -> bool:
+        """Tell whether the region has earned a request."""
+        return region != self._region and self._credits.get(region, 0.0) >= 1.0 - 1e-9
+
+    def forwarded(self, region: str) -> None:
+        """Count a request that is forwarded to the region."""
+        self._credits[region] -= 1.0
+
+    def move(self, target: Mapping[str, float], *, step: float) -> None:
+        """Move the weights towards the target by at most step."""
+        self.weights = move_weights(self.weights, target, step=step)
+        for region in [name for name in self._credits if name not in self.weights]:
+            del self._credits[region]
+
+    def leave(self, region: str) -> None:
+        """Take the weight of a failed region back at once."""
+        weight = self.weights.pop(region, 0.0)
+        self._credits.pop(region, None)
+        self.weights[self._region] = self.weights.get(self._region, 0.0) + weight
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/weights.py
@@ -0,0 +1,71 @@
+"""Weights that move by no more than a cap per second."""
+
+from collections.abc import Mapping, Sequence
+
+from rhubarbwell_core.messages import ServiceHeadroom
+
+__all__ = ["move_weights", "preferred_weights", "zone_weights"]
+
+AMPLE_FREE_PART = 0.2
+
+
+def move_weights(
+    current: Mapping[str, float], target: Mapping[str, float], *, step: float
+) -> dict[str, float]:
+    """Move weights towards the target by at most step in all.
+
+    >>> move_weights({"a": 1.0}, {"a": 0.5, "b": 0.5}, step=0.25)
+    {'a': 0.75, 'b': 0.25}
+    """
+    names = sorted({*current, *target})
+    changes = {name: target.get(name, 0.0) - current.get(name, 0.0) for name in names}
+    distance = max(
+        sum(change for change in changes.values() if change > 0.0),
+        -sum(change for change in changes.values() if change < 0.0),
+    )
+    part = 1.0 if distance <= step else step / distance
+    moved = {name: current.get(name, 0.0) + part * changes[name] for name in names}
+    return {name: weight for name, weight in moved.items() if weight > 1e-9}
+
+
+def preferred_weights(
+    zones: Sequence[str], headroom: Mapping[str, ServiceHeadroom]
+) -> dict[str, float]:
+    """Return target weights: nearest zones first, each as far as it has room.
+
+    >>> rooms = {"a": ServiceHeadroom("s", 10, 1), "b": ServiceHeadroom("s", 10, 5)}
+    >>> preferred_weights(("a", "b"), rooms)
+    {'a': 0.5, 'b': 0.5}
+    """
+    left = 1.0
+    weights: dict[str, float] = {}
+    for zone in zones:
+        weights[zone] = left * _room(headroom.get(zone))
+        left -= weights[zone]
+    if zones:
+        weights[zones[0]] += left
+    return {zone: weight for zone, weight in weights.items() if weight > 0.0}
+
+
+def zone_weights(
+    current: Mapping[str, float],
+    zones: Sequence[str],
+    headroom: Mapping[str, ServiceHeadroom],
+    *,
+    shift_cap_per_s: float,
+    elapsed_ms: int,
+) -> dict[str, float]:
+    """Return the next weights of zones; without measurements they stay."""
+    if not current:
+        return {zones[0]: 1.0} if zones else {}
+    if not all(zone in headroom for zone in zones):
+        return dict(current)
+    target = preferred_weights(zones, headroom)
+    step = shift_cap_per_s * elapsed_ms / 1_000
+    return move_weights(current, target, step=step)
+
+
+def _room(headroom: ServiceHeadroom | None) -> float:
+    if headroom is None or headroom.slots == 0:
+        return 0.0
+    return min(1.0, headroom.free / headroom.slots / AMPLE_FREE_PART)
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/zones.py
@@ -0,0 +1,105 @@
+"""The shares of a service's work that look-ups give to the zones of a region."""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
+
+from rhubarbwell_core.engine import Action, System, Table
+from rhubarbwell_core.messages import ServiceHeadroom, ZoneHeadroomHeard
+from rhubarbwell_core.model import DeploymentSpec, Identity, region_of_zone
+from rhubarbwell_core.shifts.weights import zone_weights
+
+__all__ = ["MeasureOwnZone", "ZoneShares"]
+
+SHARE_PERIOD_MS = 500
+HEADROOM_MAX_AGE_MS = 10_000
+
+
+class _Shares(NamedTuple):
+    weights: dict[str, float]
+    moved_ms: int
+
+
+class _Heard(NamedTuple):
+    services: dict[str, ServiceHeadroom]
+    measured_ms: int
+
+
+class ZoneShares:
+    """Hold the weights of zones by service and the callers' order of zones."""
+
+    def __init__(self) -> None:
+        self._deployment = DeploymentSpec("", (), ())
+        self._heard = Table[str, _Heard]("headroom of zones")
+        self._shares = Table[tuple[str, tuple[str, ...]], _Shares]("zone shares")
+
+    def configure(self, deployment: DeploymentSpec) -> None:
+        """Take the zones and the shift cap into force."""
+        self._deployment = deployment
+        for key in list(self._shares):
+            self._shares.remove(key)
+
+    def hear(self, event: ZoneHeadroomHeard, now_ms: int) -> None:
+        """Take in the headroom of a zone."""
+        services = {room.service: room for room in event.services}
+        self._heard.put(event.zone, _Heard(services, now_ms - event.age_ms))
+
+    def shares(
+        self, service: str, zones: Iterable[str], now_ms: int
+    ) -> dict[str, float]:
+        """Return the weights among the zones of the nearest zone's region."""
+        local = self._of_first_region(tuple(zones))
+        known = self._shares.get((service, local))
+        if known is not None and now_ms < known.moved_ms + SHARE_PERIOD_MS:
+            return known.weights
+        weights = zone_weights(
+            {} if known is None else known.weights,
+            local,
+            self._headroom(service, local, now_ms),
+            shift_cap_per_s=self._deployment.shift_cap_per_s,
+            elapsed_ms=0 if known is None else now_ms - known.moved_ms,
+        )
+        self._shares.put((service, local), _Shares(weights, now_ms))
+        return weights
+
+    def _of_first_region(self, zones: tuple[str, ...]) -> tuple[str, ...]:
+        if not zones:
+            return ()
+        region = region_of_zone(self._deployment, zones[0])
+        return tuple(
+            zone for zone in zones if region_of_zone(self._deployment, zone) == region
+        )
+
+    def _headroom(
+        self, service: str, zones: Iterable[str], now_ms: int
+    ) -> dict[str, ServiceHeadroom]:
+        rooms = {}
+        for zone in zones:
+            heard = self._heard.get(zone)
+            if heard is None or now_ms > heard.measured_ms + HEADROOM_MAX_AGE_MS:
+                continue
+            if service in heard.services:
+                rooms[zone] = heard.services[service]
+        return rooms
+
+
+class MeasureOwnZone(System):
+    """Tell the shares about the headroom of the instance's own zone."""
+
+    period_ms = SHARE_PERIOD_MS
+
+    def __init__(
+        self,
+        identity: Identity,
+        shares: ZoneShares,
+        read_headroom: Callable[[], tuple[ServiceHeadroom, ...]],
+    ) -> None:
+        self._identity = identity
+        self._shares = shares
+        self._read_headroom = read_headroom
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        """Take in the own zone's headroom."""
+        own = self._identity
+        heard = ZoneHeadroomHeard(own.zone, own.region, self._read_headroom())
+        self._shares.hear(heard, now_ms)
+        return ()
--- a/tests/models/grants_spec.py
+++ b/tests/models/grants_spec.py
@@ -31,6 +31,9 @@
     work: int = MAX_WORK
 
 
+DESIGNED = Rules()
+
+
 class Layer(NamedTuple):
     amount: int
     end: int
@@ -141,7 +144,7 @@
     return None
 
 
-def moves(state: State, rules: Rules = Rules()) -> Iterator[tuple[Move, State]]:
+def moves(state: State, rules: Rules = DESIGNED) -> Iterator[tuple[Move, State]]:
     """Yield every move that is possible with the state it leads to."""
     yield from _clock(state)
     for borrower in BORROWERS:
@@ -157,14 +160,14 @@
     yield from _end_work(state)
 
 
-def steps(state: State, rules: Rules = Rules()) -> Iterator[Step[State]]:
+def steps(state: State, rules: Rules = DESIGNED) -> Iterator[Step[State]]:
     """Yield labelled steps for the explorer, without what can't matter any more."""
     for move, successor in moves(state, rules):
         label = f"t={state.now} {move.kind} {move.message or move.borrower}"
         yield Step(label, reduce(successor, rules))
 
 
-def reduce(state: State, rules: Rules = Rules()) -> State:
+def reduce(state: State, rules: Rules = DESIGNED) -> State:
     """Drop messages and times that no step can read again."""
     net = frozenset(msg for msg in state.net if _matters(state, msg, rules))
     sides = tuple(_reduce_side(state, borrower, rules) for borrower in BORROWERS)
