Check keys, hops and graceful stops between entry instances on real sockets

A refusal before the core sees a request now tells a peer's attempt id back; without it the peer took the refusal for a crossed answer and told its caller that the outcome was unknown.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -19,7 +19,7 @@
 from rhubarbwell_entry.proxy.bodies import CallerGoneError, UploadBody
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
 from rhubarbwell_entry.proxy.fingerprints import fingerprint_request
-from rhubarbwell_entry.proxy.headers import KEY_HEADER, remaining_ms
+from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER, KEY_HEADER, remaining_ms
 from rhubarbwell_entry.proxy.peers import ForgedHopError, HopKeys, PeerHop, read_hop
 from rhubarbwell_entry.proxy.problems import problem_response
 
@@ -75,7 +75,7 @@
         request_id = self.exchanges.new_id()
         found = self._find_work(request)
         if isinstance(found, Reason):
-            return self._refuse(request_id, found)
+            return self._refuse(request, request_id, found)
         exchange = self._begin(request, request_id, found)
         try:
             if exchange.keeps_answer:
@@ -84,7 +84,7 @@
             self._driver.handle(exchange.arrived)
             end = await exchange.ended
         except CallerGoneError:
-            return self._refuse(request_id, Reason.CALLER_GONE)
+            return self._refuse(request, request_id, Reason.CALLER_GONE)
         except asyncio.CancelledError:
             self._driver.handle(CallerGone(request_id))
             raise
@@ -148,8 +148,12 @@
         )
         return Exchange(request, arrived, work.path, body, hop=hop, closes=self.leaving)
 
-    def _refuse(self, request_id: int, reason: Reason) -> web.Response:
+    def _refuse(
+        self, request: web.Request, request_id: int, reason: Reason
+    ) -> web.Response:
         response = problem_response(EndRequest(request_id, Outcome.NOT_RUN, reason))
+        if ATTEMPT_HEADER in request.headers:
+            response.headers[ATTEMPT_HEADER] = request.headers[ATTEMPT_HEADER]
         if self.leaving:
             response.force_close()
         return response
--- /dev/null
+++ b/tests/entry/proxy/test_peers.py
@@ -0,0 +1,222 @@
+"""Contract between entry instances: keys at their owner, hops under a grant."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from rhubarbwell_core.keys import mint_ticket
+from rhubarbwell_core.lookups import LookUpQuery
+from rhubarbwell_core.messages import Target
+from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_platform.standins import BackendStandIn
+from support.entries import RunningEntry, make_configuration
+from support.tables import FlakyTables
+
+
+@pytest.fixture
+async def backend():
+    server = BackendStandIn("b0", slots=20)
+    server.address = await server.start()
+    yield server
+    await server.stop()
+
+
+@pytest.fixture
+async def pair(backend):
+    cfg = make_configuration([backend.address], slots=20)
+    tables = FlakyTables()
+    async with (
+        RunningEntry(cfg, name="a", tables=tables) as a,
+        RunningEntry(cfg, name="b", tables=tables) as b,
+    ):
+        a.meet(b)
+        b.meet(a)
+        yield a, b
+
+
+def ticket_of(entry):
+    query = LookUpQuery("slotsvc", wants_ticket=True)
+    return {
+        "Idempotency-Key": entry.core.look_up(query, entry.driver.clock_ms()).ticket
+    }
+
+
+@pytest.mark.parametrize("make_key", [ticket_of, lambda _: {"Idempotency-Key": "o-1"}])
+async def test_repeats_anywhere_get_the_one_answer(pair, backend, make_key):
+    a, b = pair
+    headers = make_key(a)
+    answers = [
+        await entry.ask("POST", "/book/1", headers=headers, data=b"x")
+        for entry in (a, b, a, b)
+    ]
+    assert len(set(answers)) == 1 and answers[0][:2] == (200, "answered")
+    assert backend.runs_by_path() == {"/book/1": 1}
+
+
+async def test_simultaneous_repeats_wait_for_the_one_run(pair, backend):
+    backend.service_ms = 50
+    headers = {"Idempotency-Key": "o-1"}
+    asks = [entry.ask("POST", "/book/1", headers=headers) for entry in pair * 4]
+    answers = await asyncio.gather(*asks)
+    assert {answer[:2] for answer in answers} == {(200, "answered")}
+    assert len(backend.runs) == 1
+
+
+@pytest.mark.parametrize("first_to_last", [1, -1])
+async def test_other_body_under_one_key_is_refused(pair, first_to_last):
+    first, second = pair[::first_to_last]
+    headers = ticket_of(pair[0])
+    await first.ask("POST", "/book/1", headers=headers, data=b"x")
+    answer = await second.ask("POST", "/book/1", headers=headers, data=b"y")
+    assert answer[:2] == (422, "not_run")
+
+
+async def test_callers_share_no_keys(pair, backend):
+    a, b = pair
+    headers = {"Idempotency-Key": "o-1"}
+    texts = set()
+    for entry, who in ((a, "one"), (b, "two")):
+        answer = await entry.ask(
+            "POST", f"/book/{who}", headers={**headers, "Authorization": who}
+        )
+        texts.add(answer[2])
+    assert len(texts) == len(backend.runs) == 2
+
+
+async def test_lost_owner_is_unknown_until_its_outcome_is_recorded(pair, backend):
+    a, b = pair
+    headers = ticket_of(a)
+    await a.kill()
+    lost = await b.ask("POST", "/book/1", headers=headers)
+    assert lost[:2] == (502, "unknown") and backend.runs == []
+
+
+async def test_recorded_outcome_outlives_its_owner(pair, backend):
+    a, b = pair
+    headers = ticket_of(a)
+    first = await a.ask("POST", "/book/1", headers=headers)
+    while len(a.core.keys.outcomes):
+        await asyncio.sleep(0.01)
+    await a.kill()
+    assert await b.ask("POST", "/book/1", headers=headers) == first
+    assert len(backend.runs) == 1
+
+
+async def test_keyed_run_ends_without_its_caller(pair, backend):
+    a, _ = pair
+    backend.service_ms = 100
+    headers = ticket_of(a)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05):
+            await a.ask("POST", "/book/1", headers=headers)
+    repeat = await a.ask("POST", "/book/1", headers=headers)
+    assert repeat[:2] == (200, "answered")
+    assert (len(backend.runs), backend.cancelled) == (1, 0)
+
+
+async def test_store_out_refuses_own_keys_and_spares_tickets(pair, backend):
+    a, _ = pair
+    a.tables.down = True
+    own = await a.ask("POST", "/book/1", headers={"Idempotency-Key": "o-1"})
+    ticketed = await a.ask("POST", "/book/2", headers=ticket_of(a))
+    unkeyed = await a.ask("POST", "/book/3")
+    assert [answer[1] for answer in (own, ticketed, unkeyed)] == [
+        "not_run",
+        "answered",
+        "answered",
+    ]
+    assert "/book/1" not in backend.runs_by_path()
+
+
+async def test_slow_store_is_bounded_by_the_deadline(backend):
+    cfg = make_configuration([backend.address])
+    tables = FlakyTables(delay_ms=600_000)
+    headers = {"Idempotency-Key": "o-1", "Rhubarbwell-Deadline-Ms": "100"}
+    async with RunningEntry(cfg, tables=tables) as entry:
+        answer = await entry.ask("POST", "/book/1", headers=headers)
+    assert answer[:2] == (503, "not_run") and backend.runs == []
+
+
+async def test_at_most_two_rows_are_written_for_a_keyed_request(pair):
+    a, _ = pair
+    for n in range(10):
+        await a.ask("POST", f"/book/{n}", headers={"Idempotency-Key": f"o-{n}"})
+        await a.ask("POST", f"/book/{n}")
+        await a.ask("GET", f"/page/{n}", headers={"Idempotency-Key": f"o-{n}"})
+    while len(a.core.keys.outcomes):
+        await asyncio.sleep(0.01)
+    assert (a.store.claim_writes, a.store.outcome_writes) == (10, 10)
+    assert a.tables.writes == 20
+
+
+async def test_forged_hop_is_refused(pair, backend):
+    a, b = pair
+    headers = ticket_of(a)
+    assert (await b.ask("POST", "/book/1", headers=headers))[1] == "answered"
+    forged = {**headers, "Rhubarbwell-Peer": "b", "Rhubarbwell-Caller": "someone"}
+    answer = await a.ask("POST", "/book/1", headers=forged)
+    assert answer[:2] == (403, "not_run")
+    a.handler._hop_keys = PeerKeys([b"another test key"])
+    refused = await b.ask("POST", "/book/1", headers=ticket_of(a))
+    assert refused[:2] == (403, "not_run") and len(backend.runs) == 1
+
+
+class ScriptedRoutes:
+    """Forward to a peer under a grant, or accept what is forwarded."""
+
+    def __init__(self, entry, peer=None, accepts=False):
+        self._inner = entry.core.routes
+        self._peer = peer
+        self._accepts = accepts
+        self.accepted = []
+        entry.core.requests._routes = self
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+    def forward(self, req, attempt_id, *, exclude, refused, now_ms):
+        if self._peer is None or exclude:
+            return None
+        return Target("b", self._peer.address, "grant-1")
+
+    def accept_forwarded(self, req, now_ms):
+        self.accepted.append(req.forwarded)
+        return self._accepts
+
+    def forwarded_ended(self, req, now_ms):
+        return None
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+async def test_hop_under_a_grant_carries_it_and_its_refusal_is_not_run(
+    pair, backend, accepts
+):
+    a, b = pair
+    ScriptedRoutes(a, b)
+    routes = ScriptedRoutes(b, accepts=accepts)
+    answers = [await a.ask("POST", f"/book/{n}", data=b"x") for n in range(20)]
+    hops = {(f.instance_id, f.grant_id, f.hops) for f in routes.accepted}
+    assert hops == {("a", "grant-1", 1)} and len(routes.accepted) == 20
+    outcomes = Counter(outcome for _, outcome, _ in answers)
+    assert outcomes["answered"] == len(backend.runs)
+    assert outcomes["not_run"] == 20 - len(backend.runs)
+    assert (outcomes["not_run"] == 0) == accepts
+
+
+async def test_loss_of_the_peer_under_a_grant_is_unknown(pair, backend):
+    a, b = pair
+    ScriptedRoutes(a, b)
+    ScriptedRoutes(b, accepts=True)
+    backend.service_ms = 60_000
+    ask = asyncio.create_task(a.ask("POST", "/book/1"))
+    while not backend.started:
+        await asyncio.sleep(0.01)
+    await b.kill()
+    assert (await ask)[1] == "unknown"
+
+
+async def test_ticket_of_an_unknown_owner_is_unknown(pair, backend):
+    a, _ = pair
+    ticket = mint_ticket("gone-1", a.core._ticket_rng, 0)
+    answer = await a.ask("POST", "/book/1", headers={"Idempotency-Key": ticket})
+    assert answer[:2] == (502, "unknown") and backend.runs == []
--- /dev/null
+++ b/tests/entry/test_shutdown.py
@@ -0,0 +1,116 @@
+import asyncio
+
+import pytest
+from rhubarbwell_core.lookups import LookUpQuery
+from rhubarbwell_entry.shutdown import GracefulShutdown
+from rhubarbwell_platform.standins import BackendStandIn
+from support.entries import RunningEntry, make_configuration
+from support.tables import FlakyTables
+
+
+@pytest.fixture
+async def backend():
+    server = BackendStandIn("b0", slots=20)
+    server.address = await server.start()
+    yield server
+    await server.stop()
+
+
+@pytest.fixture
+async def entry(backend):
+    cfg = make_configuration([backend.address], ttl_ms=100, slots=20)
+    async with RunningEntry(cfg, tables=FlakyTables()) as running:
+        yield running
+
+
+def shutdown_of(entry, announced=None, *, max_ms=10_000):
+    return GracefulShutdown(
+        entry.driver,
+        entry.handler,
+        max_ms=max_ms,
+        announce=lambda: None if announced is None else announced.append(True),
+        stop_listening=entry.site.stop,
+        margin_ms=50,
+    )
+
+
+async def drip(parts, pause_s):
+    for part in parts:
+        yield part
+        await asyncio.sleep(pause_s)
+
+
+async def test_stop_serves_cached_callers_and_cuts_no_upload(entry, backend):
+    parts = [bytes([n]) * 10_000 for n in range(40)]
+    upload = asyncio.create_task(entry.ask("PUT", "/films/1", data=drip(parts, 0.01)))
+    await asyncio.sleep(0.05)
+    announced = []
+    stop = asyncio.create_task(shutdown_of(entry, announced).run())
+    await asyncio.sleep(0.05)
+    assert announced
+    cached = await entry.ask("GET", "/page/1")
+    assert cached[:2] == (200, "answered")
+    assert await stop
+    status, outcome, _ = await upload
+    assert (status, outcome) == (200, "answered")
+    assert backend.runs[-1].body_bytes == 400_000
+
+
+async def test_requests_after_the_time_to_live_are_not_run(entry, backend):
+    backend.service_ms = 400
+    running = asyncio.create_task(entry.ask("POST", "/book/1"))
+    await asyncio.sleep(0.05)
+    kept_open = asyncio.create_task(entry.ask("GET", "/page/1"))
+    stop = asyncio.create_task(shutdown_of(entry).run())
+    while not entry.handler.refusing:
+        await asyncio.sleep(0.01)
+    with pytest.raises(OSError):
+        await asyncio.open_connection(*entry.address)
+    assert await stop
+    assert (await running)[1] == (await kept_open)[1] == "answered"
+
+
+@pytest.mark.parametrize("hurried", [True, False], ids=["second signal", "maximum"])
+@pytest.mark.parametrize("keyed", [True, False])
+async def test_forced_stop_tells_open_bookings_unknown(entry, backend, hurried, keyed):
+    backend.service_ms = 60_000
+    asks = []
+    for n in range(25):
+        headers = {"Idempotency-Key": f"o-{n}"} if keyed else {}
+        asks.append(
+            asyncio.create_task(entry.ask("POST", f"/book/{n}", headers=headers))
+        )
+    await asyncio.sleep(0.1)
+    shutdown = shutdown_of(entry, max_ms=60_000 if hurried else 200)
+    stop = asyncio.create_task(shutdown.run())
+    if hurried:
+        shutdown.hurry()
+    assert not await stop
+    answers = await asyncio.gather(*asks)
+    assert {answer[:2] for answer in answers} == {(502, "unknown")}
+
+
+async def test_stop_flushes_recorded_outcomes(entry):
+    query = LookUpQuery("slotsvc", wants_ticket=True)
+    ticket = entry.core.look_up(query, entry.driver.clock_ms()).ticket
+    await entry.ask("POST", "/book/1", headers={"Idempotency-Key": ticket})
+    assert await shutdown_of(entry).run()
+    assert len(await entry.tables.inner.scan("keys/")) == 1
+
+
+async def test_drain_of_a_backend_server_cuts_no_upload(entry, backend):
+    parts = [b"x" * 10_000] * 20
+    upload = asyncio.create_task(entry.ask("PUT", "/films/1", data=drip(parts, 0.01)))
+    await asyncio.sleep(0.05)
+    backend.drain()
+    cfg = entry.configuration
+    service = cfg.services["slotsvc"]
+    drained = service._replace(
+        backends=tuple(b._replace(draining=True) for b in service.backends)
+    )
+    entry.take(cfg._replace(version=2, services={"slotsvc": drained}))
+    headers = {"Rhubarbwell-Deadline-Ms": "100"}
+    refused = await entry.ask("GET", "/page/1", headers=headers)
+    assert refused[1] == "not_run"
+    assert (await upload)[:2] == (200, "answered")
+    assert backend.runs[-1].body_bytes == 200_000
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -20,8 +20,10 @@
 )
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.keystore import KeyStore
+from rhubarbwell_entry.peers.keys import PeerKeys
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 
+PEER_KEYS = PeerKeys([b"a shared test key"])
 KINDS = (
     WorkKind("page", "GET", "/", idempotent=True, deadline_ms=5_000),
     WorkKind("book", "POST", "/book", deadline_ms=5_000),
@@ -31,19 +33,6 @@
 )
 
 
-class SecretKeys:
-    """Sign hops with a tag that only instances of one secret know."""
-
-    def __init__(self, secret="s"):
-        self.secret = secret
-
-    def sign_text(self, *parts):
-        return f"{self.secret}:{hash(parts)}"
-
-    def verify_text(self, tag, *parts):
-        return tag == self.sign_text(*parts)
-
-
 def make_configuration(addresses, *, ttl_ms=10_000, slots=3):
     servers = tuple(
         BackendSpec(f"b{n}", "r-a", *address, slots=slots)
@@ -58,16 +47,19 @@
 class RunningEntry:
     """Serve one core to callers; `kill` ends it as a lost process would."""
 
-    def __init__(self, configuration, *, name="i", tables=None, keys=None, seed=1):
+    def __init__(
+        self, configuration, *, name="i", life=1, tables=None, keys=PEER_KEYS, seed=1
+    ):
         self.configuration = configuration
         self.name = name
+        self.incarnation = f"{name}-{life}"
         self.tables = tables
         self.keys = keys
         self.seed = seed
 
     async def __aenter__(self):
         here = Address("127.0.0.1", 0)
-        identity = Identity(self.name, f"{self.name}-1", "r-a", "r", here, here)
+        identity = Identity(self.name, self.incarnation, "r-a", "r", here, here)
         self.core = Core(identity, Random(self.seed))
         self.driver = CoreDriver(self.core)
         self.driver.handle(ConfigReceived(self.configuration))
@@ -86,18 +78,22 @@
         self.running = True
         return self
 
+    def take(self, configuration):
+        """Bring a configuration into force."""
+        self.driver.handle(ConfigReceived(configuration))
+
     def meet(self, other):
         """Let the core know another instance as ready."""
         heard = PeerHeard(
             other.name,
-            f"{other.name}-1",
+            other.incarnation,
             "r-a",
             "r",
             other.address,
             other.address,
             PeerState.READY,
-            1,
-            1,
+            config_version=1,
+            sequence=1,
         )
         self.driver.handle(heard)
 
