--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/faults.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/faults.py
@@ -67,8 +67,8 @@
         self._first = after
         self._last = after + times
 
-    def next_fault(self) -> Fault | None:
-        """Count a request and return the fault that it meets."""
+    def next_fault(self, req: RawRequest | None = None) -> Fault | None:
+        """Count a request, None for a bare connection; return the fault it meets."""
         self._requests += 1
         meets = self._first < self._requests <= self._last
         return self.fault if meets else None
@@ -125,7 +125,7 @@
     ) -> None:
         while True:
             req = await _read_head(reader)
-            fault = self._script.next_fault()
+            fault = self._script.next_fault(req)
             early = _BEFORE_BODY.get(fault) if fault else None
             if early is not None:
                 await early(req, reader, writer)
