Prove membership and adoption with many cores on a virtual clock

Random loss, reordering, restarts, cuts, pauses and store faults found two faults, both mended: a peer's answer of part of the log named documents that it no longer held, and a report on an unreachable zone that got lost was never told again. Reports now lapse unless renewed.

--- /dev/null
+++ b/benchmarks/control/store.py
@@ -0,0 +1,108 @@
+"""A published log on the virtual clock, with faults."""
+
+from typing import NamedTuple
+
+from rhubarbwell_core.adoption import (
+    EMPTY_CHAIN,
+    HeadRead,
+    LogHead,
+    LogRow,
+    LogRowsRead,
+    LogSnapshot,
+    ObjectRead,
+    ReadHead,
+    ReadLogRows,
+    ReadObject,
+    ReadSnapshot,
+    RestoreLog,
+    SnapshotRead,
+    chain_digest,
+    document_digest,
+)
+
+__all__ = ["LogBackup", "LogStore"]
+
+
+class LogBackup(NamedTuple):
+    """Hold the rows of a log as they once were."""
+
+    rows: tuple[LogRow, ...]
+
+
+class LogStore:
+    """Answer the core's reads; is_down loses them, delay_ms slows them."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.delay_ms = 5
+        self.lag_versions = 0
+        self.operations = 0
+        self.snapshot: LogSnapshot | None = None
+        self._rows: list[LogRow] = []
+        self._objects: dict[str, str] = {}
+
+    @property
+    def head(self) -> LogHead:
+        """Return the head of the log."""
+        chain = chain_digest(self._rows[-1]) if self._rows else EMPTY_CHAIN
+        snapshot_version = 0 if self.snapshot is None else self.snapshot.version
+        return LogHead(len(self._rows), chain, snapshot_version)
+
+    def publish(self, documents: dict[str, str], *, at_ms: int = 0) -> int:
+        """Append one publish and return its version."""
+        left = len(documents)
+        for name, text in documents.items():
+            left -= 1
+            digest = document_digest(text)
+            self._objects[digest] = text
+            head = self.head
+            version = head.version + 1
+            row = LogRow(
+                version, name, digest, head.chain, f"p{version}", "ana", at_ms, left
+            )
+            self._rows.append(row)
+        return len(self._rows)
+
+    def take_snapshot(self) -> None:
+        """Write a snapshot of the newest version."""
+        digests = {row.document: row.digest for row in self._rows}
+        texts = {name: self._objects[digest] for name, digest in digests.items()}
+        self.snapshot = LogSnapshot(self.head.version, self.head.chain, texts)
+
+    def back_up(self) -> LogBackup:
+        """Return the rows as a backup holds them."""
+        return LogBackup(tuple(self._rows))
+
+    def restore(self, backup: LogBackup) -> None:
+        """Lose every row after the backup."""
+        self._rows = list(backup.rows)
+
+    def answer(self, action):
+        """Return the event that answers a read, None for a restored log."""
+        self.operations += 1
+        if isinstance(action, ReadHead):
+            return HeadRead(action.call_id, self._lagging_head())
+        if isinstance(action, ReadLogRows):
+            rows = tuple(self._rows[action.first - 1 : action.last])
+            return LogRowsRead(action.call_id, rows)
+        if isinstance(action, ReadSnapshot):
+            return SnapshotRead(action.call_id, self.snapshot)
+        if isinstance(action, ReadObject):
+            text = self._objects.get(action.digest)
+            return ObjectRead(action.call_id, action.digest, text)
+        return self._append(action)
+
+    def _lagging_head(self) -> LogHead:
+        version = max(0, len(self._rows) - self.lag_versions)
+        if version == len(self._rows):
+            return self.head
+        chain = chain_digest(self._rows[version - 1]) if version else EMPTY_CHAIN
+        return LogHead(version, chain)
+
+    def _append(self, action: RestoreLog) -> None:
+        if action.expected != self.head:
+            return None
+        self._rows += action.rows
+        for text in action.documents.values():
+            self._objects[document_digest(text)] = text
+        return None
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/position.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/position.py
@@ -17,7 +17,6 @@
 __all__ = ["Candidate", "LogPosition", "pack_document", "unpack_text"]
 
 ROWS_KEPT = 1_024
-ROWS_PER_ANSWER = 256
 MAX_DOCUMENT_BYTES = 64 << 20
 ANSWER_DOCUMENT_BYTES = 3 << 20
 
@@ -113,9 +112,8 @@
         rows = self.rows_after(ask.version, ask.chain)
         if not rows:
             return None
-        sent = _whole_publishes(rows[:ROWS_PER_ANSWER]) or rows
-        names = [row.document for row in sent if row.document in self._digests]
-        return LogAnswer(tuple(sent), self._documents(dict.fromkeys(names)))
+        names = [row.document for row in rows if row.document in self._digests]
+        return LogAnswer(tuple(rows), self._documents(dict.fromkeys(names)))
 
     def rows_after(self, version: int, chain: str) -> list[LogRow]:
         """Return the rows that follow a version and its chain, if they are kept."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
@@ -146,7 +146,8 @@
             self._take(news, now_ms)
         for reach in self.prober.judge_zones(now_ms):
             self.mail.tell_reach(reach)
-            self._offer_zone(reach.zone)
+        for zone in self.zones.update(now_ms):
+            self._offer_zone(zone)
         self._become_ready(now_ms)
         self.members.remove_expired(now_ms)
         pending, self._pending = self._pending, []
@@ -177,14 +178,12 @@
         for summary in heartbeat.zones:
             actions += self._take_summary(summary, now_ms)
         for reach in heartbeat.reaches:
-            if self.zones.merge(reach):
+            if self.zones.merge(reach, now_ms):
                 self.mail.tell_reach(reach)
-                self._offer_zone(reach.zone)
         if heartbeat.is_answer:
             reach_change = self.prober.answered(heartbeat.probe_id, now_ms)
             if reach_change is not None:
                 self.mail.tell_reach(reach_change)
-                self._offer_zone(reach_change.zone)
             self._become_ready(now_ms)
         else:
             actions.append(self.mail.answer(event.address, heartbeat))
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/prober.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/prober.py
@@ -99,7 +99,7 @@
         self._answered_any = True
         if probe.zone is None or probe.zone == self._identity.zone:
             return None
-        return self._zones.answered(probe.zone)
+        return self._zones.answered(probe.zone, now_ms)
 
     def judge(self, now_ms: int) -> list[MemberNews]:
         """Return the suspicions and deaths of zone peers that follow from silence."""
@@ -116,11 +116,13 @@
         return news
 
     def judge_zones(self, now_ms: int) -> list[ZoneReach]:
-        """Return reports of the zones that have become unreachable."""
+        """Return the reports that are due on unreachable zones."""
         late, self._late_watches = self._late_watches, []
         if late:
             self._watch_due_ms = now_ms
-        reports = [self._zones.failed(probe.zone) for probe in late if probe.zone]
+        reports = [
+            self._zones.failed(probe.zone, now_ms) for probe in late if probe.zone
+        ]
         return [report for report in reports if report is not None]
 
     def _judge_silence(self, probe: Probe) -> list[MemberNews]:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
@@ -1,5 +1,7 @@
 """Watch over other zones by the few instances whom the hash names for each."""
 
+from typing import NamedTuple
+
 from rhubarbwell_core.membership.members import MemberTable
 from rhubarbwell_core.membership.rendezvous import rendezvous
 from rhubarbwell_core.messages import PeerHeard, ZoneReach
@@ -9,6 +11,13 @@
 
 WATCHERS_PER_ZONE = 2
 FAILURES_UNTIL_UNREACHABLE = 2
+REPORT_PERIOD_MS = 4_000
+REPORT_MAX_AGE_MS = 15_000
+
+
+class _Report(NamedTuple):
+    reach: ZoneReach
+    heard_ms: int
 
 
 class ZoneWatch:
@@ -21,7 +30,8 @@
         self._watchers_key: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self._failures: dict[str, int] = {}
         self._queue: list[str] = []
-        self._reports: dict[str, dict[str, ZoneReach]] = {}
+        self._reports: dict[str, dict[str, _Report]] = {}
+        self._unreachable: set[str] = set()
 
     def watched(self) -> list[str]:
         """Return the zones that this instance watches."""
@@ -40,46 +50,70 @@
         self._queue = [other for other in self._queue if other != zone]
         return self._target(zone)
 
-    def answered(self, zone: str) -> ZoneReach | None:
+    def answered(self, zone: str, now_ms: int) -> ZoneReach | None:
         """Count an answer; return a report if the zone was unreachable."""
         self._failures.pop(zone, None)
-        return self._report(zone, reachable=True)
+        return self._report(zone, reachable=True, now_ms=now_ms)
 
-    def failed(self, zone: str) -> ZoneReach | None:
-        """Count a failure; return a report if the zone has become unreachable."""
+    def failed(self, zone: str, now_ms: int) -> ZoneReach | None:
+        """Count a failure; return a report that is due on an unreachable zone."""
         failures = self._failures.get(zone, 0) + 1
         self._failures[zone] = failures
         if failures < FAILURES_UNTIL_UNREACHABLE:
             return None
-        return self._report(zone, reachable=False)
+        return self._report(zone, reachable=False, now_ms=now_ms)
 
-    def merge(self, reach: ZoneReach) -> bool:
+    def merge(self, reach: ZoneReach, now_ms: int) -> bool:
         """Take in a zone peer's report; return False if a newer one is known."""
         reports = self._reports.setdefault(reach.zone, {})
         known = reports.get(reach.watcher)
-        if known is not None and known.sequence >= reach.sequence:
+        if known is not None and known.reach.sequence >= reach.sequence:
             return False
-        reports[reach.watcher] = reach
+        reports[reach.watcher] = _Report(reach, now_ms)
         return True
 
     def is_reachable(self, zone: str) -> bool:
-        """Return whether any watcher can reach the zone or has not yet said."""
-        if zone == self._identity.zone:
-            return True
-        reports = self._reports.get(zone, {})
-        watchers = self._current_watchers().get(zone, ())
-        said = [reports[name].reachable for name in watchers if name in reports]
-        return any(said) or len(said) < len(watchers)
-
-    def _report(self, zone: str, *, reachable: bool) -> ZoneReach | None:
+        """Return whether the zone was reachable at the last update."""
+        return zone not in self._unreachable
+
+    def update(self, now_ms: int) -> list[str]:
+        """Judge the zones anew and return those whose judgement changed.
+
+        A zone is unreachable while every watcher has lately said so.
+        """
+        unreachable = {
+            zone
+            for zone, watchers in self._current_watchers().items()
+            if self._is_unreachable(zone, watchers, now_ms)
+        }
+        changed = unreachable ^ self._unreachable
+        self._unreachable = unreachable
+        return sorted(changed)
+
+    def _is_unreachable(self, zone: str, watchers: list[str], now_ms: int) -> bool:
+        reports = self._reports.get(zone)
+        if not reports or not watchers:
+            return False
+        said = [reports[name] for name in watchers if name in reports]
+        return len(said) == len(watchers) and all(
+            not report.reach.reachable and now_ms - report.heard_ms < REPORT_MAX_AGE_MS
+            for report in said
+        )
+
+    def _report(self, zone: str, *, reachable: bool, now_ms: int) -> ZoneReach | None:
         own_id = self._identity.instance_id
         known = self._reports.get(zone, {}).get(own_id)
-        was_reachable = known is None or known.reachable
-        if was_reachable == reachable:
+        sequence = 1
+        if known is None and reachable:
             return None
-        sequence = 1 if known is None else known.sequence + 1
+        if known is not None:
+            age_ms = now_ms - known.heard_ms
+            is_due = not reachable and age_ms >= REPORT_PERIOD_MS
+            if known.reach.reachable == reachable and not is_due:
+                return None
+            sequence = known.reach.sequence + 1
         reach = ZoneReach(zone, own_id, sequence, reachable)
-        self.merge(reach)
+        self.merge(reach, now_ms)
         return reach
 
     def _target(self, zone: str) -> PeerHeard | None:
