Measure steering under load and faults with a deterministic harness; yield borrowed slots

Cores of both deployments run against modelled backend servers on a virtual clock, with round robin and least reported load as baselines.

--- /dev/null
+++ b/benchmarks/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic load-and-fault harness for steering decisions."""
--- /dev/null
+++ b/benchmarks/steering/baselines.py
@@ -0,0 +1,143 @@
+"""Two baselines with a core's interface: round robin, and least reported load."""
+
+from abc import ABC, abstractmethod
+from random import Random
+
+from rhubarbwell_core.engine import Action, Event
+from rhubarbwell_core.lookups import LookUpAnswer, LookUpQuery, answer_look_up
+from rhubarbwell_core.messages import (
+    AttemptEnd,
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    ConfigReceived,
+    EndRequest,
+    LoadReported,
+    PeerHeard,
+    RequestArrived,
+    SendAttempt,
+    Target,
+)
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    Identity,
+    Outcome,
+    Reason,
+    zones_of_region,
+)
+
+__all__ = ["LeastReportedLoad", "RoundRobin"]
+
+MAX_ATTEMPTS = 3
+_RETRIED = frozenset(
+    {AttemptEnd.SHED, AttemptEnd.CONNECT_REFUSED, AttemptEnd.CONNECT_TIMEOUT}
+)
+
+
+class Baseline(ABC):
+    """Send each request at once to a backend server of the region, up to 3 times."""
+
+    def __init__(self, identity: Identity, rng: Random) -> None:
+        self.identity = identity
+        self._rng = rng
+        self._backends: dict[str, list[BackendSpec]] = {}
+        self._peers: dict[str, PeerHeard] = {}
+        self._tries: dict[str, tuple[RequestArrived, int]] = {}
+        self._sent = 0
+
+    @abstractmethod
+    def choose(self, service: str) -> BackendSpec:
+        """Return the backend server of the next attempt."""
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Take in an event."""
+        if isinstance(event, ConfigReceived):
+            cfg = event.configuration
+            zones = zones_of_region(cfg.deployment, self.identity.region)
+            for name, service in cfg.services.items():
+                used = [spec for spec in service.backends if spec.zone in zones]
+                self._backends[name] = used
+        elif isinstance(event, PeerHeard):
+            self._peers[event.instance_id] = event
+        elif isinstance(event, LoadReported):
+            self.take_report(event)
+        elif isinstance(event, RequestArrived):
+            return [self._send(event, 1)]
+        elif isinstance(event, AttemptEnded):
+            return self._on_ended(event, now_ms)
+        elif isinstance(event, CallerGone):
+            return [
+                CancelAttempt(attempt_id)
+                for attempt_id, (req, _) in self._tries.items()
+                if req.request_id == event.request_id
+            ]
+        return []
+
+    def take_report(self, event: LoadReported) -> None:
+        """Leave a report of load unread."""
+        return None
+
+    def advance(self, now_ms: int) -> list[Action]:
+        """Do nothing on time alone."""
+        return []
+
+    def next_due_ms(self) -> int | None:
+        """Return None: no timer runs."""
+        return None
+
+    def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
+        """Answer with the instances known."""
+        zones = (query.zone or self.identity.zone,)
+        return answer_look_up(self._peers.values(), zones, ttl_ms=5_000, rng=self._rng)
+
+    def _send(self, req: RequestArrived, tries: int) -> Action:
+        spec = self.choose(req.service)
+        self._sent += 1
+        attempt_id = f"{self.identity.instance_id}-{self._sent}"
+        self._tries[attempt_id] = req, tries
+        target = Target(spec.backend_id, Address(spec.host, spec.port))
+        return SendAttempt(req.request_id, attempt_id, target, req.deadline_ms)
+
+    def _on_ended(self, event: AttemptEnded, now_ms: int) -> list[Action]:
+        req, tries = self._tries.pop(event.attempt_id)
+        if event.end is AttemptEnd.ANSWERED:
+            return [EndRequest(req.request_id, Outcome.ANSWERED, Reason.SERVED)]
+        is_retried = event.end in _RETRIED or req.idempotent
+        if is_retried and tries < MAX_ATTEMPTS and now_ms < req.deadline_ms:
+            return [self._send(req, tries + 1)]
+        outcome = Outcome.NOT_RUN if event.end in _RETRIED else Outcome.UNKNOWN
+        return [EndRequest(req.request_id, outcome, Reason.BACKEND_FAILED)]
+
+
+class RoundRobin(Baseline):
+    """Take the region's backend servers in turn, without limits."""
+
+    def __init__(self, identity: Identity, rng: Random) -> None:
+        super().__init__(identity, rng)
+        self._turn = rng.randrange(1_000)
+
+    def choose(self, service: str) -> BackendSpec:
+        """Return the next backend server."""
+        self._turn += 1
+        backends = self._backends[service]
+        return backends[self._turn % len(backends)]
+
+
+class LeastReportedLoad(Baseline):
+    """Take the backend server whose last report gave the least load."""
+
+    def __init__(self, identity: Identity, rng: Random) -> None:
+        super().__init__(identity, rng)
+        self._loads: dict[str, int] = {}
+
+    def take_report(self, event: LoadReported) -> None:
+        """Keep the last report."""
+        self._loads[event.backend_id] = event.in_flight
+
+    def choose(self, service: str) -> BackendSpec:
+        """Return the least loaded backend server, at random among equals."""
+        backends = self._backends[service]
+        least = min(self._loads.get(spec.backend_id, 0) for spec in backends)
+        equal = [s for s in backends if self._loads.get(s.backend_id, 0) == least]
+        return self._rng.choice(equal)
--- /dev/null
+++ b/benchmarks/steering/clock.py
@@ -0,0 +1,33 @@
+"""A virtual clock that runs callbacks in the order of their times."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+__all__ = ["VirtualClock"]
+
+
+class VirtualClock:
+    """Run scheduled callbacks; equal times run in the order of scheduling."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self._order = count()
+        self._due: list[tuple[int, int, Callable[[], None]]] = []
+
+    def call_at(self, due_ms: int, callback: Callable[[], None]) -> None:
+        """Run the callback at due_ms, or now if that has passed."""
+        due_ms = max(due_ms, self.now_ms)
+        heapq.heappush(self._due, (due_ms, next(self._order), callback))
+
+    def call_later(self, delay_ms: int, callback: Callable[[], None]) -> None:
+        """Run the callback after delay_ms."""
+        self.call_at(self.now_ms + delay_ms, callback)
+
+    def run_until(self, end_ms: int) -> None:
+        """Run every callback due up to end_ms."""
+        while self._due and self._due[0][0] <= end_ms:
+            due_ms, _, callback = heapq.heappop(self._due)
+            self.now_ms = due_ms
+            callback()
+        self.now_ms = end_ms
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -112,28 +112,33 @@
         self._samples += 1
         self._sheds += 1
 
-    def adjust(self, now_ms: int, *, others_need_room: bool) -> None:
-        """Move the limit once enough attempts have ended."""
+    def adjust(self, now_ms: int, *, fair_top: float | None) -> None:
+        """Move the limit once enough attempts have ended.
+
+        The fair top is the instance's use and its part of the free slots, if known.
+        """
+        top = self._ceiling if fair_top is None else min(self._ceiling, fair_top)
+        top = max(float(self._share), top)
+        self.value = min(self.value, top)
         age_ms = now_ms - self._opened_ms
         needed = MIN_SAMPLES if age_ms < MAX_WINDOW_MS else MIN_SAMPLES_OF_LONG_WINDOW
         if age_ms < MIN_WINDOW_MS or self._samples < needed:
             return
-        self._move(self._floors.close_window(), others_need_room)
+        self._move(self._floors.close_window(), top)
         self._opened_ms = now_ms
         self._samples = self._sheds = 0
         self._was_full = False
 
-    def _move(self, log_ratio: float, others_need_room: bool) -> None:
+    def _move(self, log_ratio: float, top: float) -> None:
         if self._sheds > CONGESTED_SHED_SHARE * self._samples:
             self._decrease = None
             self._lower()
         elif log_ratio > CONGESTED_LOG_RATIO:
             self._lower_for_latency(log_ratio)
-        elif self.value > self._share and others_need_room:
-            self.value = max(float(self._share), self.value - 1.0)
         elif self._was_full and log_ratio < CALM_LOG_RATIO:
             self._decrease = None
-            self._raise(others_need_room)
+            grown = self.value + max(1.0, GROWTH * self.value)
+            self.value = max(self.value, min(top, grown))
 
     def _lower_for_latency(self, log_ratio: float) -> None:
         last = self._decrease
@@ -148,8 +153,3 @@
     def _lower(self) -> None:
         lowest = self._share if self.value > self._share else 1
         self.value = max(float(lowest), self.value * DECREASE)
-
-    def _raise(self, others_need_room: bool) -> None:
-        top = self._share if others_need_room else self._ceiling
-        grown = self.value + max(1.0, GROWTH * self.value)
-        self.value = max(self.value, min(float(top), grown))
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
@@ -106,8 +106,9 @@
         """Move the limits of services that have seen enough attempts."""
         for name, service in self._services.items():
             self._set_bounds(name, service)
-            is_full = self._backends.is_reported_full(name, now_ms)
-            service.limit.adjust(now_ms, others_need_room=is_full)
+            service.note_usage()
+            fair_top = self._backends.fair_top(name, service.mean_in_flight, now_ms)
+            service.limit.adjust(now_ms, fair_top=fair_top)
 
     def limit_of(self, service: str) -> int:
         """Return the concurrent requests that the instance may send, 0 if unknown."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
@@ -10,6 +10,7 @@
 __all__ = ["ServiceAdmission"]
 
 HOLD_GAIN = 0.05
+USAGE_GAIN = 0.1
 
 
 class ServiceAdmission:
@@ -21,12 +22,18 @@
         self._floors = floors
         self._queues = tuple(RankQueue() for _ in Rank)
         self._hold_ms = 0.0
+        self.mean_in_flight = 0.0
 
     @property
     def has_waiting(self) -> bool:
         """Tell whether a request waits."""
         return any(self._queues)
 
+    def note_usage(self) -> None:
+        """Follow the mean number of requests in flight."""
+        change = self.shares.in_flight - self.mean_in_flight
+        self.mean_in_flight += USAGE_GAIN * change
+
     def set_floors(self, floors: RankFloors) -> None:
         """Take other floors into force."""
         self._floors = floors
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -24,6 +24,7 @@
 from rhubarbwell_core.routing.loads import (
     BackendRow,
     effective_slots,
+    is_fresh,
     load_score,
     other_load,
     take_report,
@@ -109,13 +110,15 @@
         """Return the instance's even part of the usable slots."""
         return sum(self._homes.get(service, {}).values())
 
-    def is_reported_full(self, service: str, now_ms: int) -> bool:
-        """Tell whether trusted reports leave no slot free in the region."""
-        load = 0.0
-        for backend_id in self._listed.get(service, ()):
-            row = self.rows[backend_id]
-            load += min(row.slots, row.in_flight + other_load(row, now_ms))
-        return load > self.usable_slots(service) - 1
+    def fair_top(self, service: str, own_load: float, now_ms: int) -> float | None:
+        """Return own load and an even part of the free slots, None without reports."""
+        rows = [self.rows[name] for name in self._listed.get(service, ())]
+        told = [row for row in rows if is_fresh(row, now_ms)]
+        if not told:
+            return None
+        taken = sum(min(row.slots, max(0.0, row.others)) for row in told)
+        free = self.usable_slots(service) - taken * len(rows) / len(told) - own_load
+        return own_load + free / self._members
 
     def on_load(self, event: LoadReported, now_ms: int) -> list[Action]:
         """Take in a report of load; an older one than the last is left out."""
@@ -199,7 +202,9 @@
                 attempt.service, attempt.kind, ended.latency_ms
             )
         after = after_attempt(row, ended, log_ratio, now_ms)
-        after = after._replace(in_flight=max(0, row.in_flight - 1))
+        in_flight = max(0, row.in_flight - 1)
+        lowest = min(row.lowest_in_flight, in_flight)
+        after = after._replace(in_flight=in_flight, lowest_in_flight=lowest)
         self.rows.put(row.backend_id, after)
         if after.in_use_since_ms != row.in_use_since_ms:
             self._refresh_service(row.service, self._listed[row.service], now_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/loads.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/loads.py
@@ -6,11 +6,20 @@
 from rhubarbwell_core.messages import LoadReported
 from rhubarbwell_core.model import Address
 
-__all__ = ["BackendRow", "effective_slots", "load_score", "other_load", "take_report"]
+__all__ = [
+    "BackendRow",
+    "effective_slots",
+    "is_fresh",
+    "load_score",
+    "other_load",
+    "take_report",
+]
 
 REPORT_MAX_AGE_MS = 3_000
 TRUST_GAIN = 0.05
 TRUST_LOSS = 0.5
+MIN_TRUST = 0.5
+OTHERS_GAIN = 0.4
 MIN_WEIGHT = 0.1
 
 
@@ -18,7 +27,8 @@
     """Hold what is known of one backend server.
 
     in_use_since_ms starts a slow start, None stands for a warm server;
-    slowness is the log of its latency over the typical one.
+    slowness is the log of its latency over the typical one; others is the
+    smoothed number of attempts that other instances have in flight.
     """
 
     backend_id: str
@@ -28,7 +38,8 @@
     slots: int
     in_flight: int = 0
     reported: LoadReported | None = None
-    own_at_report: int = 0
+    others: float = 0.0
+    lowest_in_flight: int = 0
     trust: float = 1.0
     leaving_sources: frozenset[str] = frozenset()
     in_use_since_ms: int | None = None
@@ -48,14 +59,22 @@
 def take_report(row: BackendRow, report: LoadReported) -> BackendRow:
     """Keep a report and judge it by the row's own attempts in flight.
 
-    >>> row = BackendRow("b", "s", "z", Address("127.0.0.1", 1), 3, in_flight=3)
+    >>> row = BackendRow("b", "s", "z", Address("127.0.0.1", 1), 3)
+    >>> row = row._replace(in_flight=3, lowest_in_flight=2)
     >>> take_report(row, LoadReported("b", 0, 10)).trust
     0.5
     """
-    is_wrong = report.in_flight < row.in_flight - 1
+    is_wrong = report.in_flight < row.lowest_in_flight
     is_wrong = is_wrong or (report.in_flight > 2 * row.slots and row.slowness < 0.2)
     trust = row.trust * TRUST_LOSS if is_wrong else min(1.0, row.trust + TRUST_GAIN)
-    return row._replace(reported=report, own_at_report=row.in_flight, trust=trust)
+    others = report.in_flight - row.in_flight
+    gain = 1.0 if row.reported is None else OTHERS_GAIN
+    return row._replace(
+        reported=report,
+        others=row.others + gain * (others - row.others),
+        trust=trust,
+        lowest_in_flight=row.in_flight,
+    )
 
 
 def other_load(row: BackendRow, now_ms: int) -> float:
@@ -64,7 +83,14 @@
         return 0.0
     age_ms = now_ms - row.reported.measured_ms
     weight = row.trust * max(0.0, 1.0 - age_ms / REPORT_MAX_AGE_MS)
-    return weight * max(0, row.reported.in_flight - row.own_at_report)
+    return weight * max(0.0, row.others)
+
+
+def is_fresh(row: BackendRow, now_ms: int) -> bool:
+    """Tell whether the last report is recent and trusted."""
+    if row.reported is None or row.trust < MIN_TRUST:
+        return False
+    return now_ms - row.reported.measured_ms <= REPORT_MAX_AGE_MS
 
 
 def slow_start_weight(row: BackendRow, growth_per_s: float, now_ms: int) -> float:
