--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -4,11 +4,13 @@
 from random import Random
 
 from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.adoption import POLLERS_PER_ZONE, AdoptionPart
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
 from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
+from rhubarbwell_core.membership import MembershipPart, zone_headroom
 from rhubarbwell_core.messages import (
     AttemptEnded,
     BackendLeaving,
@@ -20,6 +22,9 @@
     PeerHeard,
     PeerState,
     RequestArrived,
+    ServiceHeadroom,
+    ZoneHeadroomHeard,
+    ZoneSummary,
 )
 from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
@@ -53,10 +58,10 @@
         *,
         now_ms: int = 0,
         on_ended: Callable[[EndedRequest], None] | None = None,
+        ticket_rng: Random | None = None,
     ) -> None:
         self.identity = identity
         self.configuration: Configuration | None = None
-        self.state = PeerState.JOINING
         self.timers = TimerService(now_ms=now_ms)
         self.peers = Table[str, PeerHeard]("peers")
         self.backends = BackendTable(
@@ -76,24 +81,45 @@
             RetryBudget(),
             self.keys,
         )
+        self.membership = MembershipPart(
+            identity,
+            self.peers,
+            rng,
+            now_ms=now_ms,
+            on_version=self._on_peer_version,
+            on_summary=self._on_zone_summary,
+            read_headroom=self._headroom,
+        )
+        self.adoption = AdoptionPart(
+            rng,
+            is_poller=self._is_poller,
+            on_configuration=self._on_config,
+            on_moved=self._on_log_moved,
+        )
         self.burn = BurnObserver()
         self._on_ended = on_ended
-        self._rng = rng
+        self._ticket_rng = ticket_rng or rng
         self._look_ups = LookUpPart(identity, self.peers, rng)
         self._handlers: dict[type, EventHandler] = {
             ConfigReceived: self._on_config,
-            PeerHeard: self._on_peer,
             LoadReported: self.backends.on_load,
             BackendLeaving: self.backends.on_leaving,
             BackendReturned: self.backends.on_returned,
             ConnectionSilent: self.backends.on_connection_silent,
         }
         self._add_part(self.requests)
+        self._add_part(self.membership)
+        self._add_part(self.adoption)
         self._add_part(self.keys)
         self._add_part(self._look_ups)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
 
+    @property
+    def state(self) -> PeerState:
+        """Return the state that this instance announces."""
+        return self.membership.state
+
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Take in an event; raise KeyError for a type that no part handles."""
         if isinstance(event, RequestArrived):
@@ -121,7 +147,7 @@
     def _mint_ticket(self, now_ms: int) -> str | None:
         if self.state is not PeerState.READY:
             return None
-        return mint_ticket(self.identity.incarnation, self._rng, now_ms)
+        return mint_ticket(self.identity.incarnation, self._ticket_rng, now_ms)
 
     def _find_owner(self, incarnation: str) -> Address | None:
         for peer in self.peers.rows():
@@ -157,17 +183,31 @@
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
         self._members.configure(cfg, now_ms)
-        if self.state is PeerState.JOINING:
-            self.state = PeerState.READY
+        self.membership.measure(config_version=cfg.version)
+        self.membership.configured(now_ms)
         return []
 
-    def _on_peer(self, event: PeerHeard, now_ms: int) -> list[Action]:
-        known = self.peers.get(event.instance_id)
-        same = known is not None and known.incarnation == event.incarnation
-        if same and known is not None and event.sequence <= known.sequence:
+    def _is_poller(self) -> bool:
+        return self.membership.is_chosen("poll", POLLERS_PER_ZONE)
+
+    def _on_log_moved(self, now_ms: int) -> list[Action]:
+        self.membership.measure(log_version=self.adoption.position.version)
+        return self.membership.nudge(now_ms)
+
+    def _on_peer_version(
+        self, address: Address, version: int, now_ms: int
+    ) -> list[Action]:
+        return self.adoption.hear_version(address, version, now_ms)
+
+    def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
+        handler = self._handlers.get(ZoneHeadroomHeard)
+        if handler is None:
             return []
-        self.peers.put(event.instance_id, event)
-        return []
+        heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
+        return list(handler(heard, now_ms))
+
+    def _headroom(self) -> tuple[ServiceHeadroom, ...]:
+        return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
 
 def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -5,7 +5,7 @@
 import secrets
 import socket
 from collections.abc import Callable, Coroutine
-from random import Random
+from random import Random, SystemRandom
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -16,6 +16,7 @@
 
 from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
 from rhubarbwell_entry.gauges import add_core_gauges
+from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import (
     Listener,
     address_of,
@@ -27,6 +28,7 @@
 from rhubarbwell_entry.metrics import InstanceMetrics
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
+from rhubarbwell_entry.polling import ConfigurationPoller
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 from rhubarbwell_entry.settings import Settings
 
@@ -62,9 +64,10 @@
         self.metrics = InstanceMetrics(self.identity)
         core = Core(
             self.identity,
-            rng or Random(self.identity.incarnation),
+            rng or SystemRandom(),
             now_ms=clock_ms(),
             on_ended=self.metrics.request_ended,
+            ticket_rng=SystemRandom(),
         )
         self.driver = CoreDriver(core, clock_ms=clock_ms)
         self._listeners: list[Listener] = []
@@ -89,6 +92,7 @@
         """Start the listeners and the background tasks."""
         self._session = aiohttp.ClientSession()
         self._callers = CallerHandler(self.driver)
+        self._keys = KeyStore(self.driver, self._platform.tables)
         add_core_gauges(self.metrics, self.driver)
         tls = tls_context(self.settings.tls)
         caller_app = self._caller_app()
@@ -104,6 +108,7 @@
         for listener in self._listeners:
             await listener.start()
         self._spawn(self.driver.run())
+        self._spawn(ConfigurationPoller(self.driver, self._platform).run())
         self._spawn(BackendMonitor(self.driver, self._session).run())
         log_event(
             _log,
@@ -122,6 +127,7 @@
         for listener in self._listeners:
             await listener.stop()
         await self._callers.close()
+        await self._keys.close()
         await self._session.close()
         self.metrics.close()
 
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
@@ -0,0 +1,39 @@
+"""The command line for operators."""
+
+from pathlib import Path
+
+import fire
+import uvloop
+
+from rhubarbwell_ops.commands import ConfigurationCommands
+from rhubarbwell_ops.demo import DemoError, format_demo, run_demo
+from rhubarbwell_ops.exits import ExitCode, Report, exit_with
+
+__all__ = ["Commands", "main"]
+
+DEMO_FILES = "examples/demo"
+
+
+class Commands(ConfigurationCommands):
+    """Steer a rhubarbwell deployment.
+
+    Exit codes: 0 done, 1 findings, 2 wrong use, 3 conflict, 4 nothing done,
+    5 outcome unknown, 6 published but not in force everywhere.
+    """
+
+    def demo(self, files: str = DEMO_FILES) -> None:
+        """Run a small deployment on this machine for about twenty seconds."""
+        try:
+            result = uvloop.run(run_demo(Path(files)))
+        except DemoError as exc:
+            exit_with(Report(ExitCode.FINDINGS, str(exc)), as_json=False)
+        print(format_demo(result))
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    fire.Fire(Commands, name="rhubarbwell")
+
+
+if __name__ == "__main__":
+    main()
