--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -117,7 +117,7 @@
 
         The fair top is the instance's use and its part of the free slots, if known.
         """
-        top = self._ceiling if fair_top is None else min(self._ceiling, fair_top)
+        top = self.value if fair_top is None else min(self._ceiling, fair_top)
         top = max(float(self._share), top)
         self.value = min(self.value, top)
         age_ms = now_ms - self._opened_ms
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -24,9 +24,8 @@
 from rhubarbwell_core.routing.loads import (
     BackendRow,
     effective_slots,
+    expected_cost,
     is_fresh,
-    load_score,
-    other_load,
     take_report,
 )
 from rhubarbwell_core.routing.recovery import (
@@ -39,7 +38,10 @@
 __all__ = ["BackendTable"]
 
 SUBSET_SIZE = 24
-MAX_DRAWS = 4
+DRAWS = 2
+HOME_FACTOR = 0.7
+FAR_FACTOR = 1.2
+SLOWNESS_KEPT = 0.98
 CONFIG_SOURCE = "configuration"
 HEALTH_SOURCE = "health"
 
@@ -98,6 +100,7 @@
 
     def refresh(self, now_ms: int) -> None:
         """Work out which backend servers are in use and with how many slots."""
+        self._forget_slowness()
         self._used.clear()
         for service, backend_ids in self._listed.items():
             self._refresh_service(service, backend_ids, now_ms)
@@ -158,29 +161,28 @@
         zones: Collection[str],
         exclude: Collection[str],
         *,
-        now_ms: int = 0,
-        only_free: bool = False,
+        far_zones: Collection[str] = (),
+        now_ms: int,
     ) -> BackendRow | None:
-        """Return a backend server with a home slot free, else the better of two.
-
-        With only_free, return None rather than one without a free slot.
-        """
-        home = self._choose_home(service, zones, exclude, now_ms)
-        if home is not None:
-            return home
-        used = [name for zone in zones for name in self._used.get((service, zone), ())]
+        """Return the best of the home slots and two random servers near and far."""
+        homes = self._homes.get(service, {})
+        names = set(homes)
+        for group in (zones, far_zones):
+            names.update(self._draw(service, group))
         best: BackendRow | None = None
-        best_score = 0.0
-        for backend_id in self._rng.sample(used, min(MAX_DRAWS, len(used))):
-            row = self.rows[backend_id]
-            if backend_id in exclude or not is_usable(row, now_ms):
+        best_cost = 0.0
+        for name in sorted(names):
+            row = self.rows[name]
+            if name in exclude or not is_usable(row, now_ms):
                 continue
             slots = effective_slots(row, self._growth_per_s, now_ms)
-            if only_free and row.in_flight + other_load(row, now_ms) > slots - 0.5:
-                continue
-            score = load_score(row, slots, now_ms)
-            if best is None or score < best_score:
-                best, best_score = row, score
+            cost = expected_cost(row, slots, now_ms)
+            if row.in_flight < homes.get(name, 0):
+                cost *= HOME_FACTOR
+            if row.zone not in zones:
+                cost *= FAR_FACTOR
+            if best is None or cost < best_cost:
+                best, best_cost = row, cost
         return best
 
     def started(self, backend_id: str, attempt_id: str, req: RequestArrived) -> None:
@@ -209,27 +211,17 @@
         if after.in_use_since_ms != row.in_use_since_ms:
             self._refresh_service(row.service, self._listed[row.service], now_ms)
 
-    def _choose_home(
-        self,
-        service: str,
-        zones: Collection[str],
-        exclude: Collection[str],
-        now_ms: int,
-    ) -> BackendRow | None:
-        best: BackendRow | None = None
-        best_score = 0.0
-        for backend_id, slots in self._homes.get(service, {}).items():
-            row = self.rows[backend_id]
-            if row.in_flight >= slots or row.zone not in zones:
-                continue
-            if backend_id in exclude or not is_usable(row, now_ms):
-                continue
-            if row.in_flight + other_load(row, now_ms) > row.slots - 0.5:
-                continue
-            score = load_score(row, row.slots, now_ms)
-            if best is None or score < best_score:
-                best, best_score = row, score
-        return best
+    def _draw(self, service: str, zones: Collection[str]) -> list[str]:
+        used: list[str] = []
+        for zone in zones:
+            used += self._used.get((service, zone), ())
+        return self._rng.sample(used, min(DRAWS, len(used)))
+
+    def _forget_slowness(self) -> None:
+        for name, row in self.rows.items():
+            if row.slowness:
+                kept = row.slowness * SLOWNESS_KEPT
+                self.rows.put(name, row._replace(slowness=kept))
 
     def _set_leaving(
         self, backend_id: str, source: str, is_leaving: bool, now_ms: int
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/loads.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/loads.py
@@ -9,8 +9,8 @@
 __all__ = [
     "BackendRow",
     "effective_slots",
+    "expected_cost",
     "is_fresh",
-    "load_score",
     "other_load",
     "take_report",
 ]
@@ -21,6 +21,7 @@
 MIN_TRUST = 0.5
 OTHERS_GAIN = 0.4
 MIN_WEIGHT = 0.1
+SPREAD_COST = 0.1
 
 
 class BackendRow(NamedTuple):
@@ -107,7 +108,7 @@
     return max(1, int(row.slots * weight))
 
 
-def load_score(row: BackendRow, slots: int, now_ms: int) -> float:
-    """Return the expected wait of one more attempt; lower is better."""
-    load = row.in_flight + other_load(row, now_ms)
-    return (load + 1.0) / slots * exp(row.slowness)
+def expected_cost(row: BackendRow, slots: int, now_ms: int) -> float:
+    """Return the expected latency of one more attempt over the typical latency."""
+    share = (row.in_flight + other_load(row, now_ms) + 1.0) / slots
+    return (max(1.0, share) + SPREAD_COST * share) * exp(row.slowness)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/routes.py
@@ -6,7 +6,6 @@
 from rhubarbwell_core.messages import AttemptEnded, RequestArrived, Target
 from rhubarbwell_core.model import Configuration, zones_of_region
 from rhubarbwell_core.routing.backends import BackendTable
-from rhubarbwell_core.routing.loads import BackendRow
 
 __all__ = ["RegionalRouteChooser", "RouteChooser"]
 
@@ -81,7 +80,13 @@
         now_ms: int,
     ) -> Target | None:
         """Return a backend server of the own zone, else of a sister zone."""
-        row = self._choose_backend(req.service, exclude, now_ms)
+        row = self._backends.choose(
+            req.service,
+            (self._zone,),
+            exclude,
+            far_zones=self._sister_zones,
+            now_ms=now_ms,
+        )
         if row is None:
             return None
         self._backends.started(row.backend_id, attempt_id, req)
@@ -91,15 +96,3 @@
     def attempt_ended(self, ended: AttemptEnded, now_ms: int) -> None:
         """Free the backend server's slot and learn from the outcome."""
         self._backends.ended(ended, now_ms)
-
-    def _choose_backend(
-        self, service: str, exclude: Collection[str], now_ms: int
-    ) -> BackendRow | None:
-        for only_free in (True, False):
-            for zones in ((self._zone,), self._sister_zones):
-                row = self._backends.choose(
-                    service, zones, exclude, now_ms=now_ms, only_free=only_free
-                )
-                if row is not None:
-                    return row
-        return None
