--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of rhubarbwell."""
+"""Benchmarks: ratios against baselines in the same run."""
