--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -15,6 +15,7 @@
 from rhubarbwell_core.model import Address, Identity
 from rhubarbwell_platform.services import Platform
 
+from rhubarbwell_entry.adoption import LogFollower
 from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
 from rhubarbwell_entry.gauges import add_core_gauges
 from rhubarbwell_entry.hints import PeerHints
@@ -31,10 +32,10 @@
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
 from rhubarbwell_entry.peers import PeerKeys, PeerNode
-from rhubarbwell_entry.polling import ConfigurationPoller
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.shutdown import GracefulShutdown
+from rhubarbwell_entry.slotstore import SlotStore
 
 __all__ = ["EntryInstance"]
 
@@ -100,6 +101,8 @@
         self._handler = CallerHandler(self.driver, keys)
         self._keystore = KeyStore(self.driver, self._platform.tables)
         self._peers = PeerNode(self.driver, keys)
+        self._follower = LogFollower(self.driver, self._platform)
+        self._slotstore = SlotStore(self.driver, self._platform.tables)
         self.driver.register(IncarnationSuperseded, self._on_superseded)
         add_core_gauges(self.metrics, self.driver)
         await self._peers.start(sock=self._sockets.peers)
@@ -107,7 +110,7 @@
         hints = PeerHints(self.driver, self._platform.instances, self.settings.seeds)
         self._spawn(self.driver.run())
         self._spawn(hints.run())
-        self._spawn(ConfigurationPoller(self.driver, self._platform).run())
+        self._follower.start()
         self._spawn(BackendMonitor(self.driver, self._session).run())
         log_event(
             _log,
@@ -146,6 +149,8 @@
         await self._peers.close()
         await self._handler.close()
         await self._keystore.close()
+        await self._follower.close()
+        await self._slotstore.close()
         await self._session.close()
         self.metrics.close()
 
