--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --dist loadfile
 	$(BIN)/python -m rhubarbwell_entry --help > /dev/null 2>&1
 	$(BIN)/python -m rhubarbwell_ops demo > /dev/null
 
