Judge congestion by latency apart from each server's own slowness

Slow servers of one zone made instances lower their limits below their even part, although no slot was overfull.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -3,19 +3,19 @@
 from math import log
 from typing import NamedTuple
 
-__all__ = ["AdaptiveLimit", "LatencyFloors"]
+from rhubarbwell_core.routing.latencies import LatencyFloors
+
+__all__ = ["AdaptiveLimit"]
 
 MIN_WINDOW_MS = 500
 MAX_WINDOW_MS = 3_000
 MIN_SAMPLES = 20
 MIN_SAMPLES_OF_LONG_WINDOW = 5
 CONGESTED_LOG_RATIO = log(1.5)
-CALM_LOG_RATIO = log(1.25)
+CALM_LOG_RATIO = log(1.3)
 CONGESTED_SHED_SHARE = 0.05
 DECREASE = 0.75
 GROWTH = 0.1
-FLOOR_FALL = 0.3
-FLOOR_RISE = 0.02
 SAME_LOG_RATIO = 0.1
 
 
@@ -24,47 +24,6 @@
     log_ratio: float
 
 
-class LatencyFloors:
-    """Follow the lowest latency of each kind, fast downwards and slowly upwards.
-
-    >>> floors = LatencyFloors()
-    >>> floors.add("page", 40)
-    >>> floors.close_window()
-    0.0
-    >>> floors.add("page", 80)
-    >>> round(floors.close_window(), 2)
-    0.69
-    """
-
-    def __init__(self) -> None:
-        self._floors: dict[str, float] = {}
-        self._window: dict[str, tuple[float, int]] = {}
-
-    def add(self, kind: str, latency_ms: int) -> None:
-        """Add a latency to the window."""
-        total, count = self._window.get(kind, (0.0, 0))
-        self._window[kind] = total + log(max(latency_ms, 1)), count + 1
-
-    def close_window(self) -> float:
-        """Return the mean log of latency over floor and begin a new window."""
-        excess = 0.0
-        samples = 0
-        for kind, (total, count) in self._window.items():
-            mean = total / count
-            floor = self._floors.setdefault(kind, mean)
-            excess += count * (mean - floor)
-            samples += count
-            gain = FLOOR_FALL if mean < floor else FLOOR_RISE
-            self._floors[kind] = floor + gain * (mean - floor)
-        self._window.clear()
-        return excess / samples if samples else 0.0
-
-    def raise_all(self, log_ratio: float) -> None:
-        """Take a latency that no lower limit improves as the new floor."""
-        for kind in self._floors:
-            self._floors[kind] += log_ratio
-
-
 class AdaptiveLimit:
     """Limit the concurrent requests of a service from one entry instance.
 
@@ -72,11 +31,11 @@
     it takes more, up to the ceiling, while nobody else does.
     """
 
-    def __init__(self, *, now_ms: int) -> None:
+    def __init__(self, floors: LatencyFloors, *, now_ms: int) -> None:
         self.value = 0.0
         self._share = 0
         self._ceiling = 0
-        self._floors = LatencyFloors()
+        self._floors = floors
         self._opened_ms = now_ms
         self._samples = 0
         self._sheds = 0
@@ -101,11 +60,9 @@
         """Note that a request had to wait for the limit."""
         self._was_full = True
 
-    def observe_answer(self, kind: str, latency_ms: int | None) -> None:
-        """Take in an answer; None stands for a latency that size decides."""
+    def observe_answer(self) -> None:
+        """Count an answer."""
         self._samples += 1
-        if latency_ms is not None:
-            self._floors.add(kind, latency_ms)
 
     def observe_shed(self) -> None:
         """Take in an attempt that was shed or timed out."""
@@ -151,5 +108,5 @@
         self._lower()
 
     def _lower(self) -> None:
-        lowest = self._share if self.value > self._share else 1
+        lowest = self._share if self.value > self._share else self._share / 4
         self.value = max(float(lowest), self.value * DECREASE)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
@@ -37,7 +37,8 @@
         for name in configuration.services:
             service = self._services.get(name)
             if service is None:
-                service = ServiceAdmission(self._floors, now_ms=now_ms)
+                latencies = self._backends.latency_floors(name)
+                service = ServiceAdmission(self._floors, latencies, now_ms=now_ms)
                 self._services[name] = service
             service.set_floors(self._floors)
 
@@ -89,8 +90,7 @@
             return
         limit = self._services[running.req.service].limit
         if ended.end is AttemptEnd.ANSWERED:
-            latency_ms = None if running.req.body_bytes else ended.latency_ms
-            limit.observe_answer(running.req.kind, latency_ms)
+            limit.observe_answer()
         elif ended.end in _CONGESTED_ENDS:
             limit.observe_shed()
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
@@ -6,6 +6,7 @@
 from rhubarbwell_core.admission.shares import RankShares
 from rhubarbwell_core.messages import RequestArrived
 from rhubarbwell_core.model import Rank, RankFloors, Reason
+from rhubarbwell_core.routing.latencies import LatencyFloors
 
 __all__ = ["ServiceAdmission"]
 
@@ -16,8 +17,10 @@
 class ServiceAdmission:
     """Queue and admit the requests of one service."""
 
-    def __init__(self, floors: RankFloors, *, now_ms: int) -> None:
-        self.limit = AdaptiveLimit(now_ms=now_ms)
+    def __init__(
+        self, floors: RankFloors, latencies: LatencyFloors, *, now_ms: int
+    ) -> None:
+        self.limit = AdaptiveLimit(latencies, now_ms=now_ms)
         self.shares = RankShares(floors, now_ms=now_ms)
         self._floors = floors
         self._queues = tuple(RankQueue() for _ in Rank)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -1,6 +1,7 @@
 """The table of the region's backend servers and the choice among them."""
 
 from collections.abc import Collection, Sequence
+from math import log
 from random import Random
 from typing import NamedTuple
 
@@ -20,7 +21,7 @@
     Configuration,
     zones_of_region,
 )
-from rhubarbwell_core.routing.latencies import KindLatencies
+from rhubarbwell_core.routing.latencies import KindLatencies, LatencyFloors
 from rhubarbwell_core.routing.loads import (
     BackendRow,
     effective_slots,
@@ -59,6 +60,7 @@
     def __init__(self, region: str, rng: Random, *, instance_id: str = "") -> None:
         self.rows = Table[str, BackendRow]("backends")
         self.latencies = KindLatencies()
+        self._floors: dict[str, LatencyFloors] = {}
         self._attempts = Table[str, _Attempt]("attempts at backend servers")
         self._region = region
         self._rng = rng
@@ -113,6 +115,10 @@
         """Return the instance's even part of the usable slots."""
         return sum(self._homes.get(service, {}).values())
 
+    def latency_floors(self, service: str) -> LatencyFloors:
+        """Return the latency floors of a service's kinds over all its servers."""
+        return self._floors.setdefault(service, LatencyFloors())
+
     def fair_top(self, service: str, own_load: float, now_ms: int) -> float | None:
         """Return own load and an even part of the free slots, None without reports."""
         rows = [self.rows[name] for name in self._listed.get(service, ())]
@@ -203,6 +209,8 @@
             log_ratio = self.latencies.log_ratio(
                 attempt.service, attempt.kind, ended.latency_ms
             )
+            log_latency = log(max(ended.latency_ms, 1)) - row.slowness
+            self.latency_floors(attempt.service).add(attempt.kind, log_latency)
         after = after_attempt(row, ended, log_ratio, now_ms)
         in_flight = max(0, row.in_flight - 1)
         lowest = min(row.lowest_in_flight, in_flight)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/latencies.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/latencies.py
@@ -2,10 +2,12 @@
 
 from math import exp, log
 
-__all__ = ["KindLatencies"]
+__all__ = ["KindLatencies", "LatencyFloors"]
 
 TYPICAL_GAIN = 0.02
 FIRST_SAMPLES = 50
+FLOOR_FALL = 0.3
+FLOOR_RISE = 0.02
 
 
 class KindLatencies:
@@ -36,3 +38,44 @@
         """Return the typical latency in ms, 0 for a kind not yet seen."""
         known = self._typical.get((service, kind))
         return 0 if known is None else round(exp(known[0]))
+
+
+class LatencyFloors:
+    """Follow the lowest latency of each kind, fast downwards and slowly upwards.
+
+    >>> floors = LatencyFloors()
+    >>> floors.add("page", log(40))
+    >>> floors.close_window()
+    0.0
+    >>> floors.add("page", log(80))
+    >>> round(floors.close_window(), 2)
+    0.69
+    """
+
+    def __init__(self) -> None:
+        self._floors: dict[str, float] = {}
+        self._window: dict[str, tuple[float, int]] = {}
+
+    def add(self, kind: str, log_latency: float) -> None:
+        """Add the log of a latency in ms to the window."""
+        total, count = self._window.get(kind, (0.0, 0))
+        self._window[kind] = total + log_latency, count + 1
+
+    def close_window(self) -> float:
+        """Return the mean log of latency over floor and begin a new window."""
+        excess = 0.0
+        samples = 0
+        for kind, (total, count) in self._window.items():
+            mean = total / count
+            floor = self._floors.setdefault(kind, mean)
+            excess += count * (mean - floor)
+            samples += count
+            gain = FLOOR_FALL if mean < floor else FLOOR_RISE
+            self._floors[kind] = floor + gain * (mean - floor)
+        self._window.clear()
+        return excess / samples if samples else 0.0
+
+    def raise_all(self, log_ratio: float) -> None:
+        """Take a latency that no lower limit improves as the new floor."""
+        for kind in self._floors:
+            self._floors[kind] += log_ratio
