--- a/benchmarks/steering/callers.py
+++ b/benchmarks/steering/callers.py
@@ -19,6 +19,8 @@
 
 __all__ = ["BASE_MIX", "Callers"]
 
+MIN_TTL_MS = 200
+MIN_WEIGHT = 0.001
 BASE_MIX = {Rank.URGENT: 0.1, Rank.STANDARD: 0.3, Rank.BULK: 0.15}
 
 
@@ -117,20 +119,13 @@
         answer = self._look_up(zone, service)
         if answer is None:
             return None
-        zones = list(dict.fromkeys(item.zone for item in answer.instances))
-        for offered_zone in zones:
-            offered = [
-                item
-                for item in answer.instances
-                if item.zone == offered_zone
-                and world.nodes[item.instance_id].is_up
-                and not world.network.is_lost(offered_zone)
-            ]
-            if offered:
-                weights = [max(item.weight, 0.001) for item in offered]
-                chosen = world.rng.choices(offered, weights)[0]
-                return world.nodes[chosen.instance_id]
-        return None
+        able = [i for i in answer.instances if world.nodes[i.instance_id].is_up]
+        if not able:
+            return None
+        offered = [item for item in able if item.zone == able[0].zone]
+        weights = [max(item.weight, MIN_WEIGHT) for item in offered]
+        chosen = world.rng.choices(offered, weights)[0]
+        return world.nodes[chosen.instance_id]
 
     def _look_up(self, zone: str, service: str) -> LookUpAnswer | None:
         world = self._world
@@ -148,9 +143,11 @@
         near = [node for node in able if node.identity.zone == zone]
         node = world.rng.choice(near or able)
         answer = node.core.look_up(LookUpQuery(service, zone=zone), now_ms)
-        until_ms = now_ms + max(answer.ttl_ms, 200)
+        if not answer.instances:
+            return None
+        until_ms = now_ms + max(answer.ttl_ms, MIN_TTL_MS)
         self._cache[zone, service] = _Cached(answer, until_ms)
-        return answer if answer.instances else None
+        return answer
 
 
 def capacity_per_s(world: "World", service: str, kind: str) -> float:
--- a/benchmarks/steering/world.py
+++ b/benchmarks/steering/world.py
@@ -66,6 +66,7 @@
             for name, service in cfg.services.items()
             for spec in service.backends
         }
+        self._groups = self._group_backends()
         self.nodes = {
             identity.instance_id: self._start_node(identity)
             for identity in _identities(deployment)
@@ -74,26 +75,13 @@
         self._every(HEARTBEAT_MS, self._exchange_heartbeats)
         self._every(POLL_MS, self._poll_loads)
 
-    def region_slots(self, region: str, service: str) -> int:
-        """Return the slots of a service's backend servers in a region."""
-        cfg = self.deployment.configuration
-        return sum(
-            spec.slots
-            for spec in cfg.services[service].backends
-            if self.network.region_of(spec.zone) == region
-        )
-
     def note_load(self, backend: ModelledBackend) -> None:
         """Note the load of a backend server's region."""
         service = self._service_of[backend.spec.backend_id]
         region = self.network.region_of(backend.spec.zone)
-        load = sum(
-            other.load
-            for backend_id, other in self.backends.items()
-            if self._service_of[backend_id] == service
-            and self.network.region_of(other.spec.zone) == region
-        )
-        slots = self.region_slots(region, service)
+        group = self._groups[region, service]
+        load = sum(other.load for other in group)
+        slots = sum(other.spec.slots for other in group)
         self.measures.region_load(region, service, load / slots)
 
     def tell_all(self, event: Event) -> None:
@@ -145,6 +133,14 @@
         now_ms = self.clock.now_ms
         self.measures.bytes_forwarded(source.region, target.region, count, now_ms)
 
+    def _group_backends(self) -> dict[tuple[str, str], list[ModelledBackend]]:
+        groups: dict[tuple[str, str], list[ModelledBackend]] = {}
+        for backend_id, backend in self.backends.items():
+            region = self.network.region_of(backend.spec.zone)
+            service = self._service_of[backend_id]
+            groups.setdefault((region, service), []).append(backend)
+        return groups
+
     def _start_node(self, identity: Identity) -> Node:
         rng = Random(self.rng.getrandbits(64))
         node = Node(identity, self._make_core(identity, rng), self)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -16,6 +16,7 @@
 CONGESTED_SHED_SHARE = 0.05
 DECREASE = 0.75
 GROWTH = 0.1
+REMEMBERED_WINDOWS = 10
 SAME_LOG_RATIO = 0.1
 
 
@@ -41,6 +42,8 @@
         self._sheds = 0
         self._was_full = False
         self._decrease: _Decrease | None = None
+        self._congested = float("inf")
+        self._windows_since = 0
 
     @property
     def slots(self) -> int:
@@ -95,7 +98,7 @@
         elif self._was_full and log_ratio < CALM_LOG_RATIO:
             self._decrease = None
             grown = self.value + max(1.0, GROWTH * self.value)
-            self.value = max(self.value, min(top, grown))
+            self.value = max(self.value, min(top, grown, self._known_top()))
 
     def _lower_for_latency(self, log_ratio: float) -> None:
         last = self._decrease
@@ -103,10 +106,20 @@
             self._floors.raise_all(log_ratio)
             self.value = last.value
             self._decrease = None
+            self._congested = float("inf")
             return
         self._decrease = _Decrease(self.value, log_ratio)
+        if self.value <= self._share:
+            self._congested = self.value
+            self._windows_since = 0
         self._lower()
 
+    def _known_top(self) -> float:
+        self._windows_since += 1
+        if self._windows_since > REMEMBERED_WINDOWS:
+            self._congested = float("inf")
+        return self._congested - 1.0
+
     def _lower(self) -> None:
         lowest = self._share if self.value > self._share else self._share / 4
         self.value = max(float(lowest), self.value * DECREASE)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -172,12 +172,11 @@
     ) -> BackendRow | None:
         """Return the best of the home slots and two random servers near and far."""
         homes = self._homes.get(service, {})
-        names = set(homes)
-        for group in (zones, far_zones):
-            names.update(self._draw(service, group))
+        names = [*self._draw(service, zones), *self._draw(service, far_zones)]
+        names += homes
         best: BackendRow | None = None
         best_cost = 0.0
-        for name in sorted(names):
+        for name in names:
             row = self.rows[name]
             if name in exclude or not is_usable(row, now_ms):
                 continue
--- /dev/null
+++ b/tests/benchmarks/test_steering.py
@@ -0,0 +1,26 @@
+"""Short runs of the steering scenarios against the targets' bounds."""
+
+import pytest
+
+from benchmarks.steering.__main__ import DEPLOYMENTS, make_core
+from benchmarks.steering.report import check_targets
+from benchmarks.steering.scenarios import Timeline, run_world
+from benchmarks.steering.world import World
+
+SHORT = Timeline(800, 2_000, 5_000, 5_500, 6_000)
+
+
+@pytest.mark.parametrize(
+    ("deployment", "names"),
+    [
+        ("wellenbrett", ("bulk-flood",)),
+        ("vanua", ("urgent-flood",)),
+        ("wellenbrett", ("drain-uploads", "silent-connections")),
+    ],
+)
+def test_short_run_meets_the_targets(deployment, names):
+    world = World(DEPLOYMENTS[deployment](), make_core, seed=7)
+    run_world(world, names, SHORT)
+    checks = check_targets(world, names, SHORT)
+    assert checks
+    assert [check for check in checks if not check.holds] == []
--- /dev/null
+++ b/tests/core/admission/test_limits.py
@@ -0,0 +1,89 @@
+from math import log
+
+import pytest
+from rhubarbwell_core.admission import AdaptiveLimit
+from rhubarbwell_core.routing import LatencyFloors
+
+WINDOW_MS = 1_000
+
+
+class Feed:
+    """Feed windows of attempts to a limit."""
+
+    def __init__(self, share=6, ceiling=18):
+        self.floors = LatencyFloors()
+        self.limit = AdaptiveLimit(self.floors, now_ms=0)
+        self.limit.set_bounds(share=share, ceiling=ceiling)
+        self.now_ms = 0
+
+    def window(self, latency_ms=60, sheds=0, fair_top=18.0, full=True):
+        for _ in range(40 - sheds):
+            self.limit.observe_answer()
+            self.floors.add("page", log(latency_ms))
+        for _ in range(sheds):
+            self.limit.observe_shed()
+        if full:
+            self.limit.note_full()
+        self.now_ms += WINDOW_MS
+        self.limit.adjust(self.now_ms, fair_top=fair_top)
+        return self.limit.value
+
+
+def test_limit_starts_at_the_share_and_grows_to_the_fair_top_only_when_full():
+    feed = Feed()
+    assert feed.limit.slots == 6
+    assert feed.window(full=False) == 6
+    assert [feed.window(fair_top=8.0) for _ in range(4)] == [7, 8, 8, 8]
+
+
+def test_limit_yields_borrowed_slots_as_others_come_back_but_keeps_its_share():
+    feed = Feed()
+    for _ in range(20):
+        feed.window()
+    assert feed.limit.value == 18
+    assert feed.window(fair_top=9.0) == 9
+    assert feed.window(fair_top=2.0) == 6
+
+
+def test_limit_does_not_grow_above_the_share_without_reports():
+    feed = Feed()
+    feed.window(fair_top=9.0)
+    assert feed.window(fair_top=None) == 7
+
+
+def test_sheds_lower_the_limit_to_the_share_and_then_below():
+    feed = Feed()
+    for _ in range(5):
+        feed.window()
+    assert [feed.window(sheds=10) for _ in range(3)] == [8.25, 6.1875, 6]
+    assert feed.window(sheds=10) == 4.5
+
+
+@pytest.mark.parametrize("capacity", [2, 3, 4])
+def test_limit_finds_a_capacity_below_its_share(capacity):
+    feed = Feed(share=6, ceiling=6)
+    for _ in range(5):
+        feed.window()
+    slots = []
+    for _ in range(20):
+        feed.window(latency_ms=60 * max(1.0, feed.limit.slots / capacity))
+        slots.append(feed.limit.slots)
+    one_probe = 1
+    assert all(capacity <= s <= 1.5 * capacity + one_probe for s in slots[5:])
+    assert sum(s <= 1.5 * capacity for s in slots[5:]) >= 12
+
+
+def test_latency_that_no_lower_limit_improves_is_taken_as_normal():
+    feed = Feed()
+    for _ in range(5):
+        feed.window(fair_top=6.0)
+    values = [feed.window(latency_ms=240, fair_top=6.0) for _ in range(6)]
+    assert values[0] < 6 and values[-1] == 6
+
+
+def test_limit_follows_slots_that_leave():
+    feed = Feed()
+    feed.limit.set_bounds(share=3, ceiling=9)
+    assert feed.limit.slots == 3
+    feed.limit.set_bounds(share=1, ceiling=0)
+    assert feed.limit.slots == 0
