--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/nodes.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/documents/nodes.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from typing import Any, NamedTuple, TypeGuard
 
 import json5
@@ -15,6 +16,12 @@
 MAX_DEPTH = 16
 UNPLACED = Place(0, 0)
 
+# The library's own pattern takes exponential time on a comment without an end.
+_COMMENTS_AND_STRINGS = re.compile(
+    r"""//[^\n]*|/\*.*?\*/|"(?:[^"\\]|\\.)*"|'(?:[^'\\]|\\.)*'|(?P<open>/\*)""",
+    re.DOTALL,
+)
+
 Scalar = str | int | float | bool | None
 
 
@@ -50,6 +57,7 @@
     """
     try:
         text.encode()
+        _check_comments_end(text)
         parsed = json5.loads(text, loader=ModelLoader())
         return _from_model(parsed.value, 0)
     except json5.JSON5DecodeError as exc:
@@ -70,6 +78,14 @@
         raise SyntaxFault(UNPLACED, _first_line(str(exc))) from exc
 
 
+def _check_comments_end(text: str) -> None:
+    for match in _COMMENTS_AND_STRINGS.finditer(text):
+        if match["open"]:
+            line = text.count("\n", 0, match.start()) + 1
+            column = match.start() - text.rfind("\n", 0, match.start())
+            raise SyntaxFault(Place(line, column), "the comment has no end")
+
+
 class _Pairs(list[tuple[str, Any]]):
     """Mark the members of an object, doubled keys included."""
 
