--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -4,9 +4,11 @@
 from random import Random
 
 from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.adoption import POLLERS_PER_ZONE, AdoptionPart
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
 from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.grants import GrantPart
 from rhubarbwell_core.keys import KeyedPart, mint_ticket
 from rhubarbwell_core.lookups import LookUpAnswer, LookUpPart, LookUpQuery
 from rhubarbwell_core.membership import MembershipPart, zone_headroom
@@ -22,16 +24,19 @@
     PeerState,
     RequestArrived,
     ServiceHeadroom,
+    ZoneHeadroomHeard,
+    ZoneSummary,
 )
 from rhubarbwell_core.model import Address, Configuration, Identity
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import (
     BackendTable,
-    RegionalRouteChooser,
     RetryBudget,
     RouteChooser,
     ShareBackends,
 )
+from rhubarbwell_core.shifts import MeasureOwnZone, ZoneShares
+from rhubarbwell_core.slots import SlotPart
 
 __all__ = ["Core"]
 
@@ -67,9 +72,21 @@
         admission = RankAdmission(self.backends, now_ms=now_ms)
         self.admission: Admission = admission
         self._members = ShareBackends(identity, self.peers, self.backends)
-        self.routes: RouteChooser = RegionalRouteChooser(
-            identity.zone, identity.region, self.backends
+        self.slots = SlotPart(
+            identity,
+            rng,
+            zone_peers=self._zone_peers,
+            is_leaving=lambda: self.state is PeerState.LEAVING,
         )
+        self.grants = GrantPart(
+            identity,
+            self.peers,
+            self.backends,
+            rng,
+            may_grant=self.slots.may_grant,
+        )
+        self.routes: RouteChooser = self.grants.routes
+        self.zone_shares = ZoneShares()
         self.keys = KeyedPart(identity.incarnation, self._find_owner)
         self.requests = RequestPart(
             identity.incarnation,
@@ -79,7 +96,19 @@
             self.keys,
         )
         self.membership = MembershipPart(
-            identity, self.peers, rng, now_ms=now_ms, read_headroom=self._headroom
+            identity,
+            self.peers,
+            rng,
+            now_ms=now_ms,
+            on_version=self._on_peer_version,
+            on_summary=self._on_zone_summary,
+            read_headroom=self._headroom,
+        )
+        self.adoption = AdoptionPart(
+            rng,
+            is_poller=self._is_poller,
+            on_configuration=self._on_config,
+            on_moved=self._on_log_moved,
         )
         self.burn = BurnObserver()
         self._on_ended = on_ended
@@ -94,10 +123,14 @@
         }
         self._add_part(self.requests)
         self._add_part(self.membership)
+        self._add_part(self.adoption)
         self._add_part(self.keys)
         self._add_part(self._look_ups)
+        self._add_part(self.slots)
+        self._add_part(self.grants)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
+        self._add_system(MeasureOwnZone(identity, self.zone_shares, self._headroom))
 
     @property
     def state(self) -> PeerState:
@@ -126,7 +159,12 @@
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
         """Answer a look-up; raise ValueError for a malformed address."""
         ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
-        return self._look_ups.look_up(query, shares={}, ticket=ticket)
+        zones = self._look_ups.zone_order(query)
+        shares = self.zone_shares.shares(query.service, zones, now_ms)
+        return self._look_ups.look_up(query, shares=shares, ticket=ticket)
+
+    def _zone_peers(self) -> list[PeerHeard]:
+        return self.membership.zone_peers()
 
     def _mint_ticket(self, now_ms: int) -> str | None:
         if self.state is not PeerState.READY:
@@ -164,6 +202,8 @@
         self.configuration = cfg
         self._look_ups.configure(cfg, now_ms)
         self.burn.configure(cfg)
+        self.zone_shares.configure(cfg.deployment)
+        self.slots.configure(cfg, now_ms)
         self.admission.configure(cfg, now_ms)
         self.routes.configure(cfg, now_ms)
         self._members.configure(cfg, now_ms)
@@ -171,6 +211,23 @@
         self.membership.configured(now_ms)
         return []
 
+    def _is_poller(self) -> bool:
+        return self.membership.is_chosen("poll", POLLERS_PER_ZONE)
+
+    def _on_log_moved(self, now_ms: int) -> list[Action]:
+        self.membership.measure(log_version=self.adoption.position.version)
+        return self.membership.nudge(now_ms)
+
+    def _on_peer_version(
+        self, address: Address, version: int, now_ms: int
+    ) -> list[Action]:
+        return self.adoption.hear_version(address, version, now_ms)
+
+    def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
+        heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
+        self.zone_shares.hear(heard, now_ms)
+        return list(self._handlers[ZoneHeadroomHeard](heard, now_ms))
+
     def _headroom(self) -> tuple[ServiceHeadroom, ...]:
         return zone_headroom(self.backends.rows.rows(), self.identity.zone)
 
