--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/publish.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/publish.py
@@ -18,6 +18,7 @@
     Published,
     PublishedState,
     differences,
+    fence_head,
     format_differences,
     merge_documents,
     publish,
@@ -58,7 +59,7 @@
     remove: Sequence[str] = (),
 ) -> Report:
     """Publish files, and remove services by name."""
-    base = await read_state(platform, version=options.base_version)
+    base = await _read_base(platform, options)
     removed: dict[str, str | None] = {f"service/{name}": None for name in remove}
     unknown = [name for name in removed if name not in base.documents]
     if unknown:
@@ -75,7 +76,7 @@
 
 async def rollback(platform: Platform, version: int, options: PublishOptions) -> Report:
     """Publish the documents of an older version as a new version."""
-    base = await read_state(platform)
+    base = await _read_base(platform, options)
     target = await read_state(platform, version=version)
     change = await rollback_change(
         platform, _change({}, options), target=target, base=base
@@ -87,7 +88,7 @@
     platform: Platform, backend_id: str, options: PublishOptions, *, undo: bool = False
 ) -> Report:
     """Publish that a backend server gets no new work, or gets it again."""
-    base = await read_state(platform)
+    base = await _read_base(platform, options)
     for name, text in base.documents.items():
         spec = parse_document(name, text).unwrap().spec
         if isinstance(spec, ServiceSpec) and _has_backend(spec, backend_id):
@@ -98,6 +99,13 @@
     return findings_report([Finding("", 0, 0, "backend_id", message)])
 
 
+async def _read_base(platform: Platform, options: PublishOptions) -> PublishedState:
+    """Return the documents to change; raise PlatformError or InvalidLogError."""
+    if options.publish_id and not options.dry_run:
+        await fence_head(platform.tables)
+    return await read_state(platform, version=options.base_version)
+
+
 async def _publish(
     platform: Platform,
     documents: Mapping[str, str | None],
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/__init__.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/__init__.py
@@ -1,6 +1,7 @@
 """Publishing of documents to the platform, and reading them back."""
 
 from rhubarbwell_platform.publishing.differences import *
+from rhubarbwell_platform.publishing.fence import *
 from rhubarbwell_platform.publishing.history import *
 from rhubarbwell_platform.publishing.log import *
 from rhubarbwell_platform.publishing.outcomes import *
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/fence.py
@@ -0,0 +1,43 @@
+"""A fence before a publish is repeated."""
+
+from rhubarbwell_core.adoption import HEAD_KEY, encode_head
+from tenacity import AsyncRetrying, retry_if_exception_type, stop_after_attempt
+
+from rhubarbwell_platform.errors import AnswerLostError, ConflictError
+from rhubarbwell_platform.publishing.log import read_head
+from rhubarbwell_platform.services import (
+    Absent,
+    Condition,
+    TableService,
+    VersionIs,
+    Write,
+)
+
+__all__ = ["fence_head"]
+
+MAX_TRIES = 5
+
+
+async def fence_head(tables: TableService) -> None:
+    """Void every publish still on its way to the store.
+
+    The head is written as it is: its row gets a new version, and transactions
+    based on an older one fail. A publish that is repeated needs this, or an
+    earlier try could take effect after the repeat has told a conflict.
+
+    Raises UnavailableError, ConflictError or AnswerLostError after the last try.
+    """
+    retrying = AsyncRetrying(
+        retry=retry_if_exception_type((ConflictError, AnswerLostError)),
+        stop=stop_after_attempt(MAX_TRIES),
+        reraise=True,
+    )
+    await retrying(_rewrite_head, tables)
+
+
+async def _rewrite_head(tables: TableService) -> None:
+    head, row_version = await read_head(tables)
+    condition: Condition = Absent()
+    if row_version is not None:
+        condition = VersionIs(row_version)
+    await tables.transact([Write(HEAD_KEY, encode_head(head), condition)])
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 from rhubarbwell_core.adoption import (
+    EMPTY_CHAIN,
     HEAD_KEY,
     LogHead,
     LogRow,
@@ -104,6 +105,10 @@
     return {name: text for name, text in merged.items() if text is not None}
 
 
+class _OlderHeadError(UnavailableError):
+    """Tell that the head read is older than the base, or of another log."""
+
+
 class _Attempt:
     """Try one transaction until its outcome is known."""
 
@@ -129,7 +134,9 @@
         """
         await self._put_objects()
         retrying = AsyncRetrying(
-            retry=retry_if_exception_type((ConflictError, AnswerLostError)),
+            retry=retry_if_exception_type(
+                (ConflictError, AnswerLostError, _OlderHeadError)
+            ),
             stop=stop_after_attempt(MAX_TRIES),
             reraise=True,
         )
@@ -156,13 +163,26 @@
         head_row = found.get(HEAD_KEY)
         if head_row is not None:
             head = decode_head(head_row.value)
-            if head.version != self._base.head.version:
+            if head.version > self._base.head.version:
                 return Failure(await self._conflict(head))
+        self._check_head(head_row)
         row_version = await self._transact(own_key, head_row)
         head = self._new_head()
         await write_snapshot_if_due(self._platform, head, row_version, merged)
         return Success(Published(head.version, head.chain, tuple(self._changed)))
 
+    def _check_head(self, head_row: Row | None) -> None:
+        """Raise _OlderHeadError for a head before the base, as a stale read gives."""
+        base = self._base.head
+        head = (
+            LogHead(0, EMPTY_CHAIN) if head_row is None else decode_head(head_row.value)
+        )
+        if (head.version, head.chain) != (base.version, base.chain):
+            raise _OlderHeadError(
+                f"the head is at version {head.version}, the change was made on "
+                f"{base.version}"
+            )
+
     async def _transact(self, own_key: str, head_row: Row | None) -> int:
         writes = [
             Write(log_key(row.version), encode_log_row(row), Absent())
--- a/tests/platform/publishing/test_publish.py
+++ b/tests/platform/publishing/test_publish.py
@@ -2,9 +2,13 @@
 from pathlib import Path
 
 import pytest
+from rhubarbwell_core.adoption import HEAD_KEY
 from rhubarbwell_platform import (
     AnswerLostError,
+    ConflictError,
     MemoryTableService,
+    VersionIs,
+    Write,
     memory_platform,
 )
 from rhubarbwell_platform.documents import check_files, read_files
@@ -13,7 +17,9 @@
     PublishConflict,
     PublishIdReused,
     PublishInvalid,
+    PublishNotDone,
     PublishUnknown,
+    fence_head,
     publish,
     read_configuration,
     read_state,
@@ -150,3 +156,49 @@
     assert '"deadline_ms":4069' in state.documents["service/paysvc"]
     older = await read_state(platform, version=40)
     assert '"deadline_ms":4034' in older.documents["service/paysvc"]
+
+
+class StaleTableService(MemoryTableService):
+    """Answer the next reads from an older state."""
+
+    def __init__(self):
+        super().__init__()
+        self.older = self
+        self.stale_reads = 0
+
+    async def read(self, keys):
+        self.stale_reads -= 1
+        if self.stale_reads >= 0:
+            return await self.older.read(keys)
+        return await super().read(keys)
+
+
+@pytest.mark.parametrize(("stale_reads", "is_done"), [(0, True), (3, True), (9, False)])
+async def test_stale_reads_are_no_conflict(texts, stale_reads, is_done):
+    tables = StaleTableService()
+    platform = memory_platform()._replace(tables=tables)
+    older = tables.copy()
+    await publish(
+        platform, Change("first", "ana", 1, texts), base=await read_state(platform)
+    )
+    base = await read_state(platform)
+    tables.older, tables.stale_reads = older, stale_reads
+    change = Change("a", "ana", 2, with_deadline(texts, "service/paysvc", 3000, 3500))
+    result = await publish(platform, change, base=base)
+    if is_done:
+        assert result.unwrap().version == 6
+    else:
+        assert isinstance(result.failure(), PublishNotDone)
+
+
+async def test_a_fence_voids_a_publish_on_its_way(texts):
+    platform = await published_platform(texts)
+    base = await read_state(platform)
+    row = (await platform.tables.read([HEAD_KEY]))[HEAD_KEY]
+    await fence_head(platform.tables)
+    with pytest.raises(ConflictError):
+        late = Write(HEAD_KEY, row.value, VersionIs(row.version))
+        await platform.tables.transact([late])
+    assert (await read_state(platform)).head == base.head
+    change = Change("a", "ana", 2, with_deadline(texts, "service/paysvc", 3000, 3500))
+    assert (await publish(platform, change, base=base)).unwrap().version == 6
