Bound the polls of backend servers by the size of the region; heed their health

Cause: each instance polled every server once a second, 300 us of processor time a poll; with the fleet that grows without bound. The rate is now 80/s over the instances of a region, 2 to 20 per instance. The health endpoint was never asked; a failing one now outweighs a good load report.

--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The capacity page, regenerated from measured lines."""
--- /dev/null
+++ b/benchmarks/capacity/costs.py
@@ -0,0 +1,34 @@
+"""Processor time and memory of a call."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+
+__all__ = ["KB", "MB", "memory_of", "time_of"]
+
+KB = 1_000
+MB = 1_000_000
+US_PER_S = 1e6
+
+
+def time_of(call: Callable[[], object], *, calls: int = 1) -> float:
+    """Return the processor time of a call in us, over so many calls in a row."""
+    start = time.process_time()
+    for _ in range(calls):
+        call()
+    return (time.process_time() - start) / calls * US_PER_S
+
+
+def memory_of(build: Callable[[], object]) -> float:
+    """Return the bytes that what the call builds takes."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        kept = build()
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+        del kept
+        return size
+    finally:
+        tracemalloc.stop()
--- /dev/null
+++ b/benchmarks/capacity/publishing.py
@@ -0,0 +1,103 @@
+"""Lines of the publisher: rows and operations of the platform by publishes."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+
+from returns.result import Success
+from rhubarbwell_core.model import (
+    BackendSpec,
+    DeploymentSpec,
+    RegionSpec,
+    ServiceSpec,
+    WorkKind,
+    ZoneSpec,
+)
+from rhubarbwell_platform.documents import document_name, encode_document
+from rhubarbwell_platform.memory import MemoryTableService, memory_platform
+from rhubarbwell_platform.publishing import Change, publish, read_state
+from rhubarbwell_platform.services import Platform, Row, TableService, Write
+
+from benchmarks.capacity.costs import KB
+from benchmarks.control.fits import Line, fit_line
+
+__all__ = ["measure_publishing"]
+
+PUBLISHES = (10, 50, 100, 200)
+ENDPOINTS = 18
+DEPLOYMENT = DeploymentSpec(
+    "d", (RegionSpec("lake"),), (ZoneSpec("lake-a", "lake", 4),)
+)
+
+
+class CountingTables(TableService):
+    """Count the calls and bytes on their way to a table service in memory."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.writes = 0
+        self.rows: dict[str, str] = {}
+        self._tables = MemoryTableService()
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return those of the rows that exist."""
+        self.reads += 1
+        return await self._tables.read(keys)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1_000
+    ) -> Sequence[Row]:
+        """Return rows whose key has the prefix and follows after, in key order."""
+        self.reads += 1
+        return await self._tables.scan(prefix, after=after, limit=limit)
+
+    async def transact(self, writes: Sequence[Write]) -> int:
+        """Carry out all writes or none."""
+        version = await self._tables.transact(writes)
+        self.writes += 1
+        for write in writes:
+            self.rows[write.key] = write.value or ""
+        return version
+
+
+def measure_publishing() -> list[Line]:
+    """Measure calls and table rows by publishes of one service file each."""
+    calls: list[tuple[float, float]] = []
+    sizes: list[tuple[float, float]] = []
+    for count in PUBLISHES:
+        tables = asyncio.run(_publish(count))
+        calls.append((count, float(tables.reads + tables.writes)))
+        size = sum(len(key) + len(value) for key, value in tables.rows.items())
+        sizes.append((count, size / KB))
+    return [
+        fit_line("publisher", "table calls by publishes", "1", calls),
+        fit_line("publisher", "table rows by publishes", "kB", sizes),
+    ]
+
+
+async def _publish(count: int) -> CountingTables:
+    tables = CountingTables()
+    platform: Platform = memory_platform()._replace(tables=tables)
+    await _publish_one(platform, 0, [DEPLOYMENT, _service(0)])
+    for number in range(1, count):
+        await _publish_one(platform, number, [_service(number)])
+    return tables
+
+
+async def _publish_one(
+    platform: Platform, number: int, specs: Sequence[DeploymentSpec | ServiceSpec]
+) -> None:
+    texts = {document_name(spec): encode_document(spec) for spec in specs}
+    base = await read_state(platform)
+    change = Change(f"p-{number}", "bench", number, texts)
+    result = await publish(platform, change, base=base)
+    if not isinstance(result, Success):
+        raise RuntimeError(f"publish {number} failed: {result.failure()}")
+
+
+def _service(number: int) -> ServiceSpec:
+    kinds = (WorkKind("page", "GET", "/", deadline_ms=1_000 + number),)
+    backends = tuple(
+        BackendSpec(f"b{place}", "lake-a", "10.0.0.1", 7_000 + place)
+        for place in range(ENDPOINTS)
+    )
+    return ServiceSpec("slotsvc", kinds, backends)
--- /dev/null
+++ b/benchmarks/capacity/reporting.py
@@ -0,0 +1,76 @@
+"""Lines of reporting: counts by service and rank, and the report asked for."""
+
+import json
+from functools import partial
+
+from rhubarbwell_core.burn import BurnObserver, burn_rows
+from rhubarbwell_core.messages import EndRequest, RequestArrived
+from rhubarbwell_core.model import (
+    Configuration,
+    DeploymentSpec,
+    Outcome,
+    Rank,
+    Reason,
+    ServiceSpec,
+    WorkKind,
+)
+from rhubarbwell_entry.reports import InstanceReport, encode_report
+
+from benchmarks.capacity.costs import KB, memory_of
+from benchmarks.control.fits import Line, fit_line
+
+__all__ = ["measure_reporting"]
+
+SERVICE_COUNTS = (1, 4, 8, 16)
+SPAN_MS = 600_000
+STEP_MS = 1_000
+DEADLINE_MS = 2_000
+OUTCOMES = (
+    (Outcome.ANSWERED, Reason.SERVED),
+    (Outcome.NOT_RUN, Reason.OVERLOAD),
+    (Outcome.UNKNOWN, Reason.BACKEND_FAILED),
+)
+
+
+def measure_reporting() -> list[Line]:
+    """Measure ten minutes of counts and the report by services."""
+    memory: list[tuple[float, float]] = []
+    sizes: list[tuple[float, float]] = []
+    for count in SERVICE_COUNTS:
+        memory.append((count, memory_of(partial(_counted, count)) / KB))
+        rows = tuple(burn_rows(_counted(count), SPAN_MS))
+        body = encode_report(InstanceReport("i", "z", "r", rows, (), ()))
+        sizes.append((count, len(json.dumps(body)) / KB))
+    return [
+        fit_line("reporting", "counts by services", "kB", memory),
+        fit_line("reporting", "report asked for by services", "kB", sizes),
+    ]
+
+
+def _counted(services: int) -> BurnObserver:
+    observer = BurnObserver()
+    names = [f"service-{number}" for number in range(services)]
+    observer.configure(_configuration(names))
+    for now_ms in range(0, SPAN_MS, STEP_MS):
+        for number, name in enumerate(names):
+            for rank in Rank:
+                _count_one(observer, number, name, rank, now_ms)
+    return observer
+
+
+def _count_one(
+    observer: BurnObserver, request_id: int, name: str, rank: Rank, now_ms: int
+) -> None:
+    deadline_ms = now_ms + DEADLINE_MS
+    kind = rank.name.lower()
+    arrived = RequestArrived(request_id, name, kind, "c", deadline_ms, rank, True)
+    observer.request_arrived(arrived, now_ms)
+    outcome, reason = OUTCOMES[now_ms // STEP_MS % len(OUTCOMES)]
+    latency_ms = now_ms % DEADLINE_MS
+    observer.request_ended(EndRequest(request_id, outcome, reason), now_ms + latency_ms)
+
+
+def _configuration(names: list[str]) -> Configuration:
+    kinds = tuple(WorkKind(rank.name.lower(), "GET", "/", rank) for rank in Rank)
+    services = {name: ServiceSpec(name, kinds, ()) for name in names}
+    return Configuration(1, "x", DeploymentSpec("d", (), ()), services)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
@@ -1,7 +1,10 @@
 """Polling of the load and health endpoints of backend servers."""
 
 import asyncio
+import json
 import logging
+from itertools import count
+from typing import NamedTuple
 
 import aiohttp
 from rhubarbwell_core.messages import LoadReported
@@ -10,37 +13,54 @@
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["BackendMonitor"]
+__all__ = ["BackendMonitor", "polls_per_s"]
 
 _log = logging.getLogger(__name__)
 
-POLL_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 0.8
+REGION_POLLS_PER_S = 80.0
+MIN_POLLS_PER_S = 2.0
+MAX_POLLS_PER_S = 20.0
+IDLE_S = 0.25
+HEALTH_EVERY = 4
+FIRST_ERROR_STATUS = 400
 MAX_REPORT_BYTES = 4_096
 
 
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+
+
 class BackendMonitor:
-    """Ask the region's backend servers for their load once a period."""
-
-    def __init__(
-        self,
-        driver: CoreDriver,
-        session: aiohttp.ClientSession,
-        *,
-        period_s: float = POLL_PERIOD_S,
-    ) -> None:
+    """Ask the region's backend servers in turn for their load.
+
+    The rate falls with the number of instances in the region, which poll the same
+    servers, so that it stays bounded for an instance as the fleet grows.
+    """
+
+    def __init__(self, driver: CoreDriver, session: aiohttp.ClientSession) -> None:
         self._driver = driver
         self._session = session
-        self._period_s = period_s
+        self._unhealthy: set[str] = set()
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        while True:
-            polls = [
-                self._poll(service, spec) for service, spec in self._regional_backends()
-            ]
-            await asyncio.gather(*polls)
-            await asyncio.sleep(self._period_s)
+        async with asyncio.TaskGroup() as polls:
+            for number in count():
+                backends = self._regional_backends()
+                pause_s = 1.0 / polls_per_s(self._instances_of_region())
+                ask = self._ask_health if number % HEALTH_EVERY == 0 else self._ask_load
+                for service, spec in backends:
+                    polls.create_task(ask(service, spec))
+                    await asyncio.sleep(pause_s)
+                if not backends:
+                    await asyncio.sleep(IDLE_S)
+
+    def _instances_of_region(self) -> int:
+        region = self._driver.core.identity.region
+        peers = self._driver.core.peers.rows()
+        return sum(1 for peer in peers if peer.region == region)
 
     def _regional_backends(self) -> list[tuple[ServiceSpec, BackendSpec]]:
         core = self._driver.core
@@ -54,34 +74,68 @@
             if spec.zone in zones
         ]
 
-    async def _poll(self, service: ServiceSpec, spec: BackendSpec) -> None:
-        url = f"http://{spec.host}:{spec.port}{service.load_path}"
+    async def _ask_health(self, service: ServiceSpec, spec: BackendSpec) -> None:
+        answer = await self._get(spec, service.health_path)
+        if answer is None:
+            return
+        self._unhealthy.discard(spec.backend_id)
+        if answer.status >= FIRST_ERROR_STATUS:
+            self._unhealthy.add(spec.backend_id)
+        await self._ask_load(service, spec)
+
+    async def _ask_load(self, service: ServiceSpec, spec: BackendSpec) -> None:
+        asked_ms = self._driver.clock_ms()
+        answer = await self._get(spec, service.load_path)
+        if answer is None:
+            return
+        try:
+            report = _read_report(spec.backend_id, json.loads(answer.body), asked_ms)
+        except (TypeError, ValueError) as exc:
+            self._note_missing(spec, exc)
+            return
+        healthy = report.healthy and spec.backend_id not in self._unhealthy
+        self._driver.handle(report._replace(healthy=healthy))
+
+    async def _get(self, spec: BackendSpec, path: str) -> _Answer | None:
+        url = f"http://{spec.host}:{spec.port}{path}"
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as answer:
-                report = _read_report(spec.backend_id, await answer.json())
-        except (aiohttp.ClientError, TimeoutError, ValueError, TypeError) as exc:
-            log_event(
-                _log,
-                logging.DEBUG,
-                "load_report_missing",
-                "backend server gave no load report",
-                backend_id=spec.backend_id,
-                error=type(exc).__name__,
-            )
-            return
-        now_ms = self._driver.clock_ms()
-        self._driver.handle(report._replace(measured_ms=now_ms))
+                body = await answer.content.read(MAX_REPORT_BYTES)
+                return _Answer(answer.status, body)
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            self._note_missing(spec, exc)
+            return None
+
+    def _note_missing(self, spec: BackendSpec, exc: Exception) -> None:
+        log_event(
+            _log,
+            logging.DEBUG,
+            "load_report_missing",
+            "backend server gave no usable load report",
+            backend_id=spec.backend_id,
+            error=type(exc).__name__,
+        )
+
+
+def polls_per_s(instances: int) -> float:
+    """Return the polls per second of each of so many instances of a region.
+
+    >>> polls_per_s(4), polls_per_s(72)
+    (20.0, 2.0)
+    """
+    share = REGION_POLLS_PER_S / max(instances, 1)
+    return min(MAX_POLLS_PER_S, max(MIN_POLLS_PER_S, share))
 
 
-def _read_report(backend_id: str, body: object) -> LoadReported:
+def _read_report(backend_id: str, body: object, asked_ms: int) -> LoadReported:
     """Return the report; raise TypeError or ValueError for a malformed one."""
     if not isinstance(body, dict):
         raise TypeError("report is not an object")
     return LoadReported(
         backend_id,
-        in_flight=int(body["in_flight"]) if "in_flight" in body else 0,
-        measured_ms=0,
-        healthy=bool(body.get("healthy", True)),
-        draining=bool(body.get("draining", False)),
+        in_flight=int(body.get("in_flight", 0)),
+        measured_ms=asked_ms,
+        healthy=body.get("healthy", True) is not False,
+        draining=body.get("draining", False) is True,
     )
--- /dev/null
+++ b/tests/entry/test_monitor.py
@@ -0,0 +1,86 @@
+import asyncio
+import contextlib
+from random import Random
+
+import aiohttp
+import pytest
+from aiohttp import web
+from rhubarbwell_core import Core
+from rhubarbwell_core.messages import ConfigReceived
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    Configuration,
+    DeploymentSpec,
+    Identity,
+    RegionSpec,
+    ServiceSpec,
+    WorkKind,
+    ZoneSpec,
+)
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.monitor import BackendMonitor, polls_per_s
+
+HERE = Address("127.0.0.1", 1)
+
+
+async def poll_until(load, health_status, is_seen):
+    """Poll one scripted server until the core's row of it satisfies is_seen."""
+
+    async def answer_load(_):
+        return web.Response(text=load)
+
+    async def answer_health(_):
+        return web.Response(status=health_status)
+
+    app = web.Application()
+    app.router.add_get("/load", answer_load)
+    app.router.add_get("/health", answer_health)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    driver = make_driver(runner.addresses[0][1])
+    async with aiohttp.ClientSession() as session:
+        task = asyncio.create_task(BackendMonitor(driver, session).run())
+        while not is_seen(driver.core.backends.rows["b"]):
+            await asyncio.sleep(0.01)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    await runner.cleanup()
+
+
+def make_driver(port):
+    core = Core(Identity("i", "i-1", "r-a", "r", HERE, HERE), Random(1))
+    deployment = DeploymentSpec("d", (RegionSpec("r"),), (ZoneSpec("r-a", "r", 1),))
+    backend = BackendSpec("b", "r-a", "127.0.0.1", port)
+    service = ServiceSpec("slotsvc", (WorkKind("page", "GET", "/"),), (backend,))
+    cfg = Configuration(1, "x", deployment, {"slotsvc": service})
+    core.handle(ConfigReceived(cfg), 0)
+    return CoreDriver(core)
+
+
+async def test_load_and_drain_are_reported():
+    load = '{"in_flight": 2, "draining": true}'
+    await poll_until(
+        load, 200, lambda row: row.draining and row.reported.in_flight == 2
+    )
+
+
+async def test_failing_health_endpoint_outweighs_a_good_load_report():
+    await poll_until(
+        '{"in_flight": 0}', 503, lambda row: row.reported and not row.reported.healthy
+    )
+
+
+@pytest.mark.parametrize(
+    "load", ["", "[]", '{"in_flight": null}', '{"in_flight": "x"}']
+)
+async def test_malformed_report_is_left_out(load):
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await poll_until(load, 200, lambda row: row.reported is not None)
+
+
+def test_rate_of_polls_is_bounded_by_the_size_of_the_region():
+    assert [polls_per_s(n) for n in (0, 4, 16, 1_000)] == [20.0, 20.0, 5.0, 2.0]
