--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,55 @@
+"""Measure the lines and write the capacity page's tables."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import fire
+
+from benchmarks.capacity.grants import measure_grants
+from benchmarks.capacity.lookups import measure_blocks, measure_directory
+from benchmarks.capacity.page import render_tables, replace_tables
+from benchmarks.capacity.polls import measure_polls
+from benchmarks.capacity.publishing import measure_publishing
+from benchmarks.capacity.reporting import measure_reporting
+from benchmarks.control.__main__ import slopes
+from benchmarks.control.fits import Line
+
+PAGE = Path("docs/CAPACITY.md")
+LINES = Path("docs/capacity-lines.json")
+CONTROL = Path("benchmarks/output/control.json")
+MEASURES: tuple[Callable[[], list[Line]], ...] = (
+    measure_blocks,
+    measure_directory,
+    measure_polls,
+    measure_grants,
+    measure_reporting,
+    measure_publishing,
+)
+
+
+def measure() -> None:
+    """Measure every line, keep the lines and write the page."""
+    slopes(str(CONTROL))
+    lines = read_lines(CONTROL)
+    for call in MEASURES:
+        lines += call()
+    LINES.write_text(json.dumps([line._asdict() for line in lines], indent=1) + "\n")
+    write()
+
+
+def write() -> None:
+    """Write the page's tables from the kept lines."""
+    PAGE.write_text(replace_tables(PAGE.read_text(), render_tables(read_lines(LINES))))
+
+
+def read_lines(path: Path) -> list[Line]:
+    """Return the lines of a file."""
+    items = json.loads(path.read_text())
+    return [
+        Line(**{**item, "points": tuple(map(tuple, item["points"]))}) for item in items
+    ]
+
+
+if __name__ == "__main__":
+    fire.Fire({"measure": measure, "write": write})
--- /dev/null
+++ b/benchmarks/capacity/limits.py
@@ -0,0 +1,91 @@
+"""What control costs a node at the target size, role by role."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from rhubarbwell_core.grants.borrowing import RENEW_BEFORE_END_MS
+from rhubarbwell_entry.monitor import polls_per_s
+
+from benchmarks.capacity.target import (
+    NODES,
+    NODES_PER_ZONE,
+    REGIONS,
+    SERVICES,
+)
+from benchmarks.control.fits import Line
+from benchmarks.control.targets import target_rows
+
+__all__ = ["Cost", "control_costs", "find_line", "sum_costs"]
+
+US_PER_S = 1e6
+REFRESHES_PER_S = 2.0
+LENDERS = 2
+RENEW_EVERY_S = RENEW_BEFORE_END_MS / 1_000
+MESSAGES_PER_ASK = 2
+KB_PER_MB = 1_000.0
+
+
+class Cost(NamedTuple):
+    """Give the cost of a role of a node: bytes/s, share of a core, memory in MB."""
+
+    role: str
+    bytes_per_s: float
+    core_share: float
+    memory_mb: float
+
+
+def control_costs(lines: Sequence[Line]) -> list[Cost]:
+    """Return the costs of all roles of control at the target size."""
+    bytes_row, core_row, memory_row = target_rows(lines)
+    refresh_us = find_line(lines, "directory refresh by instances").at(NODES)
+    directory_mb = find_line(lines, "directory by instances").at(NODES)
+    counts_kb = find_line(lines, "counts by services").at(SERVICES)
+    return [
+        Cost("membership, relays, adoption", bytes_row[1], core_row[1], memory_row[1]),
+        Cost(
+            "directory of look-ups",
+            0.0,
+            REFRESHES_PER_S * refresh_us / US_PER_S,
+            directory_mb,
+        ),
+        _polling(lines),
+        _grants(lines),
+        Cost("reporting", 0.0, 0.0, counts_kb / KB_PER_MB),
+    ]
+
+
+def sum_costs(costs: Sequence[Cost]) -> Cost:
+    """Return the costs of a node altogether."""
+    return Cost(
+        "all of control",
+        sum(cost.bytes_per_s for cost in costs),
+        sum(cost.core_share for cost in costs),
+        sum(cost.memory_mb for cost in costs),
+    )
+
+
+def find_line(lines: Sequence[Line], quantity: str) -> Line:
+    """Return the line of a quantity; raise StopIteration without one."""
+    return next(line for line in lines if line.quantity == quantity)
+
+
+def _polling(lines: Sequence[Line]) -> Cost:
+    instances = NODES // REGIONS
+    rate = polls_per_s(instances)
+    us = find_line(lines, "processor time by polls").slope
+    size = find_line(lines, "bytes by polls").slope
+    return Cost("polls of backend servers", rate * size, rate * us / US_PER_S, 0.0)
+
+
+def _grants(lines: Sequence[Line]) -> Cost:
+    """Return the cost while every service borrows from LENDERS peers and lends."""
+    asks_per_s = SERVICES * LENDERS / RENEW_EVERY_S
+    size = find_line(lines, "bytes by asks").slope
+    us = find_line(lines, "answer to an ask by borrowers").at(NODES_PER_ZONE)
+    memory_kb = find_line(lines, "grants in force by borrowers").at(NODES_PER_ZONE)
+    return Cost(
+        "grants, while all services spill",
+        asks_per_s * 2 * MESSAGES_PER_ASK * size,
+        asks_per_s * us / US_PER_S,
+        memory_kb / KB_PER_MB,
+    )
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,111 @@
+"""The tables of the capacity page, from measured lines."""
+
+from collections.abc import Sequence
+
+from tabulate import tabulate
+
+from benchmarks.capacity.limits import Cost, control_costs, find_line, sum_costs
+from benchmarks.capacity.target import (
+    BLOCKS,
+    CHANGES_PER_S,
+    CORE_SHARE_LIMIT,
+    LOOK_UPS_PER_NODE_AND_S,
+    MEMORY_LIMIT_MB,
+    NODES,
+    RATE_LIMIT_BYTES_PER_S,
+)
+from benchmarks.control.fits import Line
+
+__all__ = ["BEGIN", "END", "render_tables", "replace_tables"]
+
+BEGIN = "<!-- begin of generated tables -->"
+END = "<!-- end of generated tables -->"
+US_PER_S = 1e6
+SECONDS_PER_DAY = 86_400
+
+
+def render_tables(lines: Sequence[Line]) -> str:
+    """Return the tables of limits, work and fits in Markdown."""
+    costs = control_costs(lines)
+    parts = [
+        "### Control of a node at the target size",
+        _cost_table(costs),
+        "### Beside the limits",
+        _limit_table(sum_costs(costs)),
+        "### Work of callers and the platform at the target size",
+        _work_table(lines),
+        "### Measured lines",
+        _fit_table(lines),
+    ]
+    return "\n\n".join(parts)
+
+
+def replace_tables(page: str, tables: str) -> str:
+    """Return the page with its generated part replaced; raise ValueError without."""
+    before, rest = page.split(BEGIN)
+    _, after = rest.split(END)
+    return f"{before}{BEGIN}\n\n{tables}\n\n{END}{after}"
+
+
+def _cost_table(costs: Sequence[Cost]) -> str:
+    rows = [
+        (cost.role, f"{cost.bytes_per_s:.0f}", _percent(cost), f"{cost.memory_mb:.2f}")
+        for cost in [*costs, sum_costs(costs)]
+    ]
+    return _table(["role", "bytes/s", "share of a core", "memory, MB"], rows)
+
+
+def _limit_table(total: Cost) -> str:
+    limits = [
+        ("bytes/s", total.bytes_per_s, float(RATE_LIMIT_BYTES_PER_S)),
+        ("share of a core, %", total.core_share * 100, CORE_SHARE_LIMIT * 100),
+        ("memory, MB", total.memory_mb, MEMORY_LIMIT_MB),
+    ]
+    rows = [
+        (name, f"{value:.2f}", f"{limit:g}", "met" if value <= limit else "NOT MET")
+        for name, value, limit in limits
+    ]
+    return _table(["quantity", "worked out", "limit", "verdict"], rows)
+
+
+def _work_table(lines: Sequence[Line]) -> str:
+    look_up_us = find_line(lines, "look-up by client blocks").at(BLOCKS)
+    share = LOOK_UPS_PER_NODE_AND_S * look_up_us / US_PER_S
+    blocks_mb = find_line(lines, "packed blocks by client blocks").at(BLOCKS)
+    calls = find_line(lines, "table calls by publishes").slope
+    row_kb = find_line(lines, "table rows by publishes").slope
+    day_mb = row_kb * CHANGES_PER_S * SECONDS_PER_DAY / 1_000
+    rows = [
+        ("look-ups per node", f"{LOOK_UPS_PER_NODE_AND_S:.0f}/s"),
+        ("decisions on those look-ups", f"{share:.1%} of a core"),
+        ("packed client blocks", f"{blocks_mb:.1f} MB"),
+        ("publishers' calls of the table service", f"{calls * CHANGES_PER_S:.2f}/s"),
+        ("log rows kept a day", f"{day_mb:.1f} MB"),
+        ("nodes", f"{NODES}"),
+    ]
+    return _table(["quantity", "worked out"], rows)
+
+
+def _fit_table(lines: Sequence[Line]) -> str:
+    rows = [
+        (
+            line.role,
+            line.quantity,
+            line.unit,
+            " ".join(f"{n:g}:{value:.4g}" for n, value in line.points),
+            f"{line.slope:.4g}",
+            f"{line.intercept:.4g}",
+            f"{line.residual:.3g}",
+        )
+        for line in lines
+    ]
+    headers = ["role", "quantity", "unit", "points", "slope", "intercept", "error"]
+    return _table(headers, rows)
+
+
+def _table(headers: list[str], rows: Sequence[tuple[str, ...]]) -> str:
+    return tabulate(rows, headers=headers, tablefmt="github", disable_numparse=True)
+
+
+def _percent(cost: Cost) -> str:
+    return f"{cost.core_share:.3%}"
--- /dev/null
+++ b/benchmarks/capacity/polls.py
@@ -0,0 +1,74 @@
+"""Lines of the polls of backend servers, apart from the servers' own cost."""
+
+import asyncio
+import threading
+import time
+
+import aiohttp
+import uvloop
+
+from benchmarks.control.fits import Line, fit_line
+
+__all__ = ["measure_polls"]
+
+POLLS = (250, 500, 1_000, 2_000)
+BODY = b'{"in_flight": 2, "slots": 3, "draining": false}'
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+)
+ANSWER = HEAD % len(BODY) + BODY
+TCP_IP_BYTES = 4 * 40
+US_PER_S = 1e6
+
+
+class _Server(threading.Thread):
+    """Answer polls on a thread of its own and count their bytes."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.port = 0
+        self.bytes = 0
+        self.ready = threading.Event()
+
+    def run(self) -> None:
+        """Serve until the process ends."""
+        uvloop.run(self._serve())
+
+    async def _serve(self) -> None:
+        server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        self.ready.set()
+        await server.serve_forever()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            self.bytes += len(head) + len(ANSWER) + TCP_IP_BYTES
+            writer.write(ANSWER)
+
+
+def measure_polls() -> list[Line]:
+    """Measure processor time and bytes of a poll by the number of polls."""
+    server = _Server()
+    server.start()
+    server.ready.wait()
+    times: list[tuple[float, float]] = []
+    sizes: list[tuple[float, float]] = []
+    for count in POLLS:
+        before = server.bytes
+        start = time.thread_time()
+        uvloop.run(_poll(server.port, count))
+        times.append((count, (time.thread_time() - start) * US_PER_S))
+        sizes.append((count, float(server.bytes - before)))
+    return [
+        fit_line("backend polls", "processor time by polls", "us", times),
+        fit_line("backend polls", "bytes by polls", "B", sizes),
+    ]
+
+
+async def _poll(port: int, count: int) -> None:
+    async with aiohttp.ClientSession() as session:
+        for _ in range(count):
+            async with session.get(f"http://127.0.0.1:{port}/load") as answer:
+                await answer.json()
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/report.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/report.py
@@ -7,6 +7,7 @@
 from rhubarbwell_platform.services import ListedState
 
 from rhubarbwell_ops.exits import ExitCode, Report
+from rhubarbwell_ops.operators import host_port
 from rhubarbwell_ops.report import (
     FleetReport,
     fleet_report_json,
@@ -25,7 +26,7 @@
     """
     listing = await platform.instances.read()
     live = [row for row in listing.instances if row.state is ListedState.LIVE]
-    return [f"{row.operators.host}:{row.operators.port}" for row in live]
+    return [host_port(row.operators) for row in live]
 
 
 async def report(operators: Sequence[str], *, plot: Path | None = None) -> Report:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
@@ -9,6 +9,8 @@
 from rhubarbwell_core.adoption import LogHead
 from rhubarbwell_platform import InstanceList, ListedInstance, ListedState
 
+from rhubarbwell_ops.operators import OperatorClient, host_port, open_operators
+
 __all__ = [
     "Adoption",
     "InstanceStatus",
@@ -50,12 +52,11 @@
     listing = await instances.read()
     live = [row for row in listing.instances if row.state is ListedState.LIVE]
     limit = asyncio.Semaphore(PARALLEL_CALLS)
-    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_operators(timeout_s=STATUS_TIMEOUT_S) as client:
 
         async def ask(row: ListedInstance) -> InstanceStatus:
             async with limit:
-                return await _read_status(session, row, head)
+                return await _read_status(client, row, head)
 
         return tuple(await asyncio.gather(*map(ask, live)))
 
@@ -96,22 +97,16 @@
 
 
 async def _read_status(
-    session: aiohttp.ClientSession, row: ListedInstance, head: LogHead
+    client: OperatorClient, row: ListedInstance, head: LogHead
 ) -> InstanceStatus:
     unreachable = InstanceStatus(row.instance_id, row.zone, Adoption.UNREACHABLE)
-    url = f"http://{_host_port(row)}/status"
     try:
-        async with session.get(url) as resp:
-            return _status_of(row, await resp.json(), head)
+        answer: Any = await client.ask(host_port(row.operators), "/status")
+        return _status_of(row, answer, head)
     except (aiohttp.ClientError, TimeoutError, KeyError, TypeError, ValueError):
         return unreachable
 
 
-def _host_port(row: ListedInstance) -> str:
-    host, port = row.operators
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 def _status_of(
     row: ListedInstance, body: Mapping[str, Any], head: LogHead
 ) -> InstanceStatus:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/gather.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/gather.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 from rhubarbwell_entry.reports import InstanceReport, decode_report
 
+from rhubarbwell_ops.operators import OperatorClient, open_operators
 from rhubarbwell_ops.report.fleet import FleetReport, merge_reports
 
 __all__ = ["gather_report"]
@@ -18,10 +19,9 @@
 async def gather_report(operators: Sequence[str]) -> FleetReport:
     """Merge the reports of the instances at these host:port addresses."""
     limit = asyncio.Semaphore(MAX_PARALLEL)
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_operators(timeout_s=TIMEOUT_S) as client:
         results = await asyncio.gather(
-            *(_ask(session, address, limit) for address in operators)
+            *(_ask(client, address, limit) for address in operators)
         )
     found = dict(zip(operators, results, strict=True))
     lost = [name for name, got in found.items() if isinstance(got, Failure)]
@@ -30,12 +30,11 @@
 
 
 async def _ask(
-    session: aiohttp.ClientSession, address: str, limit: asyncio.Semaphore
+    client: OperatorClient, address: str, limit: asyncio.Semaphore
 ) -> Result[InstanceReport, str]:
     try:
-        async with limit, session.get(f"http://{address}/report") as answer:
-            answer.raise_for_status()
-            return Success(decode_report(await answer.json()))
+        async with limit:
+            return Success(decode_report(await client.ask(address, "/report")))
     except (aiohttp.ClientError, TimeoutError) as exc:
         return Failure(f"{type(exc).__name__}: {exc}")
     except (KeyError, TypeError, ValueError) as exc:
