--- /dev/null
+++ b/benchmarks/control/loopback.py
@@ -0,0 +1,271 @@
+"""Publishes by racing operators, taken into force over the loopback."""
+
+import asyncio
+import socket
+import time
+from itertools import combinations
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Success
+from rhubarbwell_core import Core
+from rhubarbwell_core.messages import InstancesListed
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    DeploymentSpec,
+    Identity,
+    LinkSpec,
+    RegionSpec,
+    ServiceSpec,
+    WorkKind,
+    ZoneSpec,
+)
+from rhubarbwell_entry.adoption import LogFollower
+from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.peers import PeerKeys, PeerNode
+from rhubarbwell_platform import Platform
+from rhubarbwell_platform.documents import encode_document
+from rhubarbwell_platform.errors import PlatformError
+from rhubarbwell_platform.memory import (
+    FaultKind,
+    RandomFaults,
+    memory_platform,
+    with_faults,
+)
+from rhubarbwell_platform.publishing import (
+    Change,
+    PublishUnknown,
+    publish,
+    read_head,
+    read_rows,
+    read_state,
+)
+
+__all__ = ["Report", "run_publishes"]
+
+ZONES = ("tirol-a", "tirol-b", "salzkammer-a", "salzkammer-b", "adria-a", "adria-b")
+SERVICES = ("slotsvc", "paysvc", "clipsvc", "rostersvc")
+KEYS = PeerKeys([b"benchmark-key-0001"])
+FAULTS = {
+    FaultKind.DOWN: 0.02,
+    FaultKind.REQUEST_LOST: 0.01,
+    FaultKind.ANSWER_LOST: 0.02,
+}
+PAUSE_S = 0.02
+RESTART_EVERY_S = 3.0
+SETTLE_LIMIT_S = 60.0
+
+
+class Report(NamedTuple):
+    """Hold what came of the publishes; times in ms from accepted to in force."""
+
+    accepted: int
+    conflicts: int
+    lost: int
+    doubled: int
+    reverts: int
+    behind: int
+    restarts: int
+    times_ms: tuple[int, ...]
+
+
+class _Instance:
+    """Run one core with its peers and its follower."""
+
+    def __init__(self, name: str, zone: str, platform: Platform, rng: Random) -> None:
+        self.name = name
+        self.zone = zone
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        here = Address(*self.sock.getsockname())
+        incarnation = f"{rng.getrandbits(64):016x}"
+        identity = Identity(
+            name, incarnation, zone, zone[:-2], Address("127.0.0.1", 1), here
+        )
+        core = Core(identity, rng, now_ms=time.monotonic_ns() // 1_000_000)
+        self.driver = CoreDriver(core)
+        self.node = PeerNode(self.driver, KEYS)
+        self.follower = LogFollower(self.driver, platform)
+        self.versions: list[int] = []
+
+    @property
+    def address(self) -> Address:
+        return self.driver.core.identity.peers
+
+    async def start(self, seeds: tuple[Address, ...]) -> None:
+        await self.node.start(sock=self.sock)
+        self.driver.handle(InstancesListed(seeds))
+        self.task = asyncio.create_task(self.driver.run())
+        self.follower.start()
+
+    async def stop(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.follower.close()
+        await self.node.close()
+
+    def note_version(self) -> int:
+        """Record the version in force if it has changed; return it."""
+        cfg = self.driver.core.configuration
+        version = 0 if cfg is None else cfg.version
+        if version and (not self.versions or self.versions[-1] != version):
+            self.versions.append(version)
+        return version
+
+    def reverts(self) -> int:
+        pairs = zip(self.versions, self.versions[1:], strict=False)
+        return sum(1 for before, after in pairs if after < before)
+
+
+class _Run:
+    def __init__(self, publishes: int, seed: int, with_restarts: bool) -> None:
+        self.rng = Random(seed)
+        self.inner = memory_platform()
+        self.platform = with_faults(self.inner, RandomFaults(Random(seed), FAULTS))
+        self.publishes = publishes
+        self.with_restarts = with_restarts
+        self.instances: list[_Instance] = []
+        self.ended: list[_Instance] = []
+        self.accepted: dict[str, int] = {}
+        self.accepted_at: dict[int, float] = {}
+        self.in_force_at: dict[int, float] = {}
+        self.conflicts = 0
+        self.restarts = 0
+        self.is_done = False
+
+    async def run(self) -> Report:
+        await _publish_first(self.inner)
+        for zone in ZONES:
+            for number in range(2):
+                await self._start(f"{zone}-{number}", zone)
+        watcher = asyncio.create_task(self._watch())
+        restarter = asyncio.create_task(self._restart_some())
+        try:
+            await asyncio.gather(self._operate("ana"), self._operate("ben"))
+            self.is_done = True
+            await restarter
+            head = (await read_head(self.inner.tables)).head
+            await self._settle(head.version)
+            self._note_in_force()
+        finally:
+            watcher.cancel()
+            await asyncio.gather(watcher, return_exceptions=True)
+            await asyncio.gather(*(instance.stop() for instance in self.instances))
+        return await self._report(head.version)
+
+    async def _start(self, name: str, zone: str) -> None:
+        rng = Random(self.rng.getrandbits(32))
+        instance = _Instance(name, zone, self.platform, rng)
+        seeds = tuple(other.address for other in self.instances)
+        self.instances.append(instance)
+        await instance.start(seeds)
+
+    async def _operate(self, author: str) -> None:
+        rng = Random(author)
+        number = 0
+        while len(self.accepted) < self.publishes:
+            number += 1
+            await self._publish_one(author, f"{author}-{number}", rng)
+            await asyncio.sleep(PAUSE_S * rng.uniform(0.5, 1.5))
+
+    async def _publish_one(self, author: str, publish_id: str, rng: Random) -> None:
+        try:
+            base = await read_state(self.platform)
+        except PlatformError:
+            return
+        service = rng.choice(SERVICES)
+        text = encode_document(_service(service, f"{publish_id}"))
+        change = Change(publish_id, author, 0, {f"service/{service}": text})
+        outcome = await publish(self.platform, change, base=base)
+        while isinstance(outcome, PublishUnknown):
+            outcome = await publish(self.platform, change, base=base)
+        if isinstance(outcome, Success):
+            version = outcome.unwrap().version
+            self.accepted[publish_id] = version
+            self.accepted_at[version] = time.monotonic()
+        else:
+            self.conflicts += 1
+
+    async def _watch(self) -> None:
+        while True:
+            self._note_in_force()
+            await asyncio.sleep(0.005)
+
+    def _note_in_force(self) -> None:
+        ready = [i for i in self.instances if i.driver.core.configuration]
+        lowest = min((i.note_version() for i in ready), default=0)
+        now = time.monotonic()
+        for version in self.accepted_at:
+            if version <= lowest and version not in self.in_force_at:
+                self.in_force_at[version] = now
+
+    async def _restart_some(self) -> None:
+        while self.with_restarts and not self.is_done:
+            await asyncio.sleep(RESTART_EVERY_S)
+            instance = self.rng.choice(self.instances)
+            self.instances.remove(instance)
+            self.ended.append(instance)
+            await instance.stop()
+            self.restarts += 1
+            await self._start(instance.name, instance.zone)
+
+    async def _settle(self, version: int) -> None:
+        deadline = time.monotonic() + SETTLE_LIMIT_S
+        while time.monotonic() < deadline:
+            if all(i.note_version() >= version for i in self.instances):
+                return
+            await asyncio.sleep(0.01)
+
+    async def _report(self, head_version: int) -> Report:
+        rows = await read_rows(self.inner.tables, up_to=head_version)
+        entries = [(row.publish_id, row.document) for row in rows]
+        ids = {row.publish_id for row in rows}
+        lived = self.instances + self.ended
+        behind = [i for i in self.instances if i.note_version() < head_version]
+        times = [
+            round((self.in_force_at[version] - at) * 1_000)
+            for version, at in self.accepted_at.items()
+            if version in self.in_force_at
+        ]
+        return Report(
+            accepted=len(self.accepted),
+            conflicts=self.conflicts,
+            lost=sum(1 for publish_id in self.accepted if publish_id not in ids),
+            doubled=len(entries) - len(set(entries)),
+            reverts=sum(instance.reverts() for instance in lived),
+            behind=len(behind),
+            restarts=self.restarts,
+            times_ms=tuple(max(0, ms) for ms in times),
+        )
+
+
+async def run_publishes(
+    publishes: int, *, seed: int = 1, with_restarts: bool = True
+) -> Report:
+    """Publish with two racing operators to 12 instances and report."""
+    return await _Run(publishes, seed, with_restarts).run()
+
+
+async def _publish_first(platform: Platform) -> None:
+    zones = tuple(ZoneSpec(zone, zone[:-2], 2) for zone in ZONES)
+    regions = tuple(RegionSpec(name) for name in dict.fromkeys(z.region for z in zones))
+    names = [region.name for region in regions]
+    links = tuple(LinkSpec(*pair, 4_000.0, 35.0) for pair in combinations(names, 2))
+    deployment = DeploymentSpec("wellenbrett", regions, zones, links)
+    documents: dict[str, str | None] = {"deployment": encode_document(deployment)}
+    for service in SERVICES:
+        documents[f"service/{service}"] = encode_document(_service(service, ""))
+    base = await read_state(platform)
+    outcome = await publish(platform, Change("first", "ana", 0, documents), base=base)
+    if not isinstance(outcome, Success):
+        raise RuntimeError(f"the first publish failed: {outcome}")
+
+
+def _service(name: str, description: str) -> ServiceSpec:
+    port = 9_000 + 100 * SERVICES.index(name)
+    backends = tuple(
+        BackendSpec(f"{name}-{number}", zone, "127.0.0.1", port + number)
+        for number, zone in enumerate(ZONES)
+    )
+    return ServiceSpec(name, (WorkKind("page", "GET", "/"),), backends, description)
--- /dev/null
+++ b/benchmarks/control/slopes.py
@@ -0,0 +1,225 @@
+"""Cost of control per node and per change, at several sizes."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from rhubarbwell_core import Core
+from rhubarbwell_core.messages import (
+    MemberNews,
+    PeerHeard,
+    PeerState,
+    ServiceHeadroom,
+    SyncAnswer,
+    SyncAnswered,
+)
+from rhubarbwell_core.model import Address, Identity
+from rhubarbwell_entry.peers import PeerKeys, decode_body, encode_body
+
+from benchmarks.control.fits import Line, fit_line
+from benchmarks.control.fleet import Fleet
+
+__all__ = ["measure_changes", "measure_memory", "measure_relays", "measure_zone"]
+
+KEYS = PeerKeys([b"benchmark-key-0001"])
+SERVICES = ("slotsvc", "paysvc", "clipsvc", "rostersvc")
+WARM_UP_MS = 25_000
+SPAN_S = 30
+HEADROOM_STEP_S = 10
+ZONE_SIZES = (3, 6, 12, 20, 29, 36)
+ZONE_COUNTS = (3, 6, 12, 25, 50, 100)
+NODES_PER_ZONE = 2
+CHANGE_NODES = (4, 12, 36, 100)
+CHANGES = 10
+VIEW_SIZES = (100, 400, 1_000, 2_000, 2_900)
+DOCUMENT_BYTES = 4_000
+
+
+class Cost(NamedTuple):
+    """Hold costs per node and second; bytes are sent and received envelopes."""
+
+    bytes_per_s: float
+    messages_per_s: float
+    cpu_us_per_s: float
+    store_ops_per_s: float
+
+
+def measure_zone() -> list[Line]:
+    """Measure one zone of several sizes."""
+    costs = [(size, _measure_idle(_build(1, size))) for size in ZONE_SIZES]
+    return _lines("in-zone membership", "instances of the zone", costs)
+
+
+def measure_relays() -> list[Line]:
+    """Measure several numbers of zones whose headroom moves."""
+    costs = [
+        (zones, _measure_idle(_build(zones, NODES_PER_ZONE))) for zones in ZONE_COUNTS
+    ]
+    return _lines("relays between zones", "zones", costs)
+
+
+def measure_changes() -> list[Line]:
+    """Measure what one configuration change costs a node, beyond idle cost."""
+    costs: list[tuple[int, Cost]] = []
+    for nodes in CHANGE_NODES:
+        idle = _measure_idle(_build(nodes // NODES_PER_ZONE, NODES_PER_ZONE))
+        busy = _measure_changes(_build(nodes // NODES_PER_ZONE, NODES_PER_ZONE))
+        more = [SPAN_S * (b - i) / CHANGES for b, i in zip(busy, idle, strict=True)]
+        costs.append((nodes, Cost(*more)))
+    role = "configuration poller and adopter"
+    per_change = [
+        ("bytes per node and change", "B", 0),
+        ("processor time per node and change", "us", 2),
+        ("store operations per node and change", "calls", 3),
+    ]
+    return [
+        fit_line(role, name, unit, [(n, cost[place]) for n, cost in costs])
+        for name, unit, place in per_change
+    ]
+
+
+def measure_memory() -> list[Line]:
+    """Measure the memory and the start of one node by the fleet's size."""
+    memory, start = [], []
+    for size in VIEW_SIZES:
+        news = _view(size)
+        start.append((size, float(len(encode_body([SyncAnswer(news, ())])))))
+        memory.append((size, _memory_of(news) / 1_000))
+    role = "view of all instances"
+    return [
+        fit_line(role, "memory per node by instances", "KB", memory),
+        fit_line(role, "bytes at a start by instances", "B", start),
+    ]
+
+
+def _lines(role: str, size: str, costs: list[tuple[int, Cost]]) -> list[Line]:
+    quantities = [
+        (f"bytes/s per node by {size}", "B/s", 0),
+        (f"messages/s per node by {size}", "1/s", 1),
+        (f"processor time per node by {size}", "us/s", 2),
+        (f"store operations per node by {size}", "calls/s", 3),
+    ]
+    return [
+        fit_line(role, name, unit, [(n, cost[place]) for n, cost in costs])
+        for name, unit, place in quantities
+    ]
+
+
+def _build(zones: int, size: int) -> Fleet:
+    fleet = Fleet(seed=zones * 1_000 + size, keys=KEYS)
+    fleet.store.publish({f"service/{name}": _document(name) for name in SERVICES})
+    headroom = [_moving_headroom(fleet, zone) for zone in range(zones)]
+    for zone in range(zones):
+        for number in range(size):
+            name = f"r{zone:03d}-a"
+            member = fleet.add(f"entry-{zone:03d}-{number:02d}", name)
+            member.core.membership._read_headroom = headroom[zone]
+    addresses = [member.identity.peers for member in fleet.members.values()]
+    fleet.list_instances(addresses)
+    fleet.run(WARM_UP_MS)
+    if not (fleet.all_ready() and fleet.converged()):
+        fleet.run_until(fleet.converged, 120_000)
+    return fleet
+
+
+def _moving_headroom(
+    fleet: Fleet, zone: int
+) -> Callable[[], tuple[ServiceHeadroom, ...]]:
+    def read() -> tuple[ServiceHeadroom, ...]:
+        step = fleet.now_ms // (HEADROOM_STEP_S * 1_000)
+        rng = Random(zone * 100_003 + step)
+        return tuple(ServiceHeadroom(name, 36, rng.randrange(36)) for name in SERVICES)
+
+    return read
+
+
+def _measure_idle(fleet: Fleet) -> Cost:
+    before = _totals(fleet)
+    fleet.run(SPAN_S * 1_000)
+    return _per_node(fleet, before)
+
+
+def _measure_changes(fleet: Fleet) -> Cost:
+    before = _totals(fleet)
+    for number in range(CHANGES):
+        name = SERVICES[number % len(SERVICES)]
+        fleet.store.publish({f"service/{name}": _document(f"{number}")})
+        fleet.run(SPAN_S * 1_000 // CHANGES)
+    cost = _per_node(fleet, before)
+    fleet.run_until(lambda: fleet.in_force(fleet.store.head.version), 60_000)
+    return cost
+
+
+def _totals(fleet: Fleet) -> tuple[int, int, int, int]:
+    gc.collect()
+    members = fleet.members.values()
+    return (
+        sum(member.sent_bytes + member.received_bytes for member in members),
+        sum(sum(member.sent_messages.values()) for member in members),
+        sum(member.cpu_ns for member in members),
+        fleet.store.operations,
+    )
+
+
+def _per_node(fleet: Fleet, before: tuple[int, int, int, int]) -> Cost:
+    scale = 1.0 / (SPAN_S * len(fleet.members))
+    spent = [a - b for a, b in zip(_totals(fleet), before, strict=True)]
+    return Cost(
+        spent[0] * scale, spent[1] * scale, spent[2] * scale / 1_000, spent[3] * scale
+    )
+
+
+def _document(salt: str) -> str:
+    rng = Random(salt)
+    return f"{rng.getrandbits(DOCUMENT_BYTES * 2):x}"
+
+
+def _view(size: int) -> tuple[MemberNews, ...]:
+    news = []
+    for number in range(size):
+        zone = f"region-{number % 40:02d}-{'abc'[number % 100 // 40]}"
+        here = Address(f"10.0.{number >> 8}.{number & 255}", 7_001)
+        incarnation = f"{Random(number).getrandbits(64):016x}"
+        heard = PeerHeard(
+            f"entry-{number:04d}",
+            incarnation,
+            zone,
+            zone[:-2],
+            here._replace(port=8_080),
+            here,
+            PeerState.READY,
+            8_600,
+            3,
+        )
+        news.append(MemberNews(heard))
+    return tuple(news)
+
+
+def _memory_of(news: tuple[MemberNews, ...]) -> int:
+    here = Address("10.9.9.9", 7_001)
+    body = encode_body([SyncAnswer(news, ())])
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    core = Core(
+        Identity("me", "me-1", "region-00-a", "region-00", here, here), Random(1)
+    )
+    (answer,) = decode_body(body)
+    core.handle(SyncAnswered(here, answer), 0)
+    del answer
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(core.peers) == len(news) + 1
+    return after - before
+
+
+def timed(call: Callable[[], list[Line]]) -> list[Line]:
+    """Run a measurement and print how long it took."""
+    start = time.monotonic()
+    lines = call()
+    print(f"# {call.__name__}: {time.monotonic() - start:.0f} s")
+    return lines
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/members.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/members.py
@@ -25,7 +25,10 @@
 
 
 class MemberTable:
-    """Keep the newest news of each instance, whatever order they arrive in."""
+    """Keep the newest news of each instance, whatever order they arrive in.
+
+    changes counts the changes of any row but those of refresh.
+    """
 
     def __init__(self) -> None:
         self._rows = Table[str, MemberRow]("members")
@@ -33,6 +36,8 @@
         self._digests: dict[str, int] = {}
         self._suspects: set[str] = set()
         self._gone: set[str] = set()
+        self._view_digest = 0
+        self.changes = 0
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -96,12 +101,10 @@
 
     def view_digest(self) -> int:
         """Return one digest of all zones."""
-        digest = 0
-        for zone, value in self._digests.items():
-            digest ^= zlib.crc32(zone.encode(), value) if value else 0
-        return digest
+        return self._view_digest
 
     def _link(self, news: MemberNews) -> None:
+        self.changes += 1
         heard = news.heard
         self._zones.setdefault(heard.zone, set()).add(heard.instance_id)
         if news.liveness is Liveness.GONE:
@@ -112,6 +115,7 @@
             self._suspects.add(heard.instance_id)
 
     def _unlink(self, news: MemberNews) -> None:
+        self.changes += 1
         heard = news.heard
         if news.liveness is not Liveness.GONE:
             self._toggle_digest(heard)
@@ -124,8 +128,14 @@
 
     def _toggle_digest(self, heard: PeerHeard) -> None:
         text = f"{heard.instance_id}\n{heard.incarnation}\n{heard.sequence}"
-        digest = self._digests.get(heard.zone, 0)
-        self._digests[heard.zone] = digest ^ zlib.crc32(text.encode())
+        old = self._digests.get(heard.zone, 0)
+        new = old ^ zlib.crc32(text.encode())
+        self._digests[heard.zone] = new
+        self._view_digest ^= _zone_part(heard.zone, old) ^ _zone_part(heard.zone, new)
+
+
+def _zone_part(zone: str, digest: int) -> int:
+    return zlib.crc32(zone.encode(), digest) if digest else 0
 
 
 def _order(news: MemberNews) -> tuple[int, str, int, Liveness]:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
@@ -28,6 +28,7 @@
         self._members = members
         self._watchers: dict[str, list[str]] = {}
         self._watchers_key: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
+        self._changes_seen = -1
         self._failures: dict[str, int] = {}
         self._queue: list[str] = []
         self._reports: dict[str, dict[str, _Report]] = {}
@@ -81,10 +82,11 @@
 
         A zone is unreachable while every watcher has lately said so.
         """
+        watchers = self._current_watchers()
         unreachable = {
             zone
-            for zone, watchers in self._current_watchers().items()
-            if self._is_unreachable(zone, watchers, now_ms)
+            for zone in self._reports
+            if self._is_unreachable(zone, watchers.get(zone, []), now_ms)
         }
         changed = unreachable ^ self._unreachable
         self._unreachable = unreachable
@@ -125,6 +127,9 @@
         return live[order[place]]
 
     def _current_watchers(self) -> dict[str, list[str]]:
+        if self._changes_seen == self._members.changes:
+            return self._watchers
+        self._changes_seen = self._members.changes
         own_zone = self._identity.zone
         live = self._members.live_of_zone(own_zone)
         ids = tuple(peer.instance_id for peer in live)
