--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
@@ -40,6 +40,7 @@
 
 POLL_PERIOD_MS = 2_000
 POLLERS_PER_ZONE = 2
+FIRST_RETRY_MS = 250
 CALL_TIMEOUT_MS = 8_000
 PEER_TIMEOUT_MS = 800
 ROWS_PER_READ = 512
@@ -80,6 +81,7 @@
         self._peer_due_ms = 0
         self._poll_due_ms = 0
         self._reads_behind = 0
+        self._failures = 0
 
     def handlers(self) -> Mapping[type, EventHandler]:
         """Return the handlers of the store's and the peers' answers."""
@@ -128,9 +130,12 @@
         return self.poll(now_ms)
 
     def _on_head(self, event: HeadRead, now_ms: int) -> list[Action]:
-        if not self._close_call(event.call_id) or event.head is None:
+        if not self._close_call(event.call_id):
             return []
+        if event.head is None:
+            return self._retry(now_ms)
         self.store_answered_ms = now_ms
+        self._failures = 0
         head, position = event.head, self.position
         if head.version < position.version:
             return self._on_head_behind(head)
@@ -171,8 +176,10 @@
         return RestoreLog(head, newest, tuple(rows), self.position.texts())
 
     def _on_rows(self, event: LogRowsRead, now_ms: int) -> list[Action]:
-        if not self._close_call(event.call_id) or event.rows is None:
+        if not self._close_call(event.call_id):
             return []
+        if event.rows is None:
+            return self._retry(now_ms)
         try:
             candidate = self.position.follow(event.rows)
         except InvalidLogError as exc:
@@ -199,7 +206,7 @@
             return []
         if event.text is None:
             self._candidate = None
-            return []
+            return self._retry(now_ms)
         try:
             self._candidate = self._candidate.with_text(event.digest, event.text)
         except InvalidLogError as exc:
@@ -263,6 +270,13 @@
         kind = ConfigurationAlarmKind.REFUSED
         return self.alarms.tell(kind, event.version, "; ".join(event.findings))
 
+    def _retry(self, now_ms: int) -> list[Action]:
+        """Poll again sooner than a period, the later the more calls have failed."""
+        wait_ms = min(FIRST_RETRY_MS << min(self._failures, 8), POLL_PERIOD_MS)
+        self._failures += 1
+        self._poll_due_ms = now_ms + round(wait_ms * self._rng.uniform(0.8, 1.2))
+        return []
+
     def _open_call(self, now_ms: int) -> int:
         self._call_id += 1
         self._calls_open.add(self._call_id)
