Measure spills with the real membership, grants and slot leases; steady the limits

The harness now carries heartbeats, grant messages and slot calls between the cores. Floors now weigh windows by samples; an instance keeps its part while others use more than theirs. Free slots are shared among the instances that say they are busy.

--- a/benchmarks/steering/baselines.py
+++ b/benchmarks/steering/baselines.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from rhubarbwell_core.engine import Action, Event
-from rhubarbwell_core.lookups import LookUpAnswer, LookUpQuery, answer_look_up
+from rhubarbwell_core.lookups import LookUpAnswer, LookUpQuery, OfferedInstance
 from rhubarbwell_core.messages import (
     AttemptEnd,
     AttemptEnded,
@@ -13,7 +13,6 @@
     ConfigReceived,
     EndRequest,
     LoadReported,
-    PeerHeard,
     RequestArrived,
     SendAttempt,
     Target,
@@ -21,12 +20,15 @@
 from rhubarbwell_core.model import (
     Address,
     BackendSpec,
+    DeploymentSpec,
     Identity,
     Outcome,
     Reason,
     zones_of_region,
 )
 
+from benchmarks.steering.deployments import instance_ids
+
 __all__ = ["LeastReportedLoad", "RoundRobin"]
 
 MAX_ATTEMPTS = 3
@@ -42,7 +44,7 @@
         self.identity = identity
         self._rng = rng
         self._backends: dict[str, list[BackendSpec]] = {}
-        self._peers: dict[str, PeerHeard] = {}
+        self._deployment = DeploymentSpec("", (), ())
         self._tries: dict[str, tuple[RequestArrived, int]] = {}
         self._sent = 0
 
@@ -54,12 +56,11 @@
         """Take in an event."""
         if isinstance(event, ConfigReceived):
             cfg = event.configuration
+            self._deployment = cfg.deployment
             zones = zones_of_region(cfg.deployment, self.identity.region)
             for name, service in cfg.services.items():
                 used = [spec for spec in service.backends if spec.zone in zones]
                 self._backends[name] = used
-        elif isinstance(event, PeerHeard):
-            self._peers[event.instance_id] = event
         elif isinstance(event, LoadReported):
             self.take_report(event)
         elif isinstance(event, RequestArrived):
@@ -87,9 +88,17 @@
         return None
 
     def look_up(self, query: LookUpQuery, now_ms: int) -> LookUpAnswer:
-        """Answer with the instances known."""
-        zones = (query.zone or self.identity.zone,)
-        return answer_look_up(self._peers.values(), zones, ttl_ms=5_000, rng=self._rng)
+        """Answer with every instance in the site's order of zones."""
+        spec = self._deployment
+        address = query.address or "10.0.0.0"
+        site = spec.sites[int(address.split(".")[1])]
+        zones = {zone.name: zone for zone in spec.zones}
+        offered = tuple(
+            OfferedInstance(name, zone, self.identity.callers, 1.0)
+            for zone in site.zones
+            for name in instance_ids(zones[zone])
+        )
+        return LookUpAnswer(offered, spec.look_up_ttl_ms)
 
     def _send(self, req: RequestArrived, tries: int) -> Action:
         spec = self.choose(req.service)
--- a/benchmarks/steering/callers.py
+++ b/benchmarks/steering/callers.py
@@ -96,7 +96,7 @@
             deadline_ms,
             kind.rank,
             kind.idempotent,
-            body_bytes=UPLOAD_BYTES if kind.name == "upload" else None,
+            body_bytes=UPLOAD_BYTES if kind.name == "upload" else 0,
         )
 
         def on_end(ended: EndRequest) -> None:
@@ -127,6 +127,11 @@
         chosen = world.rng.choices(offered, weights)[0]
         return world.nodes[chosen.instance_id]
 
+    def _address(self, zone: str) -> str:
+        zones = self._world.deployment.configuration.deployment.zones
+        place = next(n for n, spec in enumerate(zones) if spec.name == zone)
+        return f"10.{place}.0.1"
+
     def _look_up(self, zone: str, service: str) -> LookUpAnswer | None:
         world = self._world
         now_ms = world.clock.now_ms
@@ -142,7 +147,7 @@
             return None
         near = [node for node in able if node.identity.zone == zone]
         node = world.rng.choice(near or able)
-        answer = node.core.look_up(LookUpQuery(service, zone=zone), now_ms)
+        answer = node.core.look_up(LookUpQuery(service, self._address(zone)), now_ms)
         if not answer.instances:
             return None
         until_ms = now_ms + max(answer.ttl_ms, MIN_TTL_MS)
--- a/benchmarks/steering/deployments.py
+++ b/benchmarks/steering/deployments.py
@@ -4,17 +4,19 @@
 
 from rhubarbwell_core.model import (
     BackendSpec,
+    ClientBlock,
     Configuration,
     DeploymentSpec,
     LinkSpec,
     Rank,
     RegionSpec,
     ServiceSpec,
+    SiteSpec,
     WorkKind,
     ZoneSpec,
 )
 
-__all__ = ["Deployment", "vanua", "wellenbrett"]
+__all__ = ["Deployment", "instance_ids", "vanua", "wellenbrett"]
 
 INSTANCES_PER_ZONE = 2
 SHORT_SERVICE_MS = 60
@@ -60,6 +62,11 @@
     )
 
 
+def instance_ids(zone: ZoneSpec) -> tuple[str, ...]:
+    """Return the names of a zone's entry instances."""
+    return tuple(f"{zone.name}-{n}" for n in range(zone.entry_instances))
+
+
 def _deployment(
     name: str,
     *,
@@ -81,6 +88,10 @@
         tuple(RegionSpec(region) for region in regions),
         zones,
         tuple(LinkSpec(a, b, mbit_per_s, delays_ms[2]) for a, b in pairs),
+        sites=tuple(_site(zone, zones) for zone in zones),
+        client_blocks=tuple(
+            ClientBlock(f"10.{n}.0.0/16", zone.name) for n, zone in enumerate(zones)
+        ),
         look_up_ttl_ms=5_000,
     )
     specs = {
@@ -90,6 +101,14 @@
     return Deployment(Configuration(1, "1", spec, specs), flooded, upload, *delays_ms)
 
 
+def _site(zone: ZoneSpec, zones: tuple[ZoneSpec, ...]) -> SiteSpec:
+    place = zones.index(zone)
+    turned = zones[place:] + zones[:place]
+    near = [other.name for other in turned if other.region == zone.region]
+    far = [other.name for other in turned if other.region != zone.region]
+    return SiteSpec(zone.name, (*near, *far))
+
+
 def _service(
     name: str, count: int, zones: tuple[ZoneSpec, ...], *, has_uploads: bool
 ) -> ServiceSpec:
--- a/benchmarks/steering/measures.py
+++ b/benchmarks/steering/measures.py
@@ -26,6 +26,9 @@
         self.link_bytes: Counter[tuple[str, str, int]] = Counter()
         self.served_per_s: Counter[tuple[str, int]] = Counter()
         self.peak_region_load: dict[tuple[str, str, str], float] = defaultdict(float)
+        self.peak_steered_load = 0.0
+        self.peak_shift_per_s = 0.0
+        self.forwarded = 0
         self.latencies: dict[tuple[str, str, Rank], DDSketch] = defaultdict(
             lambda: DDSketch(ACCURACY)
         )
@@ -69,6 +72,10 @@
         key = (self.phase, region, service)
         self.peak_region_load[key] = max(self.peak_region_load[key], share)
 
+    def steered_load(self, share: float) -> None:
+        """Note a region's load over its slots as a forwarded request starts."""
+        self.peak_steered_load = max(self.peak_steered_load, share)
+
     def peak_link_mbit_per_s(self) -> float:
         """Return the most that one direction of a link carried in a second."""
         most = max(self.link_bytes.values(), default=0)
--- a/benchmarks/steering/node.py
+++ b/benchmarks/steering/node.py
@@ -178,7 +178,8 @@
         elif not backend.offer(attempt_id, mean_ms, answered):
             self._end_later(attempt_id, AttemptEnd.SHED, back_ms)
         else:
-            self._world.note_load(backend)
+            is_forwarded = attempt.req.forwarded is not None
+            self._world.note_load(backend, is_forwarded=is_forwarded)
 
     def _take_connection(self, attempt: Attempt, zone: str) -> None:
         pool = self._idle[attempt.action.target.target_id]
--- a/benchmarks/steering/report.py
+++ b/benchmarks/steering/report.py
@@ -1,5 +1,6 @@
 """The figures of a run and the targets that they are held against."""
 
+from math import ceil
 from typing import NamedTuple
 
 from rhubarbwell_core.model import Rank, rank_name
@@ -16,6 +17,10 @@
 MIN_FLOOR_KEPT = 0.95
 MIN_GOODPUT = 0.95
 MAX_DRAIN_MS = 3_000
+MAX_STEERED_LOAD = 1.0
+MIN_CARRIED = 0.95
+SETTLING_MS = 10_000
+ROUNDING = 1e-6
 
 
 class Check(NamedTuple):
@@ -44,6 +49,9 @@
     row["goodput/capacity"] = round(_goodput_share(world, timeline), 3)
     row["peak load"] = round(_peak_load(world, "fault"), 2)
     row["attempts/first"] = round(measures.amplification(), 3)
+    row["peak load as steered"] = round(measures.peak_steered_load, 2)
+    row["forwarded"] = measures.forwarded
+    row["shift per s"] = round(measures.peak_shift_per_s, 3)
     row["link Mbit/s"] = round(measures.peak_link_mbit_per_s(), 1)
     row["unknown"] = sum(
         count
@@ -60,7 +68,18 @@
     """Return the checks that the scenarios call for."""
     service = world.deployment.flooded
     measures = world.measures
-    checks = [_at_most("attempts/first", measures.amplification(), MAX_AMPLIFICATION)]
+    spec = world.deployment.configuration.deployment
+    budget = spec.links[0].mbit_per_s
+    shift = measures.peak_shift_per_s
+    checks = [
+        _at_most("attempts/first", measures.amplification(), MAX_AMPLIFICATION),
+        _at_most("load as steered", measures.peak_steered_load, MAX_STEERED_LOAD),
+        _at_most("link Mbit/s", measures.peak_link_mbit_per_s(), budget),
+        _at_most("shift per s", shift, spec.shift_cap_per_s + ROUNDING),
+    ]
+    if names == ("region-lost",):
+        carried = _carried_share(world, timeline)
+        checks.append(_at_least("carried after 10 s", carried, MIN_CARRIED))
     floods = {"bulk-flood", "urgent-flood"} & set(names)
     if "bulk-flood" in names:
         served = _served_share(world, "fault", Rank.URGENT)
@@ -78,8 +97,8 @@
         goodput = _goodput_share(world, timeline)
         checks.append(_at_least("goodput/capacity", goodput, MIN_GOODPUT))
     if "drain-uploads" in names:
-        spec = world.backends[world.leaving]
-        took_ms = max(0, spec.last_offer_ms - timeline.fault_ms)
+        leaving = world.backends[world.leaving]
+        took_ms = max(0, leaving.last_offer_ms - timeline.fault_ms)
         checks.append(_at_most("drain ms to last new work", took_ms, MAX_DRAIN_MS))
     return checks
 
@@ -94,11 +113,28 @@
 
 
 def _goodput_share(world: World, timeline: Timeline) -> float:
+    first = ceil(timeline.fault_ms / 1_000)
+    seconds = range(first, timeline.after_ms // 1_000)
+    return _served_per_s(world, seconds) / _capacity(world)
+
+
+def _carried_share(world: World, timeline: Timeline) -> float:
+    first = ceil((timeline.fault_ms + SETTLING_MS) / 1_000)
+    seconds = range(first, timeline.after_ms // 1_000)
+    regions = len(world.deployment.configuration.deployment.regions)
+    rest = _capacity(world) * (regions - 1) / regions
+    offered = _capacity(world) * sum(BASE_MIX.values())
+    return _served_per_s(world, seconds) / min(rest, offered)
+
+
+def _served_per_s(world: World, seconds: range) -> float:
     service = world.deployment.flooded
-    measures = world.measures
-    seconds = range(timeline.fault_ms // 1_000, timeline.after_ms // 1_000)
-    served = sum(measures.served_per_s[service, second] for second in seconds)
-    return served / (len(seconds) * capacity_per_s(world, service, "page"))
+    served = sum(world.measures.served_per_s[service, second] for second in seconds)
+    return served / len(seconds) if seconds else 0.0
+
+
+def _capacity(world: World) -> float:
+    return capacity_per_s(world, world.deployment.flooded, "page")
 
 
 def _floor_kept(world: World, timeline: Timeline, rank: Rank) -> float:
@@ -106,7 +142,7 @@
     floors = world.deployment.configuration.deployment.floors
     share = min(floors.of(rank), BASE_MIX[rank])
     seconds = (timeline.after_ms - timeline.fault_ms) / 1_000
-    owed = share * capacity_per_s(world, service, "page") * seconds
+    owed = share * _capacity(world) * seconds
     return world.measures.served["fault", service, rank] / owed
 
 
--- a/benchmarks/steering/scenarios.py
+++ b/benchmarks/steering/scenarios.py
@@ -23,11 +23,12 @@
 class Timeline(NamedTuple):
     """Give the times in ms at which phases begin and the run ends."""
 
-    quiet_ms: int = 4_000
-    fault_ms: int = 9_000
-    after_ms: int = 21_000
-    rest_ms: int = 27_000
-    end_ms: int = 32_000
+    load_ms: int = 8_000
+    quiet_ms: int = 10_000
+    fault_ms: int = 14_000
+    after_ms: int = 28_000
+    rest_ms: int = 35_000
+    end_ms: int = 39_000
 
 
 def run_world(world: World, names: tuple[str, ...], timeline: Timeline) -> None:
@@ -39,7 +40,7 @@
         ("rest", timeline.rest_ms),
     ):
         world.clock.call_at(at_ms, lambda p=phase: _begin_phase(world, p))
-    world.callers.start_base_load()
+    world.clock.call_at(timeline.load_ms, world.callers.start_base_load)
     for name in names:
         SCENARIOS[name](world, timeline)
     world.clock.run_until(timeline.end_ms)
--- a/benchmarks/steering/world.py
+++ b/benchmarks/steering/world.py
@@ -11,23 +11,22 @@
     EndRequest,
     ForwardedFrom,
     LoadReported,
-    PeerHeard,
-    PeerState,
 )
 from rhubarbwell_core.model import Address, Identity, Outcome
 
 from benchmarks.steering.backend import ModelledBackend, ReportMode
 from benchmarks.steering.callers import Callers
 from benchmarks.steering.clock import VirtualClock
-from benchmarks.steering.deployments import ANSWER_BYTES, Deployment
+from benchmarks.steering.deployments import ANSWER_BYTES, Deployment, instance_ids
 from benchmarks.steering.measures import Measures
 from benchmarks.steering.network import Network
 from benchmarks.steering.node import Attempt, Node
+from benchmarks.steering.peers import PeerMessages
 
 __all__ = ["CoreFactory", "World"]
 
-HEARTBEAT_MS = 500
 POLL_MS = 1_000
+SHIFT_PERIOD_MS = 1_000
 POLL_LAG_MS = 300
 
 CoreFactory = Callable[[Identity, Random], Any]
@@ -54,7 +53,6 @@
         self.measurements_stopped = False
         self.leaving = ""
         self._make_core = make_core
-        self._sequence = 0
         cfg = deployment.configuration
         self.backends = {
             spec.backend_id: ModelledBackend(spec, self.clock, Random(f"{seed}{spec}"))
@@ -67,22 +65,28 @@
             for spec in service.backends
         }
         self._groups = self._group_backends()
+        self._away: dict[tuple[str, str], float] = {}
+        self._by_address: dict[Address, Node] = {}
+        self.nodes: dict[str, Node] = {}
+        self._messages = PeerMessages(self)
         self.nodes = {
             identity.instance_id: self._start_node(identity)
             for identity in _identities(deployment)
         }
         self.callers = Callers(self)
-        self._every(HEARTBEAT_MS, self._exchange_heartbeats)
-        self._every(POLL_MS, self._poll_loads)
+        self.every(POLL_MS, self._poll_loads)
+        self.every(SHIFT_PERIOD_MS, self._measure_shifts)
 
-    def note_load(self, backend: ModelledBackend) -> None:
-        """Note the load of a backend server's region."""
+    def note_load(self, backend: ModelledBackend, *, is_forwarded: bool) -> None:
+        """Note the load of a backend server's region as a request starts there."""
         service = self._service_of[backend.spec.backend_id]
         region = self.network.region_of(backend.spec.zone)
         group = self._groups[region, service]
         load = sum(other.load for other in group)
         slots = sum(other.spec.slots for other in group)
         self.measures.region_load(region, service, load / slots)
+        if is_forwarded:
+            self.measures.steered_load(load / slots)
 
     def tell_all(self, event: Event) -> None:
         """Give an event to every node that is up."""
@@ -99,10 +103,26 @@
                 self.nodes[name] = self._start_node(identity)
 
     def deliver(self, node: Node, action: Action) -> None:
-        """Carry a message to another node; drop kinds that the model leaves out."""
+        """Carry a message to a peer or a call to the table service."""
+        self._messages.carry(node, action)
+
+    def node_at(self, address: Address) -> Node | None:
+        """Return the running node with the peers address, None without one."""
+        node = self._by_address.get(address)
+        return node if node is not None and node.is_up else None
+
+    def every(self, period_ms: int, callback: Callable[[], None]) -> None:
+        """Run the callback now and then every period_ms."""
+
+        def run() -> None:
+            callback()
+            self.clock.call_later(period_ms, run)
+
+        self.clock.call_later(0, run)
 
     def forward(self, node: Node, attempt: Attempt, end: EndAttempt) -> None:
         """Carry a request to a peer of another region and its answer back."""
+        self.measures.forwarded += 1
         peer = self.nodes[attempt.action.target.target_id]
         here, there = node.identity, peer.identity
         attempt_id = attempt.action.attempt_id
@@ -144,27 +164,22 @@
     def _start_node(self, identity: Identity) -> Node:
         rng = Random(self.rng.getrandbits(64))
         node = Node(identity, self._make_core(identity, rng), self)
+        self._by_address[identity.peers] = node
         node.handle(ConfigReceived(self.deployment.configuration))
         return node
 
-    def _every(self, period_ms: int, callback: Callable[[], None]) -> None:
-        def run() -> None:
-            callback()
-            self.clock.call_later(period_ms, run)
-
-        self.clock.call_later(0, run)
-
-    def _exchange_heartbeats(self) -> None:
-        self._sequence += 1
+    def _measure_shifts(self) -> None:
         for node in self.nodes.values():
-            heard = _heartbeat(node, self._sequence)
-            for other in self.nodes.values():
-                source, target = node.identity.zone, other.identity.zone
-                if node.is_up and not self.network.loses(source, target):
-                    delay_ms = self.network.delay_ms(source, target)
-                    self.clock.call_later(
-                        delay_ms, lambda n=other, e=heard: n.handle(e)
-                    )
+            grants = getattr(node.core, "grants", None)
+            if grants is None or not node.is_up:
+                continue
+            for service in self.deployment.configuration.services:
+                key = (node.identity.incarnation, service)
+                away = grants.borrowing.away(service)
+                grown = away - self._away.get(key, 0.0)
+                peak = self.measures.peak_shift_per_s
+                self.measures.peak_shift_per_s = max(peak, grown)
+                self._away[key] = away
 
     def _poll_loads(self) -> None:
         if self.measurements_stopped:
@@ -194,23 +209,7 @@
 def _identities(deployment: Deployment) -> list[Identity]:
     identities = []
     for zone in deployment.configuration.deployment.zones:
-        for n in range(zone.entry_instances):
-            name = f"{zone.name}-{n}"
+        for name in instance_ids(zone):
             here = Address("10.0.0.2", len(identities))
             identities.append(Identity(name, name, zone.name, zone.region, here, here))
     return identities
-
-
-def _heartbeat(node: Node, sequence: int) -> PeerHeard:
-    own = node.identity
-    return PeerHeard(
-        own.instance_id,
-        own.incarnation,
-        own.zone,
-        own.region,
-        own.callers,
-        own.peers,
-        PeerState.READY,
-        1,
-        sequence,
-    )
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -5,21 +5,37 @@
 
 from rhubarbwell_core.routing.latencies import LatencyFloors
 
-__all__ = ["AdaptiveLimit"]
+__all__ = ["AdaptiveLimit", "SlotUsage"]
 
 MIN_WINDOW_MS = 500
 MAX_WINDOW_MS = 3_000
-MIN_SAMPLES = 20
+MIN_SAMPLES = 30
 MIN_SAMPLES_OF_LONG_WINDOW = 5
 CONGESTED_LOG_RATIO = log(1.5)
 CALM_LOG_RATIO = log(1.3)
 CONGESTED_SHED_SHARE = 0.05
 DECREASE = 0.75
 GROWTH = 0.1
+CROWDING_SLOTS = 0.5
+BUSY_SHARE = 0.8
+CLAIM_AFTER_MS = 3_000
 REMEMBERED_WINDOWS = 10
 SAME_LOG_RATIO = 0.1
 
 
+class SlotUsage(NamedTuple):
+    """Give the slots of a region that an instance and the others use.
+
+    members share the region; claimants are those that want more slots, this
+    instance included.
+    """
+
+    own: float
+    others: float
+    members: int
+    claimants: int
+
+
 class _Decrease(NamedTuple):
     value: float
     log_ratio: float
@@ -44,6 +60,7 @@
         self._decrease: _Decrease | None = None
         self._congested = float("inf")
         self._windows_since = 0
+        self._busy_since_ms = now_ms
 
     @property
     def slots(self) -> int:
@@ -72,35 +89,55 @@
         self._samples += 1
         self._sheds += 1
 
-    def adjust(self, now_ms: int, *, fair_top: float | None) -> None:
-        """Move the limit once enough attempts have ended.
-
-        The fair top is the instance's use and its part of the free slots, if known.
-        """
-        top = self.value if fair_top is None else min(self._ceiling, fair_top)
-        top = max(float(self._share), top)
+    def adjust(self, now_ms: int, *, usage: SlotUsage | None) -> None:
+        """Move the limit once enough attempts have ended; usage None is unknown."""
+        self._note_use(usage, now_ms)
+        top = max(float(self._share), self._top(usage, now_ms))
         self.value = min(self.value, top)
         age_ms = now_ms - self._opened_ms
         needed = MIN_SAMPLES if age_ms < MAX_WINDOW_MS else MIN_SAMPLES_OF_LONG_WINDOW
         if age_ms < MIN_WINDOW_MS or self._samples < needed:
             return
-        self._move(self._floors.close_window(), top)
+        self._move(self._floors.close_window(), top, self._is_crowded(usage))
         self._opened_ms = now_ms
         self._samples = self._sheds = 0
         self._was_full = False
 
-    def _move(self, log_ratio: float, top: float) -> None:
-        if self._sheds > CONGESTED_SHED_SHARE * self._samples:
+    def _note_use(self, usage: SlotUsage | None, now_ms: int) -> None:
+        if usage is None or usage.own < BUSY_SHARE * self.slots:
+            self._busy_since_ms = now_ms
+
+    def _top(self, usage: SlotUsage | None, now_ms: int) -> float:
+        if usage is None:
+            return self.value
+        free = self._ceiling - usage.others - usage.own
+        is_long_busy = now_ms - self._busy_since_ms >= CLAIM_AFTER_MS
+        claimants = usage.claimants if is_long_busy else usage.members
+        part = free / claimants if free > 0.0 else free
+        return min(float(self._ceiling), usage.own + part)
+
+    def _is_crowded(self, usage: SlotUsage | None) -> bool:
+        if usage is None:
+            return False
+        return usage.others > self._ceiling - self._share + CROWDING_SLOTS
+
+    def _move(self, log_ratio: float, top: float, is_crowded: bool) -> None:
+        if is_crowded and self.value < self._share:
+            self._decrease = None
+            self.value = float(self._share)
+        elif self._sheds > CONGESTED_SHED_SHARE * self._samples:
             self._decrease = None
             self._lower()
         elif log_ratio > CONGESTED_LOG_RATIO:
-            self._lower_for_latency(log_ratio)
+            self._lower_for_latency(log_ratio, is_crowded)
         elif self._was_full and log_ratio < CALM_LOG_RATIO:
             self._decrease = None
             grown = self.value + max(1.0, GROWTH * self.value)
             self.value = max(self.value, min(top, grown, self._known_top()))
 
-    def _lower_for_latency(self, log_ratio: float) -> None:
+    def _lower_for_latency(self, log_ratio: float, is_crowded: bool) -> None:
+        if is_crowded and self.value <= self._share:
+            return
         last = self._decrease
         if last is not None and log_ratio > last.log_ratio - SAME_LOG_RATIO:
             self._floors.raise_all(log_ratio)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/ranks.py
@@ -1,16 +1,17 @@
 """Admission by rank, deadline and adaptive limits."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from rhubarbwell_core.admission.decisions import Admission, Admitted, Queued, Refused
+from rhubarbwell_core.admission.limits import SlotUsage
 from rhubarbwell_core.admission.services import ServiceAdmission
 from rhubarbwell_core.engine import Action, System, Table
 from rhubarbwell_core.messages import AttemptEnd, AttemptEnded, RequestArrived
 from rhubarbwell_core.model import Configuration, RankFloors, Reason
 from rhubarbwell_core.routing.backends import BackendTable
 
-__all__ = ["AdjustLimits", "RankAdmission"]
+__all__ = ["AdjustLimits", "AnnounceLoad", "RankAdmission"]
 
 _CONGESTED_ENDS = frozenset({AttemptEnd.SHED, AttemptEnd.TIMEOUT})
 
@@ -107,14 +108,29 @@
         for name, service in self._services.items():
             self._set_bounds(name, service)
             service.note_usage()
-            fair_top = self._backends.fair_top(name, service.mean_in_flight, now_ms)
-            service.limit.adjust(now_ms, fair_top=fair_top)
+            usage = self._usage(name, service, now_ms)
+            service.limit.adjust(now_ms, usage=usage)
+
+    def load(self) -> float:
+        """Return the used share of the limit of the busiest service."""
+        services = self._services.values()
+        return max((service.load for service in services), default=0.0)
 
     def limit_of(self, service: str) -> int:
         """Return the concurrent requests that the instance may send, 0 if unknown."""
         known = self._services.get(service)
         return 0 if known is None else known.limit.slots
 
+    def _usage(
+        self, name: str, service: ServiceAdmission, now_ms: int
+    ) -> SlotUsage | None:
+        others = self._backends.others_load(name, now_ms)
+        if others is None:
+            return None
+        members = self._backends.members
+        claimants = min(members, 1 + self._backends.busy_others)
+        return SlotUsage(service.mean_in_flight, others, members, claimants)
+
     def _set_bounds(self, name: str, service: ServiceAdmission) -> None:
         share = self._backends.home_slots(name)
         ceiling = self._backends.usable_slots(name)
@@ -133,3 +149,20 @@
         """Adjust the limits that are due."""
         self._admission.adjust(now_ms)
         return ()
+
+
+class AnnounceLoad(System):
+    """Tell the peers how much of the limits is used."""
+
+    period_ms = 500
+
+    def __init__(
+        self, admission: RankAdmission, announce: Callable[[float], None]
+    ) -> None:
+        self._admission = admission
+        self._announce = announce
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        """Announce the present load, in whole percent."""
+        self._announce(round(self._admission.load(), 2))
+        return ()
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
@@ -27,6 +27,11 @@
         self._hold_ms = 0.0
         self.mean_in_flight = 0.0
 
+    @property
+    def load(self) -> float:
+        """Return the used share of the limit."""
+        return min(1.0, self.mean_in_flight / max(self.limit.slots, 1))
+
     @property
     def has_waiting(self) -> bool:
         """Tell whether a request waits."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from rhubarbwell_core.admission import AdjustLimits, Admission, RankAdmission
+from rhubarbwell_core.admission import (
+    AdjustLimits,
+    Admission,
+    AnnounceLoad,
+    RankAdmission,
+)
 from rhubarbwell_core.adoption import POLLERS_PER_ZONE, AdoptionPart
 from rhubarbwell_core.burn import BurnObserver, EndedRequest
 from rhubarbwell_core.engine import Action, Event, EventHandler, Table, TimerService
@@ -130,6 +135,8 @@
         self._add_part(self.grants)
         self._add_system(self._members)
         self._add_system(AdjustLimits(admission))
+        announce = lambda load: self.membership.measure(load=load)
+        self._add_system(AnnounceLoad(admission, announce))
         self._add_system(MeasureOwnZone(identity, self.zone_shares, self._headroom))
 
     @property
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -60,6 +60,7 @@
     def __init__(self, region: str, rng: Random, *, instance_id: str = "") -> None:
         self.rows = Table[str, BackendRow]("backends")
         self.latencies = KindLatencies()
+        self.busy_others = 0
         self._floors: dict[str, LatencyFloors] = {}
         self._attempts = Table[str, _Attempt]("attempts at backend servers")
         self._region = region
@@ -94,8 +95,14 @@
             self._listed[name] = tuple(spec.backend_id for spec in specs)
         self.refresh(now_ms)
 
-    def set_member(self, member: int, members: int, now_ms: int) -> None:
-        """Tell the instance's place among the members that share the region."""
+    def set_member(
+        self, member: int, members: int, now_ms: int, *, busy_others: int = 0
+    ) -> None:
+        """Tell the instance's place among the members that share the region.
+
+        busy_others counts the other members that use their limits up.
+        """
+        self.busy_others = busy_others
         if (member, members) != (self._member, self._members):
             self._member, self._members = member, members
             self.refresh(now_ms)
@@ -107,6 +114,11 @@
         for service, backend_ids in self._listed.items():
             self._refresh_service(service, backend_ids, now_ms)
 
+    @property
+    def members(self) -> int:
+        """Return how many instances share the region's backend servers."""
+        return self._members
+
     def usable_slots(self, service: str) -> int:
         """Return the slots of the region's backend servers that are in use."""
         return self._slots.get(service, 0)
@@ -119,15 +131,14 @@
         """Return the latency floors of a service's kinds over all its servers."""
         return self._floors.setdefault(service, LatencyFloors())
 
-    def fair_top(self, service: str, own_load: float, now_ms: int) -> float | None:
-        """Return own load and an even part of the free slots, None without reports."""
+    def others_load(self, service: str, now_ms: int) -> float | None:
+        """Return the slots that others use by recent reports, None without any."""
         rows = [self.rows[name] for name in self._listed.get(service, ())]
         told = [row for row in rows if is_fresh(row, now_ms)]
         if not told:
             return None
         taken = sum(min(row.slots, max(0.0, row.others)) for row in told)
-        free = self.usable_slots(service) - taken * len(rows) / len(told) - own_load
-        return own_load + free / self._members
+        return taken * len(rows) / len(told)
 
     def on_load(self, event: LoadReported, now_ms: int) -> list[Action]:
         """Take in a report of load; an older one than the last is left out."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/latencies.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/latencies.py
@@ -6,8 +6,8 @@
 
 TYPICAL_GAIN = 0.02
 FIRST_SAMPLES = 50
-FLOOR_FALL = 0.3
-FLOOR_RISE = 0.02
+FALL_SAMPLES = 300
+RISE_SAMPLES = 2_000
 
 
 class KindLatencies:
@@ -53,7 +53,7 @@
     """
 
     def __init__(self) -> None:
-        self._floors: dict[str, float] = {}
+        self._floors: dict[str, tuple[float, int]] = {}
         self._window: dict[str, tuple[float, int]] = {}
 
     def add(self, kind: str, log_latency: float) -> None:
@@ -67,15 +67,19 @@
         samples = 0
         for kind, (total, count) in self._window.items():
             mean = total / count
-            floor = self._floors.setdefault(kind, mean)
+            floor, seen = self._floors.get(kind, (mean, 0))
             excess += count * (mean - floor)
             samples += count
-            gain = FLOOR_FALL if mean < floor else FLOOR_RISE
-            self._floors[kind] = floor + gain * (mean - floor)
+            slow = FALL_SAMPLES if mean < floor else RISE_SAMPLES
+            gain = min(1.0, count / slow)
+            if seen < FIRST_SAMPLES:
+                gain = count / (seen + count)
+            seen = min(seen + count, FIRST_SAMPLES)
+            self._floors[kind] = floor + gain * (mean - floor), seen
         self._window.clear()
         return excess / samples if samples else 0.0
 
     def raise_all(self, log_ratio: float) -> None:
         """Take a latency that no lower limit improves as the new floor."""
-        for kind in self._floors:
-            self._floors[kind] += log_ratio
+        for kind, (floor, seen) in self._floors.items():
+            self._floors[kind] = floor + log_ratio, seen
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/members.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/members.py
@@ -9,6 +9,8 @@
 
 __all__ = ["ShareBackends", "place_among"]
 
+BUSY_LOAD = 0.8
+
 
 class ShareBackends(System):
     """Keep the instance's place among the members that share the region."""
@@ -36,9 +38,13 @@
 
     def run(self, now_ms: int) -> Sequence[Action]:
         """Work out the instance's place and the backend servers in use."""
-        member, live = place_among(self._identity, self._peers.rows())
+        own = self._identity
+        sharers = [peer for peer in self._peers.rows() if peer.region == own.region]
+        member, live = place_among(own, sharers)
+        busy = [peer for peer in sharers if peer.load >= BUSY_LOAD]
+        busy_others = sum(peer.instance_id != own.instance_id for peer in busy)
         members = max(live, self._configured)
-        self._backends.set_member(member, members, now_ms)
+        self._backends.set_member(member, members, now_ms, busy_others=busy_others)
         self._backends.refresh(now_ms)
         return ()
 
--- a/tests/benchmarks/test_steering.py
+++ b/tests/benchmarks/test_steering.py
@@ -7,7 +7,7 @@
 from benchmarks.steering.scenarios import Timeline, run_world
 from benchmarks.steering.world import World
 
-SHORT = Timeline(800, 2_000, 5_000, 5_500, 6_000)
+SHORT = Timeline(2_500, 3_000, 4_000, 7_000, 7_500, 8_000)
 
 
 @pytest.mark.parametrize(
--- a/tests/core/admission/test_limits.py
+++ b/tests/core/admission/test_limits.py
@@ -1,7 +1,7 @@
 from math import log
 
 import pytest
-from rhubarbwell_core.admission import AdaptiveLimit
+from rhubarbwell_core.admission import AdaptiveLimit, SlotUsage
 from rhubarbwell_core.routing import LatencyFloors
 
 WINDOW_MS = 1_000
@@ -16,7 +16,7 @@
         self.limit.set_bounds(share=share, ceiling=ceiling)
         self.now_ms = 0
 
-    def window(self, latency_ms=60, sheds=0, fair_top=18.0, full=True):
+    def window(self, latency_ms=60, sheds=0, others=0.0, full=True, known=True):
         for _ in range(40 - sheds):
             self.limit.observe_answer()
             self.floors.add("page", log(latency_ms))
@@ -25,38 +25,54 @@
         if full:
             self.limit.note_full()
         self.now_ms += WINDOW_MS
-        self.limit.adjust(self.now_ms, fair_top=fair_top)
+        usage = SlotUsage(self.limit.value, others, members=3, claimants=1)
+        self.limit.adjust(self.now_ms, usage=usage if known else None)
         return self.limit.value
 
 
-def test_limit_starts_at_the_share_and_grows_to_the_fair_top_only_when_full():
+def test_limit_starts_at_the_share_and_grows_only_when_full():
     feed = Feed()
     assert feed.limit.slots == 6
     assert feed.window(full=False) == 6
-    assert [feed.window(fair_top=8.0) for _ in range(4)] == [7, 8, 8, 8]
+    assert feed.window() == 7
+
+
+def test_limit_takes_its_part_of_the_free_slots_and_no_more():
+    feed = Feed()
+    values = [feed.window(others=9.0) for _ in range(12)]
+    assert values[0] == 7 and 8.5 <= values[-1] <= 9
 
 
 def test_limit_yields_borrowed_slots_as_others_come_back_but_keeps_its_share():
     feed = Feed()
-    for _ in range(20):
+    for _ in range(40):
         feed.window()
-    assert feed.limit.value == 18
-    assert feed.window(fair_top=9.0) == 9
-    assert feed.window(fair_top=2.0) == 6
+    assert feed.limit.slots >= 17
+    assert feed.window(others=9.0) <= 9
+    assert feed.window(others=17.0) == 6
 
 
 def test_limit_does_not_grow_above_the_share_without_reports():
     feed = Feed()
-    feed.window(fair_top=9.0)
-    assert feed.window(fair_top=None) == 7
+    feed.window()
+    assert feed.window(known=False) == 7
+
+
+def test_latency_that_others_cause_does_not_push_the_limit_below_its_share():
+    feed = Feed()
+    for _ in range(5):
+        feed.window(others=12.0)
+    values = [feed.window(latency_ms=200, others=16.0) for _ in range(5)]
+    assert values == [6] * 5
 
 
 def test_sheds_lower_the_limit_to_the_share_and_then_below():
     feed = Feed()
     for _ in range(5):
         feed.window()
-    assert [feed.window(sheds=10) for _ in range(3)] == [8.25, 6.1875, 6]
-    assert feed.window(sheds=10) == 4.5
+    assert feed.limit.value > 8
+    lowered = [feed.window(sheds=10, others=6.0) for _ in range(4)]
+    assert 6 in lowered and lowered[-1] < 6
 
 
 @pytest.mark.parametrize("capacity", [2, 3, 4])
@@ -76,8 +92,8 @@
 def test_latency_that_no_lower_limit_improves_is_taken_as_normal():
     feed = Feed()
     for _ in range(5):
-        feed.window(fair_top=6.0)
-    values = [feed.window(latency_ms=240, fair_top=6.0) for _ in range(6)]
+        feed.window(others=12.0)
+    values = [feed.window(latency_ms=240, others=12.0) for _ in range(6)]
     assert values[0] < 6 and values[-1] == 6
 
 
