--- a/benchmarks/capacity/polls.py
+++ b/benchmarks/capacity/polls.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 import time
+from contextlib import suppress
 
 import aiohttp
 import uvloop
@@ -43,9 +44,12 @@
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        while head := await reader.readuntil(b"\r\n\r\n"):
-            self.bytes += len(head) + len(ANSWER) + TCP_IP_BYTES
-            writer.write(ANSWER)
+        with suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.bytes += len(head) + len(ANSWER) + TCP_IP_BYTES
+                writer.write(ANSWER)
+        writer.close()
 
 
 def measure_polls() -> list[Line]:
