--- /dev/null
+++ b/benchmarks/publishing/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of publishing."""
--- /dev/null
+++ b/benchmarks/publishing/race.py
@@ -0,0 +1,266 @@
+"""A race of operators over the real publishing code, with faults of the store."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Failure
+from rhubarbwell_core.adoption import (
+    EMPTY_CHAIN,
+    InvalidLogError,
+    LogPosition,
+    LogRow,
+    chain_digest,
+    verify_rows,
+)
+from rhubarbwell_platform import (
+    AnswerLostError,
+    FaultKind,
+    MemoryTableService,
+    Platform,
+    PlatformError,
+    RandomFaults,
+    Row,
+    TableService,
+    Unconditional,
+    Write,
+    memory_platform,
+    with_faults,
+)
+from rhubarbwell_platform.documents import check_files, read_files
+from rhubarbwell_platform.publishing import (
+    Change,
+    PublishConflict,
+    Published,
+    PublishFailure,
+    fence_head,
+    publish,
+    read_head,
+    read_rows,
+    read_state,
+)
+
+__all__ = ["RaceResult", "run_race"]
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "demo"
+OPERATORS = 3
+FOLLOWERS = 3
+MAX_TRIES = 200
+LATE = 0.04
+STALE = 0.05
+FAULTS = {
+    FaultKind.DOWN: 0.02,
+    FaultKind.REQUEST_LOST: 0.02,
+    FaultKind.ANSWER_LOST: 0.05,
+    FaultKind.SLOW: 0.4,
+}
+
+
+class RaceResult(NamedTuple):
+    """Count what came of the publishes and which promises were broken."""
+
+    accepted: int
+    outcomes: Mapping[str, int]
+    transactions: int
+    reads: int
+    lost: int
+    doubled: int
+    wrong_conflicts: int
+    reverts: int
+
+
+class _RacingTableService(TableService):
+    """Answer some reads from an older state and apply some transactions late."""
+
+    def __init__(self, rng: Random, *, keeps_conditions: bool) -> None:
+        self.newest = MemoryTableService()
+        self.transactions = 0
+        self.reads = 0
+        self._older = self.newest.copy()
+        self._late: list[Sequence[Write]] = []
+        self._rng = rng
+        self._keeps_conditions = keeps_conditions
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        return await self._choose().read(keys)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1_000
+    ) -> Sequence[Row]:
+        return await self._choose().scan(prefix, after=after, limit=limit)
+
+    async def transact(self, writes: Sequence[Write]) -> int:
+        self.transactions += 1
+        if self._rng.random() < LATE:
+            self._late.append(writes if self._keeps_conditions else _blind(writes))
+            raise AnswerLostError("the transaction is late")
+        await self._apply_late()
+        self._older = self.newest.copy()
+        return await self.newest.transact(writes)
+
+    async def _apply_late(self) -> None:
+        if not self._late or self._rng.random() < 0.5:
+            return
+        try:
+            await self.newest.transact(self._late.pop(0))
+        except PlatformError:
+            return
+
+    def _choose(self) -> MemoryTableService:
+        self.reads += 1
+        return self._older if self._rng.random() < STALE else self.newest
+
+
+def _blind(writes: Sequence[Write]) -> list[Write]:
+    return [write._replace(condition=Unconditional()) for write in writes]
+
+
+class _Race:
+    def __init__(self, publishes: int, rng: Random, *, keeps_conditions: bool) -> None:
+        self.keeps_conditions = keeps_conditions
+        self.tables = _RacingTableService(rng, keeps_conditions=keeps_conditions)
+        self.inner = memory_platform()._replace(tables=self.tables)
+        self.accepted: dict[str, Published] = {}
+        self.conflicts: set[str] = set()
+        self.outcomes: Counter[str] = Counter()
+        self.reverts = 0
+        self.is_over = False
+        self._rng = rng
+        self._left = iter(range(publishes))
+
+    def platform(self) -> Platform:
+        return with_faults(self.inner, RandomFaults(self._rng, FAULTS))
+
+    async def operate(self, name: str) -> None:
+        """Publish changes until none is left."""
+        for number in self._left:
+            try_number = 0
+            while not await self._publish(f"{name}-{number}-{try_number}", number):
+                try_number += 1
+
+    async def follow(self) -> None:
+        """Follow the log as an instance does; count every step back."""
+        platform, position = self.platform(), LogPosition()
+        seen: list[tuple[int, str]] = []
+        while not self.is_over:
+            await asyncio.sleep(0)
+            before = position.version
+            try:
+                head = (await read_head(platform.tables)).head
+                rows = await read_rows(
+                    platform.tables, after=before, up_to=head.version
+                )
+                candidate = position.follow(rows)
+            except (PlatformError, InvalidLogError):
+                continue
+            if candidate is not None:
+                seen.append((candidate.version, candidate.chain))
+                for digest in candidate.missing():
+                    text = await self.inner.objects.get(f"objects/{digest}")
+                    candidate = candidate.with_text(digest, text)
+                position.move(candidate)
+            self.reverts += position.version < before
+        await self._check_seen(seen)
+
+    async def _check_seen(self, seen: Sequence[tuple[int, str]]) -> None:
+        chains = {row.version: chain_digest(row) for row in await self.rows()}
+        self.reverts += sum(chains.get(version) != chain for version, chain in seen)
+
+    async def rows(self) -> tuple[LogRow, ...]:
+        """Return the log as it stands in the store."""
+        head = (await read_head(self.tables.newest)).head
+        return await read_rows(self.tables.newest, up_to=head.version)
+
+    async def _publish(self, publish_id: str, number: int) -> bool:
+        """Publish until the outcome is known; return False after a conflict."""
+        platform = self.platform()
+        is_repeat = False
+        for _ in range(MAX_TRIES):
+            try:
+                if is_repeat:
+                    await fence_head(platform.tables)
+                base = await read_state(platform)
+                change = _change(publish_id, number, base.documents)
+                result = await publish(platform, change, base=base)
+            except (PlatformError, InvalidLogError):
+                is_repeat = True
+                continue
+            if not isinstance(result, Failure):
+                self.accepted[publish_id] = result.unwrap()
+                self.outcomes[
+                    "repeated" if result.unwrap().repeated else "published"
+                ] += 1
+                return True
+            failure: PublishFailure = result.failure()
+            self.outcomes[type(failure).__name__] += 1
+            if isinstance(failure, PublishConflict):
+                self.conflicts.add(publish_id)
+                return False
+            is_repeat = True
+        self.outcomes["gave up"] += 1
+        return True
+
+
+def run_race(publishes: int, *, seed: int, keeps_conditions: bool = True) -> RaceResult:
+    """Run the race; the same seed gives the same race.
+
+    A store that applies late transactions without their conditions is a wrong
+    one, which must show in the result.
+    """
+    rng = Random(seed)
+    return asyncio.run(_run(_Race(publishes, rng, keeps_conditions=keeps_conditions)))
+
+
+async def _run(race: _Race) -> RaceResult:
+    base = await read_state(race.inner)
+    first = Change("first", "ana", 0, _example_texts())
+    while isinstance(await publish(race.inner, first, base=base), Failure):
+        base = await read_state(race.inner)
+    followers = [asyncio.create_task(race.follow()) for _ in range(FOLLOWERS)]
+    await asyncio.gather(*(race.operate(f"operator-{n}") for n in range(OPERATORS)))
+    race.is_over = True
+    await asyncio.gather(*followers)
+    return await _judge(race)
+
+
+async def _judge(race: _Race) -> RaceResult:
+    rows = await race.rows()
+    if race.keeps_conditions:
+        verify_rows(rows, version=0, chain=EMPTY_CHAIN)
+    times = Counter(row.publish_id for row in rows if row.rows_left == 0)
+    at_version = {row.version: row.publish_id for row in rows}
+    lost = sum(
+        publish_id not in times
+        if not published.changed
+        else at_version.get(published.version) != publish_id
+        for publish_id, published in race.accepted.items()
+    )
+    return RaceResult(
+        accepted=len(race.accepted),
+        outcomes=dict(race.outcomes),
+        transactions=race.tables.transactions,
+        reads=race.tables.reads,
+        lost=lost,
+        doubled=sum(count > 1 for count in times.values()),
+        wrong_conflicts=len(race.conflicts & set(times)),
+        reverts=race.reverts,
+    )
+
+
+def _example_texts() -> dict[str, str]:
+    paths = sorted(EXAMPLES.glob("*.jsonc"))
+    documents = check_files(read_files(paths).unwrap()).unwrap()
+    return {document.name: document.text for document in documents}
+
+
+def _change(publish_id: str, number: int, documents: Mapping[str, str]) -> Change:
+    """Return a change that sets a deadline of its own in one of two services."""
+    name = ("service/paysvc", "service/slotsvc")[number % 2]
+    fields = json.loads(documents[name])
+    fields["kinds"][0]["deadline_ms"] = 1_000 + number
+    text = json.dumps(fields, sort_keys=True, separators=(",", ":"))
+    return Change(publish_id, publish_id, number, {name: text})
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -7,13 +7,15 @@
 
 import aiohttp
 from aiomisc import Service
-from rhubarbwell_platform.http import http_platform
+from rhubarbwell_platform.http import ClientOptions, RateLimits, http_platform
 
 from rhubarbwell_entry.instance import EntryInstance
 from rhubarbwell_entry.settings import Settings
 
 __all__ = ["EntryService"]
 
+SHARE_PERIOD_S = 10.0
+
 
 class EntryService(Service):
     """Start and stop an entry instance with the process."""
@@ -23,9 +25,13 @@
     async def start(self) -> None:
         """Start the instance; raise OSError if one of its addresses is taken."""
         self._session = aiohttp.ClientSession()
-        platform = http_platform(self._session, self.settings.platform, SystemRandom())
+        self._limits = RateLimits(ClientOptions())
+        platform = http_platform(
+            self._session, self.settings.platform, SystemRandom(), limits=self._limits
+        )
         self._instance = EntryInstance(self.settings, platform)
         await self._instance.start()
+        self._sharing = asyncio.create_task(self._share_rates())
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Shut the instance down gracefully; a second SIGTERM hurries it."""
@@ -33,4 +39,14 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._instance.hurry)
         await self._instance.shut_down()
+        self._sharing.cancel()
         await self._session.close()
+
+    async def _share_rates(self) -> None:
+        """Keep this instance's calls to the platform to its share of the fleet's."""
+        while True:
+            cfg = self._instance.core.configuration
+            if cfg is not None:
+                zones = cfg.deployment.zones
+                self._limits.share_among(sum(zone.entry_instances for zone in zones))
+            await asyncio.sleep(SHARE_PERIOD_S)
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
@@ -56,6 +56,7 @@
         remove: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish service and deployment files as one change.
@@ -69,9 +70,10 @@
             remove: Names of services to remove, with commas between.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)._replace(
+        options = _options(author, publish_id, dry_run, wait, force)._replace(
             base_version=base
         )
         names = [name for name in split_words(remove) if name]
@@ -90,6 +92,7 @@
         publish_id: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish the documents of an older version as a new version.
@@ -101,9 +104,10 @@
             publish_id: Id of an earlier try that is to be repeated.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)
+        options = _options(author, publish_id, dry_run, wait, force)
         run_command(
             platform,
             lambda opened: rollback(opened, int(version), options),
@@ -119,6 +123,7 @@
         publish_id: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish that a backend server gets no new work.
@@ -131,9 +136,10 @@
             publish_id: Id of an earlier try that is to be repeated.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)
+        options = _options(author, publish_id, dry_run, wait, force)
         run_command(
             platform,
             lambda opened: drain(opened, str(backend_id), options, undo=undo),
@@ -163,7 +169,7 @@
 
 
 def _options(
-    author: str, publish_id: str, dry_run: bool, wait: float
+    author: str, publish_id: str, dry_run: bool, wait: float, force: bool
 ) -> PublishOptions:
     return PublishOptions(
         author=str(author or getpass.getuser()),
@@ -171,4 +177,5 @@
         publish_id=str(publish_id),
         dry_run=dry_run,
         wait_s=float(wait),
+        force=force,
     )
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/publish.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/publish.py
@@ -31,7 +31,9 @@
 from rhubarbwell_ops.exits import ExitCode, Report
 from rhubarbwell_ops.instances import (
     Adoption,
+    InstanceStatus,
     count_adoptions,
+    find_ahead,
     is_in_force,
     statuses_json,
     wait_in_force,
@@ -41,7 +43,10 @@
 
 
 class PublishOptions(NamedTuple):
-    """Set who publishes, when, and what to wait for; wait_s 0 does not wait."""
+    """Set who publishes, when, and what to wait for; wait_s 0 does not wait.
+
+    force publishes also while an instance is ahead of the store.
+    """
 
     author: str
     at_ms: int
@@ -49,6 +54,7 @@
     base_version: int | None = None
     dry_run: bool = False
     wait_s: float = 0.0
+    force: bool = False
 
 
 async def publish_files(
@@ -114,6 +120,9 @@
 ) -> Report:
     if options.dry_run:
         return _dry_run(documents, base)
+    ahead = None if options.force else await find_ahead(platform.instances, base.head)
+    if ahead is not None and options.base_version is None:
+        return _ahead_report(ahead, base)
     change = _change(documents, options)
     result = await publish(platform, change, base=base)
     if isinstance(result, Failure):
@@ -142,6 +151,16 @@
     return Report(exit_code, "\n".join(lines), fields)
 
 
+def _ahead_report(ahead: InstanceStatus, base: PublishedState) -> Report:
+    text = (
+        f"nothing was published: {ahead.instance_id} has version "
+        f"{ahead.config_version} in force, the store is at {base.head.version}; "
+        "the instances bring a store that went back up to date by themselves: "
+        "try again in some seconds, or use --force"
+    )
+    return Report(ExitCode.NOT_DONE, text, {"instances": statuses_json([ahead])})
+
+
 def _dry_run(documents: Mapping[str, str | None], base: PublishedState) -> Report:
     merged = merge_documents(base.documents, documents)
     found = differences(base.documents, merged)
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
@@ -8,10 +8,16 @@
 import aiohttp
 from rhubarbwell_core.adoption import LogHead
 from rhubarbwell_platform import InstanceList, ListedInstance, ListedState
+from rhubarbwell_platform.errors import UnavailableError
+
+from rhubarbwell_ops.connections import operators_tls
 
 __all__ = [
     "Adoption",
     "InstanceStatus",
+    "count_adoptions",
+    "find_ahead",
+    "is_in_force",
     "read_statuses",
     "statuses_json",
     "wait_in_force",
@@ -20,6 +26,7 @@
 STATUS_TIMEOUT_S = 2.0
 POLL_S = 0.25
 PARALLEL_CALLS = 64
+ASKED_FOR_AHEAD = 16
 
 
 class Adoption(Enum):
@@ -44,20 +51,39 @@
 
 
 async def read_statuses(
-    instances: InstanceList, head: LogHead
+    instances: InstanceList, head: LogHead, *, limit: int | None = None
 ) -> tuple[InstanceStatus, ...]:
-    """Ask every listed instance that is not leaving; raise UnavailableError."""
+    """Ask the listed instances that are not leaving, up to a limit.
+
+    Raises UnavailableError.
+    """
     listing = await instances.read()
     live = [row for row in listing.instances if row.state is ListedState.LIVE]
-    limit = asyncio.Semaphore(PARALLEL_CALLS)
+    turn = asyncio.Semaphore(PARALLEL_CALLS)
     timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    tls = operators_tls()
+    connector = aiohttp.TCPConnector(ssl=tls or True)
+    scheme = "https" if tls else "http"
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
 
         async def ask(row: ListedInstance) -> InstanceStatus:
-            async with limit:
-                return await _read_status(session, row, head)
+            async with turn:
+                return await _read_status(session, scheme, row, head)
+
+        return tuple(await asyncio.gather(*map(ask, live[:limit])))
 
-        return tuple(await asyncio.gather(*map(ask, live)))
+
+async def find_ahead(instances: InstanceList, head: LogHead) -> InstanceStatus | None:
+    """Return an instance whose version the store does not have, None without one.
+
+    Asks a few instances; one that is not reached, or no list, tells nothing.
+    """
+    try:
+        statuses = await read_statuses(instances, head, limit=ASKED_FOR_AHEAD)
+    except UnavailableError:
+        return None
+    ahead = (status for status in statuses if status.adoption is Adoption.AHEAD)
+    return next(ahead, None)
 
 
 async def wait_in_force(
@@ -96,10 +122,10 @@
 
 
 async def _read_status(
-    session: aiohttp.ClientSession, row: ListedInstance, head: LogHead
+    session: aiohttp.ClientSession, scheme: str, row: ListedInstance, head: LogHead
 ) -> InstanceStatus:
     unreachable = InstanceStatus(row.instance_id, row.zone, Adoption.UNREACHABLE)
-    url = f"http://{_host_port(row)}/status"
+    url = f"{scheme}://{_host_port(row)}/status"
     try:
         async with session.get(url) as resp:
             return _status_of(row, await resp.json(), head)
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -63,10 +63,14 @@
     def __init__(self, options: ClientOptions) -> None:
         self._options = options
         self._longest_s = options.timeout_ms / 1_000
+        self._instances = 1
         self._set_rates(options.reads_per_s, options.writes_per_s)
 
     def share_among(self, instances: int) -> None:
         """Lower the rates so that a fleet of instances stays within the platform's."""
+        if instances == self._instances:
+            return
+        self._instances = instances
         self._set_rates(
             min(self._options.reads_per_s, FLEET_READS_PER_S / instances),
             min(self._options.writes_per_s, FLEET_WRITES_PER_S / instances),
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/__init__.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/__init__.py
@@ -1,8 +1,10 @@
 """Publishing of documents to the platform, and reading them back."""
 
+from rhubarbwell_platform.publishing.changes import *
 from rhubarbwell_platform.publishing.differences import *
 from rhubarbwell_platform.publishing.fence import *
 from rhubarbwell_platform.publishing.history import *
 from rhubarbwell_platform.publishing.log import *
 from rhubarbwell_platform.publishing.outcomes import *
 from rhubarbwell_platform.publishing.publish import *
+from rhubarbwell_platform.publishing.settling import *
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/changes.py
@@ -0,0 +1,76 @@
+"""Changes of documents and the log rows that record them."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rhubarbwell_core.adoption import LogHead, LogRow, chain_digest, document_digest
+
+from rhubarbwell_platform.publishing.log import PublishedState
+
+__all__ = [
+    "Change",
+    "changed_documents",
+    "document_digests",
+    "log_rows_of",
+    "merge_documents",
+]
+
+
+class Change(NamedTuple):
+    """Ask for documents to be published; a None text removes the document."""
+
+    publish_id: str
+    author: str
+    at_ms: int
+    documents: Mapping[str, str | None]
+
+
+def merge_documents(
+    documents: Mapping[str, str], changed: Mapping[str, str | None]
+) -> dict[str, str]:
+    """Return the documents after a change; a None text removes one.
+
+    >>> merge_documents({"a": "1", "b": "2"}, {"b": None, "c": "3"})
+    {'a': '1', 'c': '3'}
+    """
+    merged: dict[str, str | None] = {**documents, **changed}
+    return {name: text for name, text in merged.items() if text is not None}
+
+
+def changed_documents(change: Change, base: PublishedState) -> dict[str, str | None]:
+    """Return the documents in which a change differs from its base."""
+    return {
+        name: text
+        for name, text in sorted(change.documents.items())
+        if base.documents.get(name) != text
+    }
+
+
+def document_digests(documents: Mapping[str, str | None]) -> dict[str, str]:
+    """Return digests by document name, empty for a document that is removed."""
+    return {
+        name: "" if text is None else document_digest(text)
+        for name, text in documents.items()
+    }
+
+
+def log_rows_of(
+    change: Change, changed: Mapping[str, str | None], head: LogHead
+) -> tuple[LogRow, ...]:
+    """Return the rows that record changed documents after a head."""
+    rows: list[LogRow] = []
+    chain = head.chain
+    for index, (name, digest) in enumerate(document_digests(changed).items(), 1):
+        row = LogRow(
+            version=head.version + index,
+            document=name,
+            digest=digest,
+            previous_chain=chain,
+            publish_id=change.publish_id,
+            author=change.author,
+            published_at_ms=change.at_ms,
+            rows_left=len(changed) - index,
+        )
+        rows.append(row)
+        chain = chain_digest(row)
+    return tuple(rows)
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/history.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/history.py
@@ -4,8 +4,8 @@
 
 from rhubarbwell_core.adoption import InvalidLogError, LogRow
 
+from rhubarbwell_platform.publishing.changes import Change
 from rhubarbwell_platform.publishing.log import PublishedState, read_head, read_rows
-from rhubarbwell_platform.publishing.publish import Change
 from rhubarbwell_platform.services import Platform, TableService
 
 __all__ = ["PublishRecord", "read_history", "rollback_change"]
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/publishing/publish.py
@@ -1,14 +1,13 @@
 """Publishing of documents by compare-and-set of the log's head."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 from rhubarbwell_core.adoption import (
     EMPTY_CHAIN,
     HEAD_KEY,
+    InvalidLogError,
     LogHead,
-    LogRow,
     chain_digest,
     decode_head,
     document_digest,
@@ -23,19 +22,26 @@
 from rhubarbwell_platform.errors import (
     AnswerLostError,
     ConflictError,
+    PlatformError,
     UnavailableError,
 )
+from rhubarbwell_platform.publishing.changes import (
+    Change,
+    changed_documents,
+    log_rows_of,
+    merge_documents,
+)
 from rhubarbwell_platform.publishing.differences import KeyDifference, differences
 from rhubarbwell_platform.publishing.log import PublishedState, read_rows, read_state
 from rhubarbwell_platform.publishing.outcomes import (
     PublishConflict,
     Published,
     PublishFailure,
-    PublishIdReused,
     PublishInvalid,
     PublishNotDone,
     PublishUnknown,
 )
+from rhubarbwell_platform.publishing.settling import publish_key, settle_publish
 from rhubarbwell_platform.publishing.snapshots import write_snapshot_if_due
 from rhubarbwell_platform.services import (
     Absent,
@@ -46,32 +52,20 @@
     Write,
 )
 
-__all__ = ["Change", "merge_documents", "publish", "publish_key"]
+__all__ = ["publish"]
 
 MAX_TRIES = 5
 
 Outcome = Result[Published, PublishFailure]
 
 
-class Change(NamedTuple):
-    """Ask for documents to be published; a None text removes the document."""
-
-    publish_id: str
-    author: str
-    at_ms: int
-    documents: Mapping[str, str | None]
-
-
 async def publish(
     platform: Platform, change: Change, *, base: PublishedState
 ) -> Outcome:
-    """Publish a change that was made on a base; a repeat changes nothing.
-
-    Raises InvalidLogError if the log is damaged.
-    """
-    changed = _changed_documents(change, base)
+    """Publish a change that was made on a base; a repeat changes nothing."""
+    changed = changed_documents(change, base)
     if not changed:
-        return Success(Published(base.head.version, base.head.chain))
+        return await _find_unchanged(platform, change, base)
     merged = merge_documents(base.documents, changed)
     checked = configuration_of(base.head.version, base.head.chain, merged)
     findings = findings_of(checked)
@@ -80,29 +74,22 @@
     attempt = _Attempt(platform, change, changed, base)
     try:
         return await attempt.run(merged)
-    except (ConflictError, UnavailableError, AnswerLostError) as exc:
+    except (PlatformError, InvalidLogError) as exc:
         return Failure(attempt.failure(str(exc)))
 
 
-def publish_key(publish_id: str) -> str:
-    """Return the table key that holds the last version of a publish.
-
-    >>> publish_key("p-1")
-    'config-publishes/p-1'
-    """
-    return f"config-publishes/{publish_id}"
-
-
-def merge_documents(
-    documents: Mapping[str, str], changed: Mapping[str, str | None]
-) -> dict[str, str]:
-    """Return the documents after a change; a None text removes one.
-
-    >>> merge_documents({"a": "1", "b": "2"}, {"b": None, "c": "3"})
-    {'a': '1', 'c': '3'}
-    """
-    merged: dict[str, str | None] = {**documents, **changed}
-    return {name: text for name, text in merged.items() if text is not None}
+async def _find_unchanged(
+    platform: Platform, change: Change, base: PublishedState
+) -> Outcome:
+    """Return the version of a change that is published, else that of the base."""
+    key = publish_key(change.publish_id)
+    try:
+        row = (await platform.tables.read([key])).get(key)
+        if row is not None:
+            return await settle_publish(platform.tables, change, int(row.value))
+    except (PlatformError, InvalidLogError) as exc:
+        return Failure(PublishNotDone(str(exc)))
+    return Success(Published(base.head.version, base.head.chain))
 
 
 class _OlderHeadError(UnavailableError):
@@ -123,15 +110,11 @@
         self._change = change
         self._changed = changed
         self._base = base
-        self._rows = _log_rows(change, changed, base.head)
+        self._rows = log_rows_of(change, changed, base.head)
         self._may_be_done = False
 
     async def run(self, merged: Mapping[str, str]) -> Outcome:
-        """Return the outcome.
-
-        Raises ConflictError, UnavailableError or AnswerLostError after the
-        last try.
-        """
+        """Return the outcome; raise PlatformError or InvalidLogError without one."""
         await self._put_objects()
         retrying = AsyncRetrying(
             retry=retry_if_exception_type(
@@ -159,7 +142,12 @@
         own_key = publish_key(self._change.publish_id)
         found = await self._platform.tables.read([own_key, HEAD_KEY])
         if own_key in found:
-            return await self._settle(int(found[own_key].value))
+            settled = await settle_publish(
+                self._platform.tables, self._change, int(found[own_key].value)
+            )
+            return settled.map(
+                lambda done: done._replace(repeated=not self._may_be_done)
+            )
         head_row = found.get(HEAD_KEY)
         if head_row is not None:
             head = decode_head(head_row.value)
@@ -204,22 +192,6 @@
         last = self._rows[-1]
         return self._base.head._replace(version=last.version, chain=chain_digest(last))
 
-    async def _settle(self, version: int) -> Outcome:
-        """Return the outcome of a publish that the log holds already."""
-        rows = await self._rows_of_publish(version)
-        wanted = _digests(self._change.documents)
-        if any(wanted.get(row.document) != row.digest for row in rows):
-            return Failure(PublishIdReused(self._change.publish_id, version))
-        names = tuple(row.document for row in rows)
-        repeated = not self._may_be_done
-        return Success(Published(version, chain_digest(rows[-1]), names, repeated))
-
-    async def _rows_of_publish(self, version: int) -> tuple[LogRow, ...]:
-        start = max(0, version - len(self._change.documents) - 1)
-        rows = await read_rows(self._platform.tables, after=start, up_to=version)
-        publish_id = self._change.publish_id
-        return tuple(row for row in rows if row.publish_id == publish_id)
-
     async def _conflict(self, head: LogHead) -> PublishConflict:
         tables = self._platform.tables
         base_version = self._base.head.version
@@ -231,42 +203,6 @@
         return PublishConflict(base_version, winners, differing)
 
 
-def _changed_documents(change: Change, base: PublishedState) -> dict[str, str | None]:
-    return {
-        name: text
-        for name, text in sorted(change.documents.items())
-        if base.documents.get(name) != text
-    }
-
-
-def _digests(documents: Mapping[str, str | None]) -> dict[str, str]:
-    return {
-        name: "" if text is None else document_digest(text)
-        for name, text in documents.items()
-    }
-
-
-def _log_rows(
-    change: Change, changed: Mapping[str, str | None], head: LogHead
-) -> tuple[LogRow, ...]:
-    rows: list[LogRow] = []
-    chain = head.chain
-    for index, (name, digest) in enumerate(_digests(changed).items(), 1):
-        row = LogRow(
-            version=head.version + index,
-            document=name,
-            digest=digest,
-            previous_chain=chain,
-            publish_id=change.publish_id,
-            author=change.author,
-            published_at_ms=change.at_ms,
-            rows_left=len(changed) - index,
-        )
-        rows.append(row)
-        chain = chain_digest(row)
-    return tuple(rows)
-
-
 def _keep_keys(
     found: tuple[KeyDifference, ...], wanted: tuple[KeyDifference, ...]
 ) -> tuple[KeyDifference, ...]:
--- a/tests/platform/documents/test_checks.py
+++ b/tests/platform/documents/test_checks.py
@@ -71,5 +71,13 @@
     assert all(finding.line > 0 for finding in findings)
 
 
+@pytest.mark.parametrize("name", ["deployment", "service/paysvc"])
+def test_newer_format_is_refused(name):
+    texts = {document.name: document.text for document in load("demo").unwrap()}
+    texts[name] = texts[name].replace('"format":1', '"format":2')
+    finding = configuration_of(1, "chain", texts).failure()[0]
+    assert (finding.file, finding.key) == (name, "format")
+
+
 def test_nothing_published_needs_a_deployment():
     assert not isinstance(configuration_of(1, "", {}), Success)
