--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
@@ -1,5 +1,6 @@
 """The command line for operators."""
 
+import sys
 from pathlib import Path
 
 import fire
@@ -15,6 +16,7 @@
 )
 from rhubarbwell_ops.demo import DemoError, format_demo, run_demo
 from rhubarbwell_ops.exits import ExitCode, Report, exit_with
+from rhubarbwell_ops.flags import check_flags
 
 __all__ = ["Commands", "main"]
 
@@ -65,7 +67,11 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    fire.Fire(Commands, name="rhubarbwell")
+    words = sys.argv[1:]
+    messages = check_flags(Commands, words)
+    if messages:
+        exit_with(Report(ExitCode.USAGE, "\n".join(messages)), as_json=False)
+    fire.Fire(Commands, command=words, name="rhubarbwell")
 
 
 if __name__ == "__main__":
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
@@ -13,7 +13,12 @@
     publish_files,
     rollback,
 )
-from rhubarbwell_ops.commands.running import run_command, split_words
+from rhubarbwell_ops.commands.running import (
+    require_seconds,
+    require_whole,
+    run_command,
+    split_words,
+)
 from rhubarbwell_ops.commands.status import history, status
 from rhubarbwell_ops.exits import Report, exit_with
 
@@ -74,7 +79,7 @@
             json: Print JSON.
         """
         options = _options(author, publish_id, dry_run, wait, force)._replace(
-            base_version=base
+            base_version=None if base is None else require_whole("base", base)
         )
         names = [name for name in split_words(remove) if name]
         paths = [str(path) for path in files]
@@ -108,9 +113,10 @@
             json: Print JSON.
         """
         options = _options(author, publish_id, dry_run, wait, force)
+        target = require_whole("version", version)
         run_command(
             platform,
-            lambda opened: rollback(opened, int(version), options),
+            lambda opened: rollback(opened, target, options),
             as_json=json,
         )
 
@@ -165,7 +171,8 @@
             limit: Number of log rows to go back.
             json: Print JSON.
         """
-        run_command(platform, lambda opened: history(opened, limit=limit), as_json=json)
+        rows = require_whole("limit", limit)
+        run_command(platform, lambda opened: history(opened, limit=rows), as_json=json)
 
 
 def _options(
@@ -176,6 +183,6 @@
         at_ms=time.time_ns() // 1_000_000,
         publish_id=str(publish_id),
         dry_run=dry_run,
-        wait_s=float(wait),
+        wait_s=require_seconds("wait", wait),
         force=force,
     )
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/running.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/running.py
@@ -10,7 +10,9 @@
 from rhubarbwell_ops.connections import open_platform
 from rhubarbwell_ops.exits import ExitCode, Report, exit_with
 
-__all__ = ["run_command", "split_words"]
+__all__ = ["require_seconds", "require_whole", "run_command", "split_words"]
+
+LONGEST_WAIT_S = 3_600.0
 
 
 def run_command(
@@ -18,7 +20,7 @@
 ) -> NoReturn:
     """Run a command with the platform at a URL and end with its exit code."""
 
-    async def connect_andrun_command() -> Report:
+    async def connect_and_run() -> Report:
         try:
             async with open_platform(str(url)) as platform:
                 return await command(platform)
@@ -26,10 +28,28 @@
             fields = {"reason": str(exc)}
             return Report(ExitCode.NOT_DONE, f"nothing was done: {exc}", fields)
 
-    exit_with(uvloop.run(connect_andrun_command()), as_json=as_json)
+    exit_with(uvloop.run(connect_and_run()), as_json=as_json)
 
 
-def split_words(text: str | tuple[str, ...]) -> list[str]:
+def split_words(text: object) -> list[str]:
     """Return the words of a list, which the command line may have split."""
-    words = text.split(",") if isinstance(text, str) else text
+    words = text if isinstance(text, (list, tuple)) else str(text).split(",")
     return [str(word).strip() for word in words]
+
+
+def require_whole(name: str, value: object) -> int:
+    """Return a whole number from 0; end the process as a wrong use otherwise."""
+    if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
+        return value
+    _refuse(f"{name} must be a whole number, not {value!r}")
+
+
+def require_seconds(name: str, value: object) -> float:
+    """Return a number of seconds; end the process as a wrong use otherwise."""
+    if isinstance(value, (int, float)) and 0 <= value <= LONGEST_WAIT_S:
+        return float(value)
+    _refuse(f"{name} must be 0 to {LONGEST_WAIT_S:g} seconds, not {value!r}")
+
+
+def _refuse(message: str) -> NoReturn:
+    exit_with(Report(ExitCode.USAGE, message), as_json=False)
--- /dev/null
+++ b/tests/ops/commands/test_configuration.py
@@ -0,0 +1,46 @@
+import pytest
+from rhubarbwell_ops.__main__ import main
+
+WRONG_USES = [
+    ["rollback", "abc"],
+    ["rollback", "-1"],
+    ["rollback"],
+    ["history", "--limit", "x"],
+    ["publish", "a.jsonc", "--base", "x"],
+    ["publish", "a.jsonc", "--wait", "x"],
+    ["publish", "a.jsonc", "--wait=-1"],
+    ["publish", "a.jsonc", "--dryrun"],
+    ["publish", "a.jsonc", "--no-such-flag", "1"],
+]
+NOT_DONE = [
+    ["status"],
+    ["status", "--platform"],
+    ["publish", "a.jsonc", "--platform", "ftp://x"],
+    ["status", "--platform", "http://127.0.0.1:9"],
+]
+
+
+def exit_code_of(words):
+    with pytest.MonkeyPatch.context() as patch, pytest.raises(SystemExit) as caught:
+        patch.setattr("sys.argv", ["rhubarbwell", *words])
+        main()
+    return caught.value.code
+
+
+@pytest.mark.parametrize("words", WRONG_USES, ids=" ".join)
+def test_wrong_use_is_told(words, capsys):
+    assert exit_code_of(words) == 2
+    assert capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words", NOT_DONE, ids=" ".join)
+def test_nothing_is_done_without_a_platform(words, capsys, monkeypatch):
+    monkeypatch.delenv("RHUBARBWELL_PLATFORM", raising=False)
+    assert exit_code_of(words) == 4
+    assert "nothing was done" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("command", ["check", "publish", "rollback", "drain", "status"])
+def test_help_names_the_flags(command, capsys):
+    assert exit_code_of([command, "--help"]) == 0
+    assert "platform" in capsys.readouterr().err
