--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/limits.py
@@ -67,6 +67,11 @@
         """Return the limit in whole requests."""
         return min(max(int(self.value), 1), self._ceiling)
 
+    @property
+    def share(self) -> int:
+        """Return the part of the slots that other instances leave alone."""
+        return self._share
+
     def set_bounds(self, *, share: int, ceiling: int) -> None:
         """Keep the limit's place between the share and the ceiling as they change."""
         if share != self._share:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/services.py
@@ -54,6 +54,8 @@
         last_start_ms = req.deadline_ms - typical_ms
         if now_ms >= last_start_ms:
             return Refused(req.request_id, Reason.DEADLINE)
+        if req.forwarded is not None and self.shares.in_flight >= self.limit.share:
+            return Refused(req.request_id, Reason.OVERLOAD)
         if not self.has_waiting and self.shares.in_flight < self.limit.slots:
             return self._admit(req, now_ms)
         self.limit.note_full()
--- a/tests/core/admission/test_ranks.py
+++ b/tests/core/admission/test_ranks.py
@@ -6,6 +6,7 @@
     AttemptEnd,
     AttemptEnded,
     BackendLeaving,
+    ForwardedFrom,
     RequestArrived,
 )
 from rhubarbwell_core.model import (
@@ -152,3 +153,17 @@
         service.admission.observe(1, shed, 0)
     service.admission.adjust(1_000)
     assert service.admission.limit_of("s") < 10
+
+
+def test_forwarded_request_never_takes_a_borrowed_slot():
+    service = Service()
+    service.backends.set_member(0, 2, 0)
+    hop = ForwardedFrom("peer", "grant", "attempt", 1)
+    decisions = []
+    for request_id in range(6):
+        req = RequestArrived(
+            request_id, "s", "page", "c", 900, Rank.URGENT, True, forwarded=hop
+        )
+        decisions.append(service.admission.offer(req, 0))
+    assert decisions[:5] == [Admitted(request_id) for request_id in range(5)]
+    assert decisions[5] == Refused(5, Reason.OVERLOAD)
