Index backend servers in use in pools; keep the simple admission for tests only

The table of backend servers had grown past 300 lines, and subsets were hashed anew five times a second; a pool hashes them only when the servers in use change.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/admission/__init__.py
@@ -6,4 +6,3 @@
 from rhubarbwell_core.admission.ranks import *
 from rhubarbwell_core.admission.services import *
 from rhubarbwell_core.admission.shares import *
-from rhubarbwell_core.admission.slots import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/__init__.py
@@ -4,6 +4,7 @@
 from rhubarbwell_core.routing.latencies import *
 from rhubarbwell_core.routing.loads import *
 from rhubarbwell_core.routing.members import *
+from rhubarbwell_core.routing.pools import *
 from rhubarbwell_core.routing.recovery import *
 from rhubarbwell_core.routing.retries import *
 from rhubarbwell_core.routing.routes import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/backends.py
@@ -1,6 +1,6 @@
 """The table of the region's backend servers and the choice among them."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 from math import log
 from random import Random
 from typing import NamedTuple
@@ -26,19 +26,17 @@
     BackendRow,
     effective_slots,
     expected_cost,
-    is_fresh,
     take_report,
 )
+from rhubarbwell_core.routing.pools import ServicePools
 from rhubarbwell_core.routing.recovery import (
     FRESH_CONNECTIONS_MS,
     after_attempt,
     is_usable,
 )
-from rhubarbwell_core.routing.subsets import home_slots, rendezvous_subset
 
 __all__ = ["BackendTable"]
 
-SUBSET_SIZE = 24
 DRAWS = 2
 HOME_FACTOR = 0.7
 FAR_FACTOR = 1.2
@@ -65,35 +63,30 @@
         self._attempts = Table[str, _Attempt]("attempts at backend servers")
         self._region = region
         self._rng = rng
-        self._instance_id = instance_id
-        self._member = 0
-        self._members = 1
-        self._growth_per_s = 0.1
-        self._listed: dict[str, tuple[str, ...]] = {}
-        self._used: dict[tuple[str, str], list[str]] = {}
-        self._slots: dict[str, int] = {}
-        self._homes: dict[str, dict[str, int]] = {}
+        self._pools = ServicePools(self.rows, instance_id)
 
     def configure(self, configuration: Configuration, now_ms: int) -> None:
         """Take the region's backend servers from the configuration."""
-        self._growth_per_s = configuration.deployment.cold_start_growth_per_s
+        self._pools.growth_per_s = configuration.deployment.cold_start_growth_per_s
         zones = zones_of_region(configuration.deployment, self._region)
         known = dict(self.rows.items())
         for backend_id in known:
             self.rows.remove(backend_id)
-        self._listed.clear()
+        served = [name for name in configuration.services if name in self._pools]
+        self._pools.set_listed({})
+        listed: dict[str, tuple[str, ...]] = {}
         for name, service in configuration.services.items():
             specs = [spec for spec in service.backends if spec.zone in zones]
             specs.sort(key=lambda spec: (spec.zone, spec.backend_id))
-            has_served = name in self._slots
             for spec in specs:
-                row = _row_of(spec, name, now_ms if has_served else None)
+                row = _row_of(spec, name, now_ms if name in served else None)
                 self.rows.insert(
                     spec.backend_id, _keep_state(row, known.get(spec.backend_id))
                 )
                 self._set_leaving(spec.backend_id, CONFIG_SOURCE, spec.draining, now_ms)
-            self._listed[name] = tuple(spec.backend_id for spec in specs)
-        self.refresh(now_ms)
+            listed[name] = tuple(spec.backend_id for spec in specs)
+        self._pools.set_listed(listed)
+        self._pools.refresh(now_ms)
 
     def set_member(
         self, member: int, members: int, now_ms: int, *, busy_others: int = 0
@@ -103,29 +96,28 @@
         busy_others counts the other members that use their limits up.
         """
         self.busy_others = busy_others
-        if (member, members) != (self._member, self._members):
-            self._member, self._members = member, members
-            self.refresh(now_ms)
+        pools = self._pools
+        if (member, members) != (pools.member, pools.members):
+            pools.member, pools.members = member, members
+            pools.refresh(now_ms)
 
     def refresh(self, now_ms: int) -> None:
         """Work out which backend servers are in use and with how many slots."""
         self._forget_slowness()
-        self._used.clear()
-        for service, backend_ids in self._listed.items():
-            self._refresh_service(service, backend_ids, now_ms)
+        self._pools.refresh(now_ms)
 
     @property
     def members(self) -> int:
         """Return how many instances share the region's backend servers."""
-        return self._members
+        return self._pools.members
 
     def usable_slots(self, service: str) -> int:
         """Return the slots of the region's backend servers that are in use."""
-        return self._slots.get(service, 0)
+        return self._pools.usable_slots(service)
 
     def home_slots(self, service: str) -> int:
         """Return the instance's even part of the usable slots."""
-        return sum(self._homes.get(service, {}).values())
+        return sum(self._pools.homes(service).values())
 
     def latency_floors(self, service: str) -> LatencyFloors:
         """Return the latency floors of a service's kinds over all its servers."""
@@ -133,12 +125,7 @@
 
     def others_load(self, service: str, now_ms: int) -> float | None:
         """Return the slots that others use by recent reports, None without any."""
-        rows = [self.rows[name] for name in self._listed.get(service, ())]
-        told = [row for row in rows if is_fresh(row, now_ms)]
-        if not told:
-            return None
-        taken = sum(min(row.slots, max(0.0, row.others)) for row in told)
-        return taken * len(rows) / len(told)
+        return self._pools.others_load(service, now_ms)
 
     def on_load(self, event: LoadReported, now_ms: int) -> list[Action]:
         """Take in a report of load; an older one than the last is left out."""
@@ -182,7 +169,7 @@
         now_ms: int,
     ) -> BackendRow | None:
         """Return the best of the home slots and two random servers near and far."""
-        homes = self._homes.get(service, {})
+        homes = self._pools.homes(service)
         names = [*self._draw(service, zones), *self._draw(service, far_zones)]
         names += homes
         best: BackendRow | None = None
@@ -191,7 +178,7 @@
             row = self.rows[name]
             if name in exclude or not is_usable(row, now_ms):
                 continue
-            slots = effective_slots(row, self._growth_per_s, now_ms)
+            slots = effective_slots(row, self._pools.growth_per_s, now_ms)
             cost = expected_cost(row, slots, now_ms)
             if row.in_flight < homes.get(name, 0):
                 cost *= HOME_FACTOR
@@ -227,12 +214,12 @@
         after = after._replace(in_flight=in_flight, lowest_in_flight=lowest)
         self.rows.put(row.backend_id, after)
         if after.in_use_since_ms != row.in_use_since_ms:
-            self._refresh_service(row.service, self._listed[row.service], now_ms)
+            self._pools.refresh_service(row.service, now_ms)
 
     def _draw(self, service: str, zones: Collection[str]) -> list[str]:
         used: list[str] = []
         for zone in zones:
-            used += self._used.get((service, zone), ())
+            used += self._pools.subset(service, zone)
         return self._rng.sample(used, min(DRAWS, len(used)))
 
     def _forget_slowness(self) -> None:
@@ -253,28 +240,7 @@
             sources = row.leaving_sources - {source}
             row = row._replace(leaving_sources=sources, in_use_since_ms=now_ms)
         self.rows.put(backend_id, row)
-        if backend_id in self._listed.get(row.service, ()):
-            self._refresh_service(row.service, self._listed[row.service], now_ms)
-
-    def _refresh_service(
-        self, service: str, backend_ids: Sequence[str], now_ms: int
-    ) -> None:
-        rows = [self.rows[backend_id] for backend_id in backend_ids]
-        usable = [
-            row for row in rows if is_usable(row, now_ms) or _is_pausing(row, now_ms)
-        ]
-        slots = [
-            (row.backend_id, effective_slots(row, self._growth_per_s, now_ms))
-            for row in usable
-        ]
-        self._slots[service] = sum(count for _, count in slots)
-        self._homes[service] = home_slots(
-            slots, member=self._member, members=self._members
-        )
-        for zone in {row.zone for row in rows}:
-            ids = [row.backend_id for row in usable if row.zone == zone]
-            subset = rendezvous_subset(self._instance_id, ids, size=SUBSET_SIZE)
-            self._used[service, zone] = list(subset)
+        self._pools.refresh_service(row.service, now_ms)
 
 
 def _row_of(spec: BackendSpec, service: str, since_ms: int | None) -> BackendRow:
@@ -297,7 +263,3 @@
 
 def _is_older(event: LoadReported, last: LoadReported | None) -> bool:
     return last is not None and event.measured_ms < last.measured_ms
-
-
-def _is_pausing(row: BackendRow, now_ms: int) -> bool:
-    return not row.leaving_sources and row.sheds > 0 and row.failures == 0
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/routing/pools.py
@@ -0,0 +1,98 @@
+"""The backend servers of each service that are in use, and with how many slots."""
+
+from collections.abc import Sequence
+
+from rhubarbwell_core.engine import Table
+from rhubarbwell_core.routing.loads import BackendRow, effective_slots, is_fresh
+from rhubarbwell_core.routing.recovery import is_usable
+from rhubarbwell_core.routing.subsets import home_slots, rendezvous_subset
+
+__all__ = ["ServicePools"]
+
+SUBSET_SIZE = 24
+
+
+class ServicePools:
+    """Index the rows in use by service and zone, and the slots of this member."""
+
+    def __init__(self, rows: Table[str, BackendRow], instance_id: str) -> None:
+        self.member = 0
+        self.members = 1
+        self.growth_per_s = 0.1
+        self._rows = rows
+        self._instance_id = instance_id
+        self._listed: dict[str, tuple[str, ...]] = {}
+        self._in_use: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._subsets: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._slots: dict[str, int] = {}
+        self._homes: dict[str, dict[str, int]] = {}
+
+    def __contains__(self, service: str) -> bool:
+        return service in self._listed
+
+    def set_listed(self, listed: dict[str, tuple[str, ...]]) -> None:
+        """Take the backend servers that each service lists."""
+        self._listed = listed
+        self._slots.clear()
+        self._homes.clear()
+        self._in_use.clear()
+        self._subsets.clear()
+
+    def refresh(self, now_ms: int) -> None:
+        """Work out which backend servers are in use and with how many slots."""
+        for service in self._listed:
+            self.refresh_service(service, now_ms)
+
+    def refresh_service(self, service: str, now_ms: int) -> None:
+        """Work out a service's backend servers; one that nobody lists has none."""
+        rows = self.rows_of(service)
+        used = [row for row in rows if _is_in_use(row, now_ms)]
+        slots = [
+            (row.backend_id, effective_slots(row, self.growth_per_s, now_ms))
+            for row in used
+        ]
+        self._slots[service] = sum(count for _, count in slots)
+        self._homes[service] = home_slots(
+            slots, member=self.member, members=self.members
+        )
+        for zone in {row.zone for row in rows}:
+            in_use = tuple(row.backend_id for row in used if row.zone == zone)
+            self._set_in_use((service, zone), in_use)
+
+    def rows_of(self, service: str) -> list[BackendRow]:
+        """Return the rows of the backend servers that a service lists."""
+        return [self._rows[name] for name in self._listed.get(service, ())]
+
+    def subset(self, service: str, zone: str) -> Sequence[str]:
+        """Return the backend servers of a zone that this instance may use."""
+        return self._subsets.get((service, zone), ())
+
+    def homes(self, service: str) -> dict[str, int]:
+        """Return the slots that this instance uses first, by backend server."""
+        return self._homes.get(service, {})
+
+    def usable_slots(self, service: str) -> int:
+        """Return the slots of the backend servers in use."""
+        return self._slots.get(service, 0)
+
+    def others_load(self, service: str, now_ms: int) -> float | None:
+        """Return the slots that others use by recent reports, None without any."""
+        rows = self.rows_of(service)
+        told = [row for row in rows if is_fresh(row, now_ms)]
+        if not told:
+            return None
+        taken = sum(min(row.slots, max(0.0, row.others)) for row in told)
+        return taken * len(rows) / len(told)
+
+    def _set_in_use(self, key: tuple[str, str], in_use: tuple[str, ...]) -> None:
+        if self._in_use.get(key) == in_use:
+            return
+        self._in_use[key] = in_use
+        self._subsets[key] = rendezvous_subset(
+            self._instance_id, in_use, size=SUBSET_SIZE
+        )
+
+
+def _is_in_use(row: BackendRow, now_ms: int) -> bool:
+    is_pausing = not row.leaving_sources and row.sheds > 0 and row.failures == 0
+    return is_pausing or is_usable(row, now_ms)
--- a/tests/core/requests/test_forwarding.py
+++ b/tests/core/requests/test_forwarding.py
@@ -1,6 +1,5 @@
 """The lifecycle's use of other regions, against a scripted route chooser."""
 
-from rhubarbwell_core.admission import SlotAdmission
 from rhubarbwell_core.messages import (
     AttemptEnd,
     AttemptEnded,
@@ -13,6 +12,7 @@
 from rhubarbwell_core.model import Address, Outcome, Rank, Reason
 from rhubarbwell_core.requests import RequestPart
 from rhubarbwell_core.routing import RetryBudget, RouteChooser
+from support.admissions import SlotAdmission
 
 HERE = Address("127.0.0.1", 1)
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/admission/slots.py
+++ b/tests/support/admissions.py
@@ -1,4 +1,4 @@
-"""Admission by the number of endpoint slots, first come first served."""
+"""A simple admission for tests: by the number of slots, first come first served."""
 
 from collections import deque
 
