Spread a lost region's callers by headroom and check shifts and links in the harness

After a region was lost its callers all went to the two instances of the zone that came first in their look-up answers, which refused a third of them while the rest of the region and the other region had 40 % of their slots free. The first zone is now drawn by the free slots of all live zones when none of the callers' own region is left, and six zones are offered. Arrivals before the first refusal no longer dilute the share refused.

--- a/benchmarks/steering/callers.py
+++ b/benchmarks/steering/callers.py
@@ -21,6 +21,7 @@
 
 MIN_TTL_MS = 200
 MIN_WEIGHT = 0.001
+CALLER_GROUPS = 12
 BASE_MIX = {Rank.URGENT: 0.1, Rank.STANDARD: 0.3, Rank.BULK: 0.15}
 
 
@@ -34,7 +35,7 @@
 
     def __init__(self, world: "World") -> None:
         self._world = world
-        self._cache: dict[tuple[str, str], _Cached] = {}
+        self._cache: dict[tuple[str, str, int], _Cached] = {}
         self._next_id = 0
         self._rates: dict[tuple[str, str], float] = {}
         self._next_ms: dict[tuple[str, str], float] = {}
@@ -130,7 +131,8 @@
     def _look_up(self, zone: str, service: str) -> LookUpAnswer | None:
         world = self._world
         now_ms = world.clock.now_ms
-        cached = self._cache.get((zone, service))
+        group = world.rng.randrange(CALLER_GROUPS)
+        cached = self._cache.get((zone, service, group))
         if cached is not None and now_ms < cached.until_ms:
             return cached.answer
         able = [
@@ -146,7 +148,7 @@
         if not answer.instances:
             return None
         until_ms = now_ms + max(answer.ttl_ms, MIN_TTL_MS)
-        self._cache[zone, service] = _Cached(answer, until_ms)
+        self._cache[zone, service, group] = _Cached(answer, until_ms)
         return answer
 
 
--- a/benchmarks/steering/mail.py
+++ b/benchmarks/steering/mail.py
@@ -10,6 +10,8 @@
     ClaimSlot,
     GrantAnswered,
     GrantAsked,
+    Heartbeat,
+    HeartbeatHeard,
     ReadSlots,
     RelayAnswered,
     RelayAsked,
@@ -19,12 +21,17 @@
     RenewSlots,
     SendGrantAsk,
     SendGrantReply,
+    SendPeerMessage,
     SlotClaimAnswered,
     SlotRenewal,
     SlotRow,
     SlotsAnswered,
     SlotsRenewed,
     StoreResult,
+    SyncAnswer,
+    SyncAnswered,
+    SyncAsk,
+    SyncAsked,
     ZoneHeadroomHeard,
 )
 from rhubarbwell_core.model import Identity
@@ -32,7 +39,7 @@
 if TYPE_CHECKING:
     from benchmarks.steering.node import Node
 
-__all__ = ["SlotTable", "headroom_of", "message_to_peer"]
+__all__ = ["SlotTable", "headroom_of", "membership_event", "message_to_peer"]
 
 
 class SlotTable:
@@ -92,6 +99,18 @@
     return None
 
 
+def membership_event(source: Identity, action: SendPeerMessage) -> Event | None:
+    """Return the event that a message of membership brings, None for others."""
+    message = action.message
+    if isinstance(message, Heartbeat):
+        return HeartbeatHeard(source.peers, message)
+    if isinstance(message, SyncAsk):
+        return SyncAsked(source.peers, message)
+    if isinstance(message, SyncAnswer):
+        return SyncAnswered(source.peers, message)
+    return None
+
+
 def headroom_of(nodes: list["Node"]) -> Iterator[tuple["Node", ZoneHeadroomHeard]]:
     """Yield one node of each zone with the headroom that it tells the others."""
     told = set()
--- a/benchmarks/steering/measures.py
+++ b/benchmarks/steering/measures.py
@@ -25,6 +25,7 @@
         self.attempts: Counter[str] = Counter()
         self.link_bytes: Counter[tuple[str, str, int]] = Counter()
         self.served_per_s: Counter[tuple[str, int]] = Counter()
+        self.peak_shift_per_s = 0.0
         self.peak_region_load: dict[tuple[str, str, str], float] = defaultdict(float)
         self.latencies: dict[tuple[str, str, Rank], DDSketch] = defaultdict(
             lambda: DDSketch(ACCURACY)
@@ -69,6 +70,10 @@
         key = (self.phase, region, service)
         self.peak_region_load[key] = max(self.peak_region_load[key], share)
 
+    def shift_weights(self, before: float, after: float) -> None:
+        """Note the shares of a service that may leave a region, a second apart."""
+        self.peak_shift_per_s = max(self.peak_shift_per_s, after - before)
+
     def peak_link_mbit_per_s(self) -> float:
         """Return the most that one direction of a link carried in a second."""
         most = max(self.link_bytes.values(), default=0)
--- a/benchmarks/steering/report.py
+++ b/benchmarks/steering/report.py
@@ -16,6 +16,7 @@
 MIN_FLOOR_KEPT = 0.95
 MIN_GOODPUT = 0.95
 MAX_DRAIN_MS = 3_000
+CARRIED_AFTER_MS = 10_000
 
 
 class Check(NamedTuple):
@@ -45,6 +46,7 @@
     row["peak load"] = round(_peak_load(world, "fault"), 2)
     row["attempts/first"] = round(measures.amplification(), 3)
     row["link Mbit/s"] = round(measures.peak_link_mbit_per_s(), 1)
+    row["shift per s"] = round(measures.peak_shift_per_s, 3)
     row["unknown"] = sum(
         count
         for (phase, _, _, outcome), count in measures.outcomes.items()
@@ -61,6 +63,14 @@
     service = world.deployment.flooded
     measures = world.measures
     checks = [_at_most("attempts/first", measures.amplification(), MAX_AMPLIFICATION)]
+    spec = world.deployment.configuration.deployment
+    mbit_per_s = min(link.mbit_per_s for link in spec.links)
+    checks.append(_at_most("link Mbit/s", measures.peak_link_mbit_per_s(), mbit_per_s))
+    shift = measures.peak_shift_per_s
+    checks.append(_at_most("shift per s", round(shift, 6), spec.shift_cap_per_s))
+    if names == ("region-lost",):
+        carried = _carried_share(world, timeline)
+        checks.append(_at_least("carried of what the rest can", carried, MIN_GOODPUT))
     floods = {"bulk-flood", "urgent-flood"} & set(names)
     if "bulk-flood" in names:
         served = _served_share(world, "fault", Rank.URGENT)
@@ -78,8 +88,8 @@
         goodput = _goodput_share(world, timeline)
         checks.append(_at_least("goodput/capacity", goodput, MIN_GOODPUT))
     if "drain-uploads" in names:
-        spec = world.backends[world.leaving]
-        took_ms = max(0, spec.last_offer_ms - timeline.fault_ms)
+        leaving = world.backends[world.leaving]
+        took_ms = max(0, leaving.last_offer_ms - timeline.fault_ms)
         checks.append(_at_most("drain ms to last new work", took_ms, MAX_DRAIN_MS))
     return checks
 
@@ -101,6 +111,16 @@
     return served / (len(seconds) * capacity_per_s(world, service, "page"))
 
 
+def _carried_share(world: World, timeline: Timeline) -> float:
+    service = world.deployment.flooded
+    begin_ms = timeline.fault_ms + CARRIED_AFTER_MS
+    seconds = range(begin_ms // 1_000, timeline.after_ms // 1_000)
+    served = sum(world.measures.served_per_s[service, second] for second in seconds)
+    regions = len(world.deployment.configuration.deployment.regions)
+    share = min(sum(BASE_MIX.values()), (regions - 1) / regions)
+    return served / (len(seconds) * share * capacity_per_s(world, service, "page"))
+
+
 def _floor_kept(world: World, timeline: Timeline, rank: Rank) -> float:
     service = world.deployment.flooded
     floors = world.deployment.configuration.deployment.floors
--- a/benchmarks/steering/world.py
+++ b/benchmarks/steering/world.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+from rhubarbwell_core import Core
 from rhubarbwell_core.engine import Action, Event
 from rhubarbwell_core.messages import (
     AttemptEnd,
@@ -13,6 +14,7 @@
     LoadReported,
     PeerHeard,
     PeerState,
+    SendPeerMessage,
 )
 from rhubarbwell_core.model import Address, Identity, Outcome
 
@@ -20,7 +22,12 @@
 from benchmarks.steering.callers import Callers
 from benchmarks.steering.clock import VirtualClock
 from benchmarks.steering.deployments import ANSWER_BYTES, Deployment
-from benchmarks.steering.mail import SlotTable, headroom_of, message_to_peer
+from benchmarks.steering.mail import (
+    SlotTable,
+    headroom_of,
+    membership_event,
+    message_to_peer,
+)
 from benchmarks.steering.measures import Measures
 from benchmarks.steering.network import Network
 from benchmarks.steering.node import Attempt, Node
@@ -30,6 +37,7 @@
 HEARTBEAT_MS = 500
 POLL_MS = 1_000
 POLL_LAG_MS = 300
+SHIFT_SAMPLE_MS = 1_000
 
 CoreFactory = Callable[[Identity, Random], Any]
 EndAttempt = Callable[[str, AttemptEnd], None]
@@ -77,6 +85,8 @@
         self.callers = Callers(self)
         self._every(HEARTBEAT_MS, self._exchange_heartbeats)
         self._every(POLL_MS, self._poll_loads)
+        self._away: dict[tuple[str, str], float] = {}
+        self._every(SHIFT_SAMPLE_MS, self._sample_shifts)
 
     def note_load(self, backend: ModelledBackend) -> None:
         """Note the load of a backend server's region."""
@@ -104,6 +114,9 @@
     def deliver(self, node: Node, action: Action) -> None:
         """Carry a message to a node or the store; drop kinds that are not modelled."""
         here = node.identity
+        if isinstance(action, SendPeerMessage):
+            self._send_membership(here, action)
+            return
         message = message_to_peer(here, action)
         if message is not None:
             peer_id, event = message
@@ -115,6 +128,12 @@
             delay_ms = self.network.delay_ms(here.zone, self._store_zone)
             self.clock.call_later(2 * delay_ms, lambda: node.handle(answer))
 
+    def _send_membership(self, source: Identity, action: SendPeerMessage) -> None:
+        event = membership_event(source, action)
+        for node in self.nodes.values():
+            if event is not None and node.identity.peers == action.address:
+                self._send(source, node, event)
+
     def _send(self, source: Identity, target: Node, event: Event) -> None:
         here, there = source.zone, target.identity.zone
         if not self.network.loses(here, there):
@@ -200,6 +219,16 @@
                 if backend.reports is not ReportMode.NONE:
                     self._report_later(node, backend, now_ms)
 
+    def _sample_shifts(self) -> None:
+        for node in self.nodes.values():
+            if not isinstance(node.core, Core):
+                continue
+            for service in self.deployment.configuration.services:
+                key = (node.identity.instance_id, service)
+                away = node.core.grants.borrowing.away(service)
+                self.measures.shift_weights(self._away.get(key, away), away)
+                self._away[key] = away
+
     def _report_later(self, node: Node, backend: ModelledBackend, now_ms: int) -> None:
         report = LoadReported(
             backend.spec.backend_id,
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -160,7 +160,8 @@
         """Answer a look-up; raise ValueError for a malformed address."""
         ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
         zones = self._look_ups.zone_order(query)
-        shares = self.zone_shares.shares(query.service, zones, now_ms)
+        live = [zone for zone in zones if self._look_ups.directory.offers(zone)]
+        shares = self.zone_shares.shares(query.service, zones, live, now_ms)
         return self._look_ups.look_up(query, shares=shares, ticket=ticket)
 
     def _zone_peers(self) -> list[PeerHeard]:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrowing.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrowing.py
@@ -185,11 +185,11 @@
         step = self._cfg.deployment.shift_cap_per_s * min(elapsed_ms, 1_000) / 1_000
         actions: list[Action] = []
         for service, spill in self._spills.items():
+            spill.demand.fade()
             if spill.refused_ms is None:
                 continue
             actions += self._ask(service, spill, now_ms)
             spill.weights.move(self._target_weights(service, spill, now_ms), step=step)
-            spill.demand.fade()
             self._forget_idle(spill, now_ms)
         self.borrower.forget_ended(now_ms, idle_ms=IDLE_LINE_MS)
         for key in [key for key in self._accounts if key not in self.borrower.lines]:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/part.py
@@ -18,7 +18,7 @@
 
 __all__ = ["LookUpPart"]
 
-MAX_ZONES_OFFERED = 4
+MAX_ZONES_OFFERED = 6
 
 
 class LookUpPart(Part):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/weights.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/weights.py
@@ -4,7 +4,12 @@
 
 from rhubarbwell_core.messages import ServiceHeadroom
 
-__all__ = ["move_weights", "preferred_weights", "zone_weights"]
+__all__ = [
+    "move_weights",
+    "preferred_weights",
+    "spread_weights",
+    "zone_weights",
+]
 
 AMPLE_FREE_PART = 0.2
 
@@ -47,6 +52,20 @@
     return {zone: weight for zone, weight in weights.items() if weight > 0.0}
 
 
+def spread_weights(
+    zones: Sequence[str], headroom: Mapping[str, ServiceHeadroom]
+) -> dict[str, float]:
+    """Return weights by the free slots of zones that are equally far.
+
+    >>> rooms = {"a": ServiceHeadroom("s", 10, 1), "b": ServiceHeadroom("s", 10, 3)}
+    >>> spread_weights(("a", "b"), rooms)
+    {'a': 0.25, 'b': 0.75}
+    """
+    free = {zone: headroom[zone].free for zone in zones if zone in headroom}
+    total = sum(free.values())
+    return {zone: count / total for zone, count in free.items()} if total else {}
+
+
 def zone_weights(
     current: Mapping[str, float],
     zones: Sequence[str],
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/zones.py
@@ -6,7 +6,7 @@
 from rhubarbwell_core.engine import Action, System, Table
 from rhubarbwell_core.messages import ServiceHeadroom, ZoneHeadroomHeard
 from rhubarbwell_core.model import DeploymentSpec, Identity, region_of_zone
-from rhubarbwell_core.shifts.weights import zone_weights
+from rhubarbwell_core.shifts.weights import spread_weights, zone_weights
 
 __all__ = ["MeasureOwnZone", "ZoneShares"]
 
@@ -44,10 +44,21 @@
         self._heard.put(event.zone, _Heard(services, now_ms - event.age_ms))
 
     def shares(
-        self, service: str, zones: Iterable[str], now_ms: int
+        self, service: str, zones: Sequence[str], live: Sequence[str], now_ms: int
     ) -> dict[str, float]:
-        """Return the weights among the zones of the nearest zone's region."""
+        """Return weights of live zones, the zones being in order of preference.
+
+        They lie in the nearest zone's region, or anywhere if all of it is gone.
+        """
         local = self._of_first_region(tuple(zones))
+        near = tuple(zone for zone in live if zone in local)
+        if not near:
+            return spread_weights(live, self._headroom(service, live, now_ms))
+        return self._shares_near(service, near, now_ms)
+
+    def _shares_near(
+        self, service: str, local: tuple[str, ...], now_ms: int
+    ) -> dict[str, float]:
         known = self._shares.get((service, local))
         if known is not None and now_ms < known.moved_ms + SHARE_PERIOD_MS:
             return known.weights
