--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -49,6 +49,8 @@
             backend_id=target.target_id if target.grant_id is None else None,
             grant_id=target.grant_id or "",
             fresh_connection=action.fresh_connection,
+            send_before_ms=target.send_before_ms,
+            bytes_per_s=target.bytes_per_s,
         )
         self._start(action.request_id, plan)
 
@@ -89,7 +91,8 @@
             self._hop(plan),
         )
         try:
-            end = await attempt.run()
+            is_late = plan.is_late(started_ms)
+            end = AttemptEnd.PEER_NOT_RUN if is_late else await attempt.run()
         except asyncio.CancelledError:
             end = AttemptEnd.CANCELLED
         except Exception:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -1,6 +1,7 @@
 """One attempt: a request sent to its target and the judgement of the answer."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import aiohttp
@@ -48,6 +49,12 @@
     backend_id: str | None = None
     grant_id: str = ""
     fresh_connection: bool = False
+    send_before_ms: int | None = None
+    bytes_per_s: int | None = None
+
+    def is_late(self, now_ms: int) -> bool:
+        """Tell whether the attempt must not be sent any more."""
+        return self.send_before_ms is not None and now_ms >= self.send_before_ms
 
 
 class Attempt:
@@ -135,12 +142,18 @@
             exchange.request.method,
             URL(f"http://{host}:{port}{path}", encoded=True),
             headers=self._headers(path),
-            data=exchange.body.chunks() if exchange.body.exists else None,
+            data=self._body() if exchange.body.exists else None,
             skip_auto_headers=_AUTOMATIC_HEADERS,
             allow_redirects=False,
             middlewares=(send_once,),
         )
 
+    async def _body(self) -> AsyncIterator[bytes]:
+        async for chunk in self._exchange.body.chunks():
+            yield chunk
+            if self._plan.bytes_per_s:
+                await asyncio.sleep(len(chunk) / self._plan.bytes_per_s)
+
     def _headers(self, path: str) -> CIMultiDict[str]:
         request = self._exchange.request
         headers = end_to_end_headers(request.headers)
--- a/tests/entry/proxy/test_peers.py
+++ b/tests/entry/proxy/test_peers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from rhubarbwell_core.keys import mint_ticket
 from rhubarbwell_core.lookups import LookUpQuery
 from rhubarbwell_core.messages import Target
 from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan
 from rhubarbwell_platform.standins import BackendStandIn
 from support.entries import RunningEntry, make_configuration
 from support.tables import FlakyTables
@@ -164,7 +166,8 @@
 class ScriptedRoutes:
     """Forward to a peer under a grant, or accept what is forwarded."""
 
-    def __init__(self, entry, peer=None, accepts=False):
+    def __init__(self, entry, peer=None, accepts=False, send_before_ms=None):
+        self._send_before_ms = send_before_ms
         self._inner = entry.core.routes
         self._peer = peer
         self._accepts = accepts
@@ -177,7 +180,9 @@
     def forward(self, req, attempt_id, *, exclude, refused, now_ms):
         if self._peer is None or exclude:
             return None
-        return Target("b", self._peer.address, "grant-1")
+        return Target(
+            "b", self._peer.address, "grant-1", send_before_ms=self._send_before_ms
+        )
 
     def accept_forwarded(self, req, now_ms):
         self.accepted.append(req.forwarded)
@@ -203,6 +208,32 @@
     assert (outcomes["not_run"] == 0) == accepts
 
 
+async def test_hop_is_not_sent_after_the_end_of_its_grant(pair, backend):
+    a, b = pair
+    ScriptedRoutes(a, b, send_before_ms=a.driver.clock_ms())
+    routes = ScriptedRoutes(b, accepts=True)
+    await a.ask("POST", "/book/1", data=b"x")
+    assert routes.accepted == []
+
+
+async def test_paced_body_waits_between_chunks(monkeypatch):
+    async def chunks():
+        yield b"x" * 300
+        yield b"x" * 100
+
+    waits = []
+
+    async def sleep(seconds):
+        waits.append(seconds)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    plan = AttemptPlan("a", ("h", 1), 0, grant_id="g", bytes_per_s=100)
+    exchange = SimpleNamespace(body=SimpleNamespace(chunks=chunks))
+    attempt = Attempt(plan, exchange, None, None, None, None)
+    assert [len(chunk) async for chunk in attempt._body()] == [300, 100]
+    assert waits == [3.0, 1.0]
+
+
 async def test_loss_of_the_peer_under_a_grant_is_unknown(pair, backend):
     a, b = pair
     ScriptedRoutes(a, b)
