--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrower.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrower.py
@@ -137,11 +137,16 @@
 
     def granted(self, service: str, now_ms: int) -> int:
         """Return how many requests of the service are granted at now_ms."""
-        return sum(
-            granted_slots(line, now_ms)
-            for key, line in self.lines.items()
-            if key.service == service
-        )
+        return sum(self.granted_by_region(service, now_ms).values())
+
+    def granted_by_region(self, service: str, now_ms: int) -> dict[str, int]:
+        """Return the granted requests of the service, per region with any."""
+        granted: dict[str, int] = {}
+        for key, line in self.lines.items():
+            slots = granted_slots(line, now_ms)
+            if key.service == service and slots:
+                granted[line.region] = granted.get(line.region, 0) + slots
+        return granted
 
     def forget_ended(self, now_ms: int, *, idle_ms: int) -> None:
         """Drop lines without use, grant or recent ask."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrowing.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/borrowing.py
@@ -12,10 +12,11 @@
     LenderLine,
     granted_slots,
 )
-from rhubarbwell_core.grants.demand import DEFAULT_RESPONSE_BYTES, SpillDemand
+from rhubarbwell_core.grants.charges import LinkCharges
 from rhubarbwell_core.grants.grantor import GRANT_DURATION_MS
 from rhubarbwell_core.grants.lenders import LenderChoice
-from rhubarbwell_core.links import ByteAccount, link_bytes_per_s
+from rhubarbwell_core.grants.spilling import ServiceSpill
+from rhubarbwell_core.links import link_bytes_per_s
 from rhubarbwell_core.messages import (
     Allowance,
     AttemptEnd,
@@ -27,7 +28,6 @@
     Target,
 )
 from rhubarbwell_core.model import Configuration, Identity, Rank, Reason
-from rhubarbwell_core.shifts import SpillWeights
 
 __all__ = ["BORROW_PERIOD_MS", "Borrowing"]
 
@@ -36,9 +36,6 @@
 ASK_TIMEOUT_MS = 500
 MAX_LENDERS = 6
 IDLE_LINE_MS = 10_000
-SMALL_BODY_BYTES = 65_536
-RETURN_FREE_PART = 0.2
-RETURN_AFTER_MS = 3_000
 AHEAD_S = 1.0
 
 _LOST_ENDS = frozenset(
@@ -57,20 +54,6 @@
     bytes_per_s: int
 
 
-class _Accounts(NamedTuple):
-    requests: ByteAccount
-    responses: ByteAccount
-
-
-class _Spill:
-    """Hold the demand and the shift of one service."""
-
-    def __init__(self, region: str) -> None:
-        self.demand = SpillDemand()
-        self.weights = SpillWeights(region)
-        self.refused_ms: int | None = None
-
-
 class Borrowing:
     """Forward requests under grants, as shift weights and links allow."""
 
@@ -91,8 +74,8 @@
         self._free_part = free_part
         self._cfg: Configuration | None = None
         self._regions: frozenset[str] = frozenset()
-        self._spills: dict[str, _Spill] = {}
-        self._accounts: dict[LenderKey, _Accounts] = {}
+        self._spills: dict[str, ServiceSpill] = {}
+        self._charges = LinkCharges()
         self._forwarded = Table[str, _Forwarded]("forwarded attempts")
         self._moved_ms: int | None = None
 
@@ -107,7 +90,7 @@
             and link_bytes_per_s(deployment, self._region, region.name)
         )
         for name in configuration.services:
-            self._spills.setdefault(name, _Spill(self._region))
+            self._spills.setdefault(name, ServiceSpill(self._region))
 
     def away(self, service: str) -> float:
         """Return the share of the service's requests that may leave the region."""
@@ -132,7 +115,7 @@
         spill = self._spills.get(req.service)
         if spill is None:
             return None
-        self._count(spill, req, refused=refused, now_ms=now_ms)
+        spill.count(req, refused=refused, now_ms=now_ms)
         if not refused and req.rank is Rank.URGENT:
             return None
         keys = self.borrower.usable(req.service, req.rank, now_ms, exclude=exclude)
@@ -141,7 +124,8 @@
             peer = self._peers.get(key.grantor_id)
             if peer is None or not spill.weights.can_forward(region):
                 continue
-            bytes_per_s = self._charge(key, req, now_ms)
+            allowance = self._allowance(key)
+            bytes_per_s = self._charges.charge(key, allowance, req, now_ms)
             if bytes_per_s is None:
                 continue
             spill.weights.forwarded(region)
@@ -154,9 +138,7 @@
         if sent is None:
             return False
         self.borrower.ended(sent.key)
-        accounts = self._accounts.get(sent.key)
-        if accounts is not None and sent.bytes_per_s:
-            accounts.requests.release(sent.bytes_per_s, now_ms)
+        self._charges.release(sent.key, sent.bytes_per_s, now_ms)
         if ended.end is AttemptEnd.ANSWERED:
             self._spills[sent.key.service].demand.ended(ended.latency_ms)
         elif ended.end in _LOST_ENDS or ended.peer_reason is Reason.NO_CAPACITY:
@@ -186,48 +168,16 @@
         actions: list[Action] = []
         for service, spill in self._spills.items():
             spill.demand.fade()
-            if spill.refused_ms is None:
+            if not spill.is_active:
                 continue
             actions += self._ask(service, spill, now_ms)
-            spill.weights.move(self._target_weights(service, spill, now_ms), step=step)
-            self._forget_idle(spill, now_ms)
+            granted = self.borrower.granted_by_region(service, now_ms)
+            free_part = self._free_part(service, now_ms)
+            spill.move(granted, free_part, step=step, now_ms=now_ms)
         self.borrower.forget_ended(now_ms, idle_ms=IDLE_LINE_MS)
-        for key in [key for key in self._accounts if key not in self.borrower.lines]:
-            del self._accounts[key]
+        self._charges.keep_only(list(self.borrower.lines))
         return actions
 
-    def _count(
-        self, spill: _Spill, req: RequestArrived, *, refused: bool, now_ms: int
-    ) -> None:
-        if refused:
-            spill.demand.refused()
-            spill.refused_ms = now_ms
-        else:
-            spill.demand.arrived(req)
-            spill.weights.request_arrived()
-
-    def _charge(self, key: LenderKey, req: RequestArrived, now_ms: int) -> int | None:
-        accounts = self._accounts.get(key)
-        grant = self.borrower.lines[key].grant
-        if accounts is None or grant is None:
-            return None
-        if not accounts.responses.has_credit(now_ms):
-            return None
-        is_small = req.body_bytes is not None and req.body_bytes <= SMALL_BODY_BYTES
-        if is_small and accounts.requests.has_credit(now_ms):
-            accounts.requests.charge(req.body_bytes or 0)
-            accounts.responses.charge(DEFAULT_RESPONSE_BYTES)
-            return 0
-        pace = grant.allowance.request_bytes_per_s // grant.allowance.concurrent
-        left_ms = req.deadline_ms - now_ms
-        if is_small or (req.body_bytes or 0) * 1_000 > pace * left_ms:
-            return None
-        if not accounts.requests.can_reserve(pace):
-            return None
-        accounts.requests.reserve(pace, now_ms)
-        accounts.responses.charge(DEFAULT_RESPONSE_BYTES)
-        return pace
-
     def _target(
         self, key: LenderKey, peer: PeerHeard, attempt_id: str, bytes_per_s: int
     ) -> Target:
@@ -249,39 +199,13 @@
         self._set_rates(key, now_ms)
 
     def _set_rates(self, key: LenderKey, now_ms: int) -> None:
-        line = self.borrower.lines[key]
-        allowance = Allowance() if line.grant is None else line.grant.allowance
-        if key not in self._accounts:
-            self._accounts[key] = _Accounts(ByteAccount(), ByteAccount())
-        accounts = self._accounts[key]
-        accounts.requests.set_rate(allowance.request_bytes_per_s, now_ms)
-        accounts.responses.set_rate(allowance.response_bytes_per_s, now_ms)
-
-    def _target_weights(
-        self, service: str, spill: _Spill, now_ms: int
-    ) -> dict[str, float]:
-        granted: dict[str, int] = {}
-        for key, line in self.borrower.lines.items():
-            slots = granted_slots(line, now_ms)
-            if key.service == service and slots:
-                granted[line.region] = granted.get(line.region, 0) + slots
-        for region in set(spill.weights.weights) - {*granted, self._region}:
-            spill.weights.leave(region)
-        total = sum(granted.values())
-        away = self._wanted_away(service, spill, now_ms) if total else 0.0
-        weights = {region: away * n / total for region, n in granted.items()}
-        return {**weights, self._region: 1.0 - away}
+        self._charges.set_rates(key, self._allowance(key), now_ms)
 
-    def _wanted_away(self, service: str, spill: _Spill, now_ms: int) -> float:
-        away = spill.weights.away
-        if spill.demand.refused_part > 0.0 and _is_recent(spill, now_ms, 1_000):
-            return min(1.0, away + spill.demand.refused_part)
-        free_part = self._free_part(service, now_ms)
-        if free_part is None or free_part < RETURN_FREE_PART:
-            return away
-        return away if _is_recent(spill, now_ms, RETURN_AFTER_MS) else 0.0
+    def _allowance(self, key: LenderKey) -> Allowance:
+        grant = self.borrower.lines[key].grant
+        return Allowance() if grant is None else grant.allowance
 
-    def _ask(self, service: str, spill: _Spill, now_ms: int) -> list[Action]:
+    def _ask(self, service: str, spill: ServiceSpill, now_ms: int) -> list[Action]:
         assert self._cfg is not None
         part = min(1.0, spill.weights.away + spill.demand.refused_part)
         reach = spill.weights.away + self._cfg.deployment.shift_cap_per_s * AHEAD_S
@@ -334,14 +258,6 @@
         ask = self.borrower.ask(grantor_id, region, service, share, now_ms)
         return [SendGrantAsk(grantor_id, peer.peers, ask)]
 
-    def _forget_idle(self, spill: _Spill, now_ms: int) -> None:
-        if spill.weights.away < 1e-9 and not _is_recent(spill, now_ms, IDLE_LINE_MS):
-            spill.refused_ms = None
-
-
-def _is_recent(spill: _Spill, now_ms: int, age_ms: int) -> bool:
-    return spill.refused_ms is not None and now_ms < spill.refused_ms + age_ms
-
 
 def _is_lender(line: LenderLine, now_ms: int) -> bool:
     return granted_slots(line, now_ms) > 0 or _is_asked(line, now_ms)
