--- a/benchmarks/steering/callers.py
+++ b/benchmarks/steering/callers.py
@@ -21,7 +21,6 @@
 
 MIN_TTL_MS = 200
 MIN_WEIGHT = 0.001
-CALLER_GROUPS = 12
 BASE_MIX = {Rank.URGENT: 0.1, Rank.STANDARD: 0.3, Rank.BULK: 0.15}
 
 
@@ -35,7 +34,7 @@
 
     def __init__(self, world: "World") -> None:
         self._world = world
-        self._cache: dict[tuple[str, str, int], _Cached] = {}
+        self._cache: dict[tuple[str, str], _Cached] = {}
         self._next_id = 0
         self._rates: dict[tuple[str, str], float] = {}
         self._next_ms: dict[tuple[str, str], float] = {}
@@ -97,7 +96,7 @@
             deadline_ms,
             kind.rank,
             kind.idempotent,
-            body_bytes=UPLOAD_BYTES if kind.name == "upload" else None,
+            body_bytes=UPLOAD_BYTES if kind.name == "upload" else 0,
         )
 
         def on_end(ended: EndRequest) -> None:
@@ -128,11 +127,15 @@
         chosen = world.rng.choices(offered, weights)[0]
         return world.nodes[chosen.instance_id]
 
+    def _address(self, zone: str) -> str:
+        zones = self._world.deployment.configuration.deployment.zones
+        place = next(n for n, spec in enumerate(zones) if spec.name == zone)
+        return f"10.{place}.0.1"
+
     def _look_up(self, zone: str, service: str) -> LookUpAnswer | None:
         world = self._world
         now_ms = world.clock.now_ms
-        group = world.rng.randrange(CALLER_GROUPS)
-        cached = self._cache.get((zone, service, group))
+        cached = self._cache.get((zone, service))
         if cached is not None and now_ms < cached.until_ms:
             return cached.answer
         able = [
@@ -144,11 +147,11 @@
             return None
         near = [node for node in able if node.identity.zone == zone]
         node = world.rng.choice(near or able)
-        answer = node.core.look_up(LookUpQuery(service, zone=zone), now_ms)
+        answer = node.core.look_up(LookUpQuery(service, self._address(zone)), now_ms)
         if not answer.instances:
             return None
         until_ms = now_ms + max(answer.ttl_ms, MIN_TTL_MS)
-        self._cache[zone, service, group] = _Cached(answer, until_ms)
+        self._cache[zone, service] = _Cached(answer, until_ms)
         return answer
 
 
