--- a/tests/core/shifts/test_zones.py
+++ b/tests/core/shifts/test_zones.py
@@ -3,46 +3,58 @@
 from rhubarbwell_core.model import DeploymentSpec, RegionSpec, ZoneSpec
 from rhubarbwell_core.shifts import ZoneShares
 
-ZONES = ("r-a", "r-b", "q-a")
-DEPLOYMENT = DeploymentSpec(
-    "d",
-    (RegionSpec("r"), RegionSpec("q")),
-    (ZoneSpec("r-a", "r", 1), ZoneSpec("r-b", "r", 1), ZoneSpec("q-a", "q", 1)),
-)
+ZONES = ("n-a", "n-b", "s-a", "s-b")
 
 
-def make_shares():
-    """Return shares of a full zone r-a and a free zone r-b at 1,000 ms."""
+def make_shares(**free):
     shares = ZoneShares()
-    shares.configure(DEPLOYMENT)
-    shares.shares("s", ZONES, 0)
-    for zone, free in (("r-a", 0), ("r-b", 9)):
-        room = ServiceHeadroom("s", 9, free)
-        shares.hear(ZoneHeadroomHeard(zone, "r", (room,)), 900)
+    zones = tuple(ZoneSpec(zone, zone[0], 2) for zone in ZONES)
+    shares.configure(DeploymentSpec("d", (RegionSpec("n"), RegionSpec("s")), zones))
+    for zone, count in free.items():
+        room = (ServiceHeadroom("slotsvc", 10, count),)
+        name = zone.replace("_", "-")
+        shares.hear(ZoneHeadroomHeard(name, name[0], room), 0)
     return shares
 
 
-def test_nearest_zone_has_everything_at_first():
-    shares = ZoneShares()
-    shares.configure(DEPLOYMENT)
-    assert shares.shares("s", ZONES, 0) == {"r-a": 1.0}
-    assert shares.shares("s", (), 0) == {}
+def test_own_region_keeps_its_callers_and_moves_them_under_the_cap():
+    shares = make_shares(n_a=0, n_b=8, s_a=10, s_b=10)
+    weights = {}
+    for now_ms in range(0, 2_001, 500):
+        weights = shares.shares("slotsvc", ZONES, ZONES, now_ms)
+    assert weights == pytest.approx({"n-a": 0.9, "n-b": 0.1})
+
+
+def test_callers_of_a_lost_region_spread_by_headroom():
+    shares = make_shares(s_a=2, s_b=6)
+    live = ("s-a", "s-b")
+    assert shares.shares("slotsvc", ZONES, live, 0) == {"s-a": 0.25, "s-b": 0.75}
 
 
-def test_share_moves_to_the_sister_zone_within_the_cap():
-    moved = make_shares().shares("s", ZONES, 1_000)
-    assert moved == pytest.approx({"r-a": 0.95, "r-b": 0.05})
+def test_old_measurements_move_nothing():
+    shares = make_shares(n_a=10, n_b=10)
+    shares.shares("slotsvc", ZONES, ZONES, 0)
+    shares.hear(
+        ZoneHeadroomHeard("n-a", "n", (ServiceHeadroom("slotsvc", 10, 0),)), 100
+    )
+    assert shares.shares("slotsvc", ZONES, ZONES, 20_000) == {"n-a": 1.0}
 
 
 def test_new_configuration_leaves_the_shares_where_they_were():
-    shares = make_shares()
-    moved = shares.shares("s", ZONES, 1_000)
-    shares.configure(DEPLOYMENT._replace(look_up_ttl_ms=1))
-    assert shares.shares("s", ZONES, 1_000) == moved
+    shares = make_shares(n_a=0, n_b=8)
+    shares.shares("slotsvc", ZONES, ZONES, 0)
+    moved = shares.shares("slotsvc", ZONES, ZONES, 1_000)
+    assert moved == pytest.approx({"n-a": 0.95, "n-b": 0.05})
+    zones = tuple(ZoneSpec(zone, zone[0], 3) for zone in ZONES)
+    shares.configure(DeploymentSpec("d", (RegionSpec("n"), RegionSpec("s")), zones))
+    assert shares.shares("slotsvc", ZONES, ZONES, 1_000) == moved
 
 
 def test_shares_of_a_removed_zone_are_forgotten():
-    shares = make_shares()
-    shares.shares("s", ZONES, 1_000)
-    shares.configure(DEPLOYMENT._replace(zones=DEPLOYMENT.zones[:1]))
-    assert shares.shares("s", ("r-a",), 1_000) == {"r-a": 1.0}
+    shares = make_shares(n_a=0, n_b=8)
+    shares.shares("slotsvc", ZONES, ZONES, 0)
+    shares.shares("slotsvc", ZONES, ZONES, 1_000)
+    shares.configure(
+        DeploymentSpec("d", (RegionSpec("n"),), (ZoneSpec("n-a", "n", 2),))
+    )
+    assert shares.shares("slotsvc", ("n-a",), ("n-a",), 1_000) == {"n-a": 1.0}
--- a/tests/ops/test_operators.py
+++ b/tests/ops/test_operators.py
@@ -4,7 +4,8 @@
 import pytest
 import trustme
 from aiohttp import web
-from rhubarbwell_ops.operators import CA_VARIABLE, open_operators
+from rhubarbwell_ops.connections import CA_VARIABLE
+from rhubarbwell_ops.operators import open_operators
 
 
 async def serve_status(context):
