--- /dev/null
+++ b/benchmarks/request_path/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the request path over real sockets."""
--- /dev/null
+++ b/benchmarks/request_path/__main__.py
@@ -0,0 +1,105 @@
+"""Print the cost of the request path: uploads, requests, table writes, a soak."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+import fire
+import uvloop
+from rhubarbwell_core.model import Address
+from rhubarbwell_platform.standins import BackendStandIn
+from tabulate import tabulate
+
+from benchmarks.request_path.instances import run_bare_proxy, run_entry_instance
+from benchmarks.request_path.measures import (
+    measure_requests,
+    measure_upload,
+    measure_writes,
+)
+
+BACKENDS = 4
+WAYS = ("own key", "ticket", "no key", "page")
+
+
+class RequestPath:
+    """Measure the request path over real sockets in this process."""
+
+    def upload(self, megabytes: int = 500) -> None:
+        """Upload so many megabytes; print the growth of resident memory."""
+        _run(_upload(megabytes))
+
+    def requests(self, count: int = 5_000) -> None:
+        """Send so many GET requests through an instance and through a bare proxy."""
+        _run(_requests(count))
+
+    def writes(self, count: int = 2_000) -> None:
+        """Count the table writes of so many bookings of each way."""
+        _run(_writes(count))
+
+    def soak(self, bookings: int = 20_000, seed: int = 1) -> None:
+        """Book through kills and outages; needs tests/ on PYTHONPATH."""
+        from support.soak import run_soak
+
+        logging.disable(logging.WARNING)
+        _run(_soak(run_soak(bookings, seed=seed)))
+
+
+async def _upload(megabytes: int) -> None:
+    servers, addresses = await _start_backends(1)
+    async with run_entry_instance(addresses) as proxy:
+        await measure_upload(proxy, 8)
+        measure = await measure_upload(proxy, megabytes)
+    print(tabulate([measure], headers=measure._fields, floatfmt=".1f"))
+    await _stop(servers)
+
+
+async def _requests(count: int) -> None:
+    rows: list[tuple[object, ...]] = []
+    for echoes in (True, False):
+        servers, addresses = await _start_backends(BACKENDS, echoes_attempt=echoes)
+        for run in (run_bare_proxy, run_entry_instance):
+            async with run(addresses) as proxy:
+                await measure_requests(proxy, count // 10)
+                measure = await measure_requests(proxy, count)
+            rows.append((run.__name__, echoes, *measure))
+        await _stop(servers)
+    headers = ["proxy", "backends echo", *measure._fields]
+    print(tabulate(rows, headers=headers, floatfmt=".2f"))
+
+
+async def _writes(count: int) -> None:
+    servers, addresses = await _start_backends(BACKENDS)
+    async with run_entry_instance(addresses) as proxy:
+        rows = [await measure_writes(proxy, way, count) for way in WAYS]
+    print(tabulate(rows, headers=rows[0]._fields, floatfmt=".3f"))
+    await _stop(servers)
+
+
+async def _soak(soak: Coroutine[Any, Any, Any]) -> None:
+    result = await soak
+    print(tabulate(result._asdict().items()))
+
+
+async def _start_backends(
+    count: int, *, echoes_attempt: bool = True
+) -> tuple[list[BackendStandIn], list[Address]]:
+    servers = [
+        BackendStandIn(f"b{n}", slots=100, echoes_attempt=echoes_attempt)
+        for n in range(count)
+    ]
+    return servers, [await server.start() for server in servers]
+
+
+async def _stop(servers: list[BackendStandIn]) -> None:
+    for server in servers:
+        await server.stop()
+
+
+def _run(main: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main)
+
+
+if __name__ == "__main__":
+    fire.Fire(RequestPath)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -55,6 +55,7 @@
         super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S)
         self._opened = WeakSet[ResponseHandler]()
         self._proofs = WeakKeyDictionary[ResponseHandler, _Proof]()
+        self._users = WeakKeyDictionary[ResponseHandler, str]()
         self._max_ages_s: dict[str, float] = {}
         self._in_use: dict[str, AttemptConnection] = {}
 
@@ -72,6 +73,11 @@
         used = self._in_use[attempt_id]
         self._proofs[used.protocol] = _Proof(used.address, time.monotonic())
 
+    @property
+    def opened(self) -> int:
+        """Return how many connections have been opened and still exist."""
+        return len(self._opened)
+
     def forget(self, attempt_id: str) -> None:
         """Forget an attempt that has ended."""
         self._max_ages_s.pop(attempt_id, None)
@@ -94,19 +100,33 @@
         """Return a proven connection of the allowed age, else a fresh one."""
         attempt_id = req.headers[ATTEMPT_HEADER]
         max_age_s = self._max_ages_s[attempt_id]
-        while True:
-            conn = await super().connect(req, traces, timeout)
-            protocol = conn.protocol
-            assert protocol is not None
-            fresh = protocol not in self._opened
-            if fresh or self._is_usable(protocol, max_age_s):
-                break
-            conn.close()
+        spared: list[Connection] = []
+        try:
+            while True:
+                conn = await super().connect(req, traces, timeout)
+                protocol = conn.protocol
+                assert protocol is not None
+                fresh = protocol not in self._opened
+                if fresh or self._is_usable(protocol, max_age_s):
+                    break
+                if self._is_judged(protocol):
+                    spared.append(conn)
+                else:
+                    conn.close()
+        finally:
+            for other in spared:
+                other.release()
         self._opened.add(protocol)
         address = Address(req.url.host or "", req.url.port or 0)
         self._in_use[attempt_id] = AttemptConnection(protocol, address, fresh)
+        self._users[protocol] = attempt_id
         return conn
 
+    def _is_judged(self, protocol: ResponseHandler) -> bool:
+        """Tell whether an attempt has yet to accept the connection's last answer."""
+        attempt_id = self._users.get(protocol)
+        return attempt_id in self._in_use and protocol not in self._proofs
+
     def _is_usable(self, protocol: ResponseHandler, max_age_s: float) -> bool:
         proof = self._proofs.pop(protocol, None)
         if proof is None or protocol.should_close:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -28,6 +28,7 @@
 _log = logging.getLogger(__name__)
 
 KEEPALIVE_S = 75.0
+LINGERING_S = 1.0
 SHUTDOWN_TIMEOUT_S = 1.0
 MAX_KEY_CHARS = 256
 POLL_MS = 20
@@ -173,6 +174,7 @@
         handler_cancellation=True,
         access_log=None,
         keepalive_timeout=KEEPALIVE_S,
+        lingering_time=LINGERING_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
 
