--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -24,6 +24,7 @@
     Listener,
     address_of,
     bind_address,
+    peer_tls_context,
     tls_context,
 )
 from rhubarbwell_entry.logs import log_event
@@ -98,7 +99,9 @@
         """Start the listeners and the background tasks."""
         keys = PeerKeys([key.encode() for key in self.settings.peer_keys])
         self._session = aiohttp.ClientSession()
-        self._handler = CallerHandler(self.driver, keys)
+        self._handler = CallerHandler(
+            self.driver, keys, peer_tls=peer_tls_context(self.settings.tls)
+        )
         self._keystore = KeyStore(self.driver, self._platform.tables)
         self._peers = PeerNode(self.driver, keys)
         self._follower = LogFollower(self.driver, self._platform)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -8,7 +8,7 @@
 
 from rhubarbwell_entry.settings import TlsSettings
 
-__all__ = ["Listener", "address_of", "bind_address", "tls_context"]
+__all__ = ["Listener", "address_of", "bind_address", "peer_tls_context", "tls_context"]
 
 BACKLOG = 1_024
 
@@ -43,6 +43,21 @@
     return context
 
 
+def peer_tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return the context for hops to peers; their certificates are like the own.
+
+    Peers are reached by IP number, so host names are not compared. Raises OSError
+    for an unreadable file.
+    """
+    if settings is None:
+        return None
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_flags |= ssl.VERIFY_X509_PARTIAL_CHAIN
+    context.load_verify_locations(settings.certificate)
+    return context
+
+
 class Listener:
     """Serve one runner's application from one bound socket."""
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import ssl
 
 from rhubarbwell_core.messages import (
     AttemptEnd,
@@ -16,7 +17,7 @@
 from rhubarbwell_entry.proxy.connections import ProvenConnector, make_client_session
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop
-from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan
+from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan, HopSigner
 
 __all__ = ["AttemptSender"]
 
@@ -27,11 +28,16 @@
     """Carry out the core's attempts at backend servers and peers."""
 
     def __init__(
-        self, driver: CoreDriver, exchanges: ExchangeTable, hop_keys: HopKeys | None
+        self,
+        driver: CoreDriver,
+        exchanges: ExchangeTable,
+        hop_keys: HopKeys | None,
+        peer_tls: ssl.SSLContext | None,
     ) -> None:
         self._driver = driver
         self._exchanges = exchanges
         self._hop_keys = hop_keys
+        self._peer_tls = peer_tls
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._connector = ProvenConnector()
         self._session = make_client_session(self._connector)
@@ -73,7 +79,7 @@
 
     def _start(self, request_id: int, plan: AttemptPlan) -> None:
         exchange = self._exchanges.get(request_id)
-        if exchange is None:
+        if exchange is None or self._session.closed:
             return
         run = self._run(plan, exchange)
         self._tasks[plan.attempt_id] = asyncio.create_task(run)
@@ -112,12 +118,12 @@
         self._connector.forget(plan.attempt_id)
         self._driver.handle(event)
 
-    def _hop(self, plan: AttemptPlan) -> tuple[PeerHop, HopKeys] | None:
+    def _hop(self, plan: AttemptPlan) -> HopSigner | None:
         if plan.backend_id is not None or self._hop_keys is None:
             return None
         instance_id = self._driver.core.identity.instance_id
         hop = PeerHop(instance_id, plan.attempt_id, "", plan.grant_id)
-        return hop, self._hop_keys
+        return HopSigner(hop, self._hop_keys, self._peer_tls)
 
     def _retire_connections(self, plan: AttemptPlan) -> None:
         retired = self._connector.retire(plan.address)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import logging
+import ssl
 from typing import NamedTuple
 
 from aiohttp import web
@@ -39,15 +40,22 @@
 
     Construct it with a CoreDriver inside the running loop, route `/{service}/{rest:.*}`
     of every method to `handle`, serve by `caller_runner` and await `close` at the end.
-    Without hop_keys no request goes to or comes from another entry instance. While
+    Without hop_keys no request goes to or comes from another entry instance;
+    peer_tls is needed where the instances' callers' listeners speak TLS. While
     leaving is set, answers close their connections; refusing starts no request.
     """
 
-    def __init__(self, driver: CoreDriver, hop_keys: HopKeys | None = None) -> None:
+    def __init__(
+        self,
+        driver: CoreDriver,
+        hop_keys: HopKeys | None = None,
+        *,
+        peer_tls: ssl.SSLContext | None = None,
+    ) -> None:
         self.leaving = False
         self.refusing = False
         self.exchanges = ExchangeTable()
-        self.attempts = AttemptSender(driver, self.exchanges, hop_keys)
+        self.attempts = AttemptSender(driver, self.exchanges, hop_keys, peer_tls)
         self.open_requests = 0
         self._driver = driver
         self._hop_keys = hop_keys
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -1,6 +1,7 @@
 """One attempt: a request sent to its target and the judgement of the answer."""
 
 import asyncio
+import ssl
 from typing import NamedTuple
 
 import aiohttp
@@ -29,7 +30,7 @@
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop, add_hop
 from rhubarbwell_entry.proxy.relays import AnswerRelay, has_framing
 
-__all__ = ["Attempt", "AttemptPlan"]
+__all__ = ["Attempt", "AttemptPlan", "HopSigner"]
 
 _AUTOMATIC_HEADERS = (
     hdrs.ACCEPT,
@@ -50,6 +51,14 @@
     fresh_connection: bool = False
 
 
+class HopSigner(NamedTuple):
+    """Sign a hop to a peer, whose callers' listener may speak TLS."""
+
+    hop: PeerHop
+    keys: HopKeys
+    tls: ssl.SSLContext | None
+
+
 class Attempt:
     """Send a request once and relay its answer."""
 
@@ -60,7 +69,7 @@
         driver: CoreDriver,
         session: aiohttp.ClientSession,
         connector: ProvenConnector,
-        hop: tuple[PeerHop, HopKeys] | None,
+        hop: "HopSigner | None",
     ) -> None:
         self.status: int | None = None
         self.peer_reason: Reason | None = None
@@ -122,9 +131,10 @@
 
     async def _send(self) -> aiohttp.ClientResponse:
         plan, exchange = self._plan, self._exchange
-        path = exchange.path
-        if plan.backend_id is None:
+        path, tls = exchange.path, None
+        if self._hop is not None:
             path = f"/{exchange.arrived.service}{path}"
+            tls = self._hop.tls
         self._connector.expect(
             plan.attempt_id,
             idempotent=exchange.arrived.idempotent,
@@ -133,11 +143,12 @@
         host, port = plan.address
         return await self._session.request(
             exchange.request.method,
-            URL(f"http://{host}:{port}{path}", encoded=True),
+            _make_url("http" if tls is None else "https", host, port, path),
             headers=self._headers(path),
             data=exchange.body.chunks() if exchange.body.exists else None,
             skip_auto_headers=_AUTOMATIC_HEADERS,
             allow_redirects=False,
+            ssl=True if tls is None else tls,
             middlewares=(send_once,),
         )
 
@@ -147,9 +158,8 @@
         headers[ATTEMPT_HEADER] = self._plan.attempt_id
         headers[DEADLINE_HEADER] = str(self._remaining_ms())
         if self._hop is not None:
-            hop, keys = self._hop
-            hop = hop._replace(caller=self._exchange.arrived.caller)
-            add_hop(headers, hop, keys, method=request.method, path=path)
+            hop = self._hop.hop._replace(caller=self._exchange.arrived.caller)
+            add_hop(headers, hop, self._hop.keys, method=request.method, path=path)
         return headers
 
     async def _take_answer(self, resp: aiohttp.ClientResponse) -> AttemptEnd:
@@ -189,6 +199,11 @@
         return None if outcome == Outcome.ANSWERED.value else AttemptEnd.PEER_UNKNOWN
 
 
+def _make_url(scheme: str, host: str, port: int, path: str) -> URL:
+    authority = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    return URL(f"{scheme}://{authority}{path}", encoded=True)
+
+
 def _reason_of(name: str) -> Reason | None:
     try:
         return Reason(name)
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/faults.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/standins/faults.py
@@ -28,6 +28,7 @@
     RESET_MID_HEADERS = "reset_mid_headers"
     RESET_AFTER_HEADERS = "reset_after_headers"
     RESET_MID_BODY = "reset_mid_body"
+    SILENT_MID_BODY = "silent_mid_body"
     CUT_SHORT = "cut_short"
     CUT_SHORT_CHUNKED = "cut_short_chunked"
     NO_FRAMING = "no_framing"
@@ -203,6 +204,12 @@
     return False
 
 
+async def _fall_silent(answer: bytes, writer: asyncio.StreamWriter) -> bool:
+    writer.write(answer[: _head_end(answer) + 3])
+    await writer.drain()
+    return await _stay_silent(answer, writer)
+
+
 async def _reset_now(answer: bytes, writer: asyncio.StreamWriter) -> bool:
     _reset(writer)
     return False
@@ -313,6 +320,7 @@
 )
 _FAULTS: dict[Fault, _FaultCall] = {
     Fault.SILENT: _stay_silent,
+    Fault.SILENT_MID_BODY: _fall_silent,
     Fault.RESET_AFTER_REQUEST: _reset_now,
     Fault.CLOSE_AFTER_REQUEST: _close_now,
     Fault.RESET_MID_HEADERS: _reset_at(lambda answer: 20),
--- /dev/null
+++ b/tests/entry/proxy/test_connections.py
@@ -0,0 +1,55 @@
+import pytest
+from rhubarbwell_entry.proxy import connections
+from rhubarbwell_platform.standins import Fault, FaultScript, FaultyBackend
+from support.entries import RunningEntry, make_configuration
+
+
+async def serve(requests, *, echoes=True, fault=Fault.SILENT, after=1 << 30):
+    """Send requests one by one; return the answers and the connections opened."""
+    server = FaultyBackend(FaultScript(fault, after=after), echoes_attempt=echoes)
+    address = await server.start()
+    try:
+        async with RunningEntry(make_configuration([address])) as entry:
+            answers = [await entry.ask(*request) for request in requests]
+    finally:
+        await server.stop()
+    return [text for *_, text in answers], server.connections
+
+
+PAGES = [("GET", f"/page/{n}") for n in range(5)]
+BOOKINGS = [("POST", f"/book/{n}") for n in range(5)]
+
+
+@pytest.mark.parametrize("requests", [PAGES, BOOKINGS])
+@pytest.mark.parametrize(("echoes", "opened"), [(True, 1), (False, 5)])
+async def test_only_connections_that_named_the_attempt_are_used_again(
+    requests, echoes, opened
+):
+    texts, connections_opened = await serve(requests, echoes=echoes)
+    assert texts == [" ".join(request) for request in requests]
+    assert connections_opened == opened
+
+
+async def test_old_proof_is_enough_for_idempotent_work_only(monkeypatch):
+    monkeypatch.setattr(connections, "MAX_PROVEN_AGE_S", -1.0)
+    assert (await serve(PAGES))[1] == 1
+    assert (await serve(BOOKINGS))[1] == 5
+
+
+async def test_connection_with_a_doubled_answer_is_not_used_again():
+    texts, opened = await serve(PAGES, fault=Fault.DOUBLED, after=2)
+    assert texts == [" ".join(page) for page in PAGES]
+    assert opened == 2
+
+
+async def test_no_request_is_sent_twice_by_the_client_library():
+    script = FaultScript(Fault.RESET_AFTER_REQUEST, times=100)
+    server = FaultyBackend(script)
+    address = await server.start()
+    try:
+        async with RunningEntry(make_configuration([address])) as entry:
+            for method, path in (("GET", "/page"), ("PUT", "/clips/1")):
+                assert (await entry.ask(method, path))[1] == "unknown"
+    finally:
+        await server.stop()
+    assert script.runs == ["GET /page", "PUT /clips/1"]
--- a/tests/entry/proxy/test_faults.py
+++ b/tests/entry/proxy/test_faults.py
@@ -4,6 +4,7 @@
 
 import pytest
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.proxy import relays
 from rhubarbwell_platform.standins import Fault, FaultScript, FaultyBackend
 from support.entries import RunningEntry, make_configuration
 
@@ -30,6 +31,7 @@
     Case(Fault.RESET_MID_HEADERS, "answered", "unknown", 502, 1),
     Case(Fault.RESET_AFTER_HEADERS, "broken", "broken", 0, 1),
     Case(Fault.RESET_MID_BODY, "broken", "broken", 0, 1),
+    Case(Fault.SILENT_MID_BODY, "broken", "broken", 0, 1),
     Case(Fault.CUT_SHORT, "broken", "broken", 0, 1),
     Case(Fault.CUT_SHORT_CHUNKED, "broken", "broken", 0, 1),
     Case(Fault.NO_FRAMING, "answered", "unknown", 502, 1),
@@ -60,6 +62,11 @@
     return "reused" if value else "fresh"
 
 
+@pytest.fixture(autouse=True)
+def short_progress_timeout(monkeypatch):
+    monkeypatch.setattr(relays, "PROGRESS_TIMEOUT_MS", 100)
+
+
 async def send_through_fault(case, method, path, *, reused, data=None, warm=WARM_UPS):
     script = FaultScript(case.fault, after=warm)
     servers = [FaultyBackend(script, echoes_attempt=reused) for _ in range(2)]
--- a/tests/entry/proxy/test_peers.py
+++ b/tests/entry/proxy/test_peers.py
@@ -4,10 +4,12 @@
 from collections import Counter
 
 import pytest
+import trustme
 from rhubarbwell_core.keys import mint_ticket
 from rhubarbwell_core.lookups import LookUpQuery
 from rhubarbwell_core.messages import Target
 from rhubarbwell_entry.peers.keys import PeerKeys
+from rhubarbwell_entry.settings import TlsSettings
 from rhubarbwell_platform.standins import BackendStandIn
 from support.entries import RunningEntry, make_configuration
 from support.tables import FlakyTables
@@ -215,6 +217,22 @@
     assert (await ask)[1] == "unknown"
 
 
+async def test_hop_speaks_tls_where_callers_do(backend, tmp_path):
+    certificate = trustme.CA().issue_cert("entry.example")
+    files = [str(tmp_path / name) for name in ("certificate", "key")]
+    certificate.cert_chain_pems[0].write_to_path(files[0])
+    certificate.private_key_pem.write_to_path(files[1])
+    cfg = make_configuration([backend.address], slots=20)
+    tls = TlsSettings(*files)
+    async with (
+        RunningEntry(cfg, name="a", tls=tls) as a,
+        RunningEntry(cfg, name="b", tls=tls) as b,
+    ):
+        b.meet(a)
+        answer = await b.ask("POST", "/book/1", headers=ticket_of(a))
+    assert answer[:2] == (200, "answered") and len(backend.runs) == 1
+
+
 async def test_ticket_of_an_unknown_owner_is_unknown(pair, backend):
     a, _ = pair
     ticket = mint_ticket("gone-1", a.core._ticket_rng, 0)
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -20,6 +20,7 @@
 )
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.keystore import KeyStore
+from rhubarbwell_entry.listeners import peer_tls_context, tls_context
 from rhubarbwell_entry.peers.keys import PeerKeys
 from rhubarbwell_entry.proxy import CallerHandler, caller_runner
 
@@ -48,7 +49,15 @@
     """Serve one core to callers; `kill` ends it as a lost process would."""
 
     def __init__(
-        self, configuration, *, name="i", life=1, tables=None, keys=PEER_KEYS, seed=1
+        self,
+        configuration,
+        *,
+        name="i",
+        life=1,
+        tables=None,
+        keys=PEER_KEYS,
+        seed=1,
+        tls=None,
     ):
         self.configuration = configuration
         self.name = name
@@ -56,6 +65,7 @@
         self.tables = tables
         self.keys = keys
         self.seed = seed
+        self.tls = tls
 
     async def __aenter__(self):
         here = Address("127.0.0.1", 0)
@@ -63,16 +73,21 @@
         self.core = Core(identity, Random(self.seed))
         self.driver = CoreDriver(self.core)
         self.driver.handle(ConfigReceived(self.configuration))
-        self.handler = CallerHandler(self.driver, self.keys)
+        self.handler = CallerHandler(
+            self.driver, self.keys, peer_tls=peer_tls_context(self.tls)
+        )
         self.store = KeyStore(self.driver, self.tables) if self.tables else None
         app = web.Application()
         app.router.add_route("*", "/{service}/{rest:.*}", self.handler.handle)
         self.runner = caller_runner(app)
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        self.site = web.TCPSite(
+            self.runner, "127.0.0.1", 0, ssl_context=tls_context(self.tls)
+        )
         await self.site.start()
         self.address = Address(*self.runner.addresses[0])
-        self.url = f"http://127.0.0.1:{self.address.port}/slotsvc"
+        scheme = "https" if self.tls else "http"
+        self.url = f"{scheme}://127.0.0.1:{self.address.port}/slotsvc"
         self.task = asyncio.create_task(self.driver.run())
         self.session = aiohttp.ClientSession()
         self.running = True
@@ -117,7 +132,9 @@
     async def ask(self, method, path, **options):
         """Return status, outcome and text; a broken answer has status 0."""
         try:
-            async with self.session.request(method, self.url + path, **options) as resp:
+            async with self.session.request(
+                method, self.url + path, ssl=False, **options
+            ) as resp:
                 text = await resp.text()
                 return resp.status, resp.headers.get("Rhubarbwell-Outcome"), text
         except aiohttp.ClientError:
