--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -39,6 +39,7 @@
         self._hop_keys = hop_keys
         self._peer_tls = peer_tls
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._closing = False
         self._connector = ProvenConnector()
         self._session = make_client_session(self._connector)
         driver.register(SendAttempt, self.send)
@@ -71,6 +72,7 @@
 
     async def close(self) -> None:
         """Cancel what runs and close every connection."""
+        self._closing = True
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
@@ -79,7 +81,7 @@
 
     def _start(self, request_id: int, plan: AttemptPlan) -> None:
         exchange = self._exchanges.get(request_id)
-        if exchange is None or self._session.closed:
+        if exchange is None or self._closing:
             return
         run = self._run(plan, exchange)
         self._tasks[plan.attempt_id] = asyncio.create_task(run)
