--- a/tests/entry/proxy/test_connections.py
+++ b/tests/entry/proxy/test_connections.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 from rhubarbwell_entry.proxy import connections
 from rhubarbwell_platform.standins import Fault, FaultScript, FaultyBackend
@@ -42,6 +44,22 @@
     assert opened == 2
 
 
+async def test_silence_retires_the_idle_connections_of_the_server():
+    server = FaultyBackend(FaultScript(Fault.SILENT, after=3))
+    address = await server.start()
+    try:
+        async with RunningEntry(make_configuration([address])) as entry:
+            await asyncio.gather(*(entry.ask(*page) for page in PAGES[:3]))
+            opened = server.connections
+            headers = {"Rhubarbwell-Deadline-Ms": "60"}
+            assert (await entry.ask("POST", "/book/1", headers=headers))[0] == 504
+            assert server.connections == opened
+            assert (await entry.ask("GET", "/page/9"))[2] == "GET /page/9"
+    finally:
+        await server.stop()
+    assert server.connections == opened + 1
+
+
 async def test_no_request_is_sent_twice_by_the_client_library():
     script = FaultScript(Fault.RESET_AFTER_REQUEST, times=100)
     server = FaultyBackend(script)
