--- a/packages/rhubarbwell-core/src/rhubarbwell_core/keys/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/__init__.py
@@ -5,3 +5,4 @@
 from rhubarbwell_core.keys.records import *
 from rhubarbwell_core.keys.requests import *
 from rhubarbwell_core.keys.tickets import *
+from rhubarbwell_core.keys.waiting import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/keys/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/requests.py
@@ -1,62 +1,44 @@
 """The way of a request with an idempotency key to its one run."""
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import NamedTuple
 
 from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
 from rhubarbwell_core.keys.outcomes import OutcomeQueue
 from rhubarbwell_core.keys.owners import KeyStep, step_of_record
 from rhubarbwell_core.keys.records import KeyRecord, KeyState, KeyTable, key_scope
 from rhubarbwell_core.keys.tickets import TICKET_LIFE_MS, parse_ticket
+from rhubarbwell_core.keys.waiting import OwnerFinder, WaitingRequests, members_of
 from rhubarbwell_core.messages import (
-    AttemptEnd,
-    AttemptEnded,
-    CancelAttempt,
     ClaimKey,
     ClaimResult,
-    EndRequest,
     KeptAnswer,
     KeyClaimEnded,
     KeyRead,
     OutcomesRecorded,
-    PassToOwner,
     ReadKey,
-    ReplayAnswer,
     RequestArrived,
     StoredKey,
 )
-from rhubarbwell_core.model import Address, Outcome, Reason
+from rhubarbwell_core.model import Outcome, Reason
 
-__all__ = ["KeyedPart", "StartRequest", "WaitingRequest"]
+__all__ = ["KeyedPart", "StartRequest"]
 
 StartRequest = Callable[[RequestArrived, int], list[Action]]
-OwnerFinder = Callable[[str], Address | None]
 
 KEEP_MS = TICKET_LIFE_MS
 MAX_STORED_BODY_BYTES = 4_096
 
 
-class WaitingRequest(NamedTuple):
-    """Hold a keyed request that is not running; reads tells of a row being read."""
-
-    arrived: RequestArrived
-    scope: str
-    attempt_id: str | None = None
-    reads: bool = False
-
-
 class KeyedPart(Part):
     """Run each key at most once and answer its repeats."""
 
     def __init__(self, incarnation: str, find_owner: OwnerFinder) -> None:
         self.records = KeyTable()
         self.outcomes = OutcomeQueue()
-        self.waiting = Table[int, WaitingRequest]("waiting keyed requests")
+        self.waiting = WaitingRequests(incarnation, self.records, find_owner)
         self._incarnation = incarnation
-        self._find_owner = find_owner
         self._start: StartRequest = lambda req, now_ms: []
         self._scopes = Table[int, str]("scopes of running requests")
-        self._attempts = Table[str, int]("attempts at owners")
         self._next_id = 0
 
     def start_with(self, start: StartRequest) -> None:
@@ -86,7 +68,7 @@
     def arrived(self, req: RequestArrived, now_ms: int) -> list[Action]:
         """Take in a request with a key."""
         scope = key_scope(req)
-        self.waiting.insert(req.request_id, WaitingRequest(req, scope))
+        self.waiting.add(req, scope)
         record = self.records.get(scope)
         if record is not None:
             return self._follow_record(record, req, now_ms)
@@ -94,9 +76,9 @@
         if ticket is None:
             return self._claim(req, scope, now_ms)
         if ticket.owner != self._incarnation:
-            return self._ask_owner(req.request_id, ticket.owner)
+            return self.waiting.ask_owner(req.request_id, ticket.owner)
         if not ticket.issued_ms <= now_ms < ticket.expires_ms():
-            return self._read(req.request_id)
+            return self.waiting.read(req.request_id)
         return self._own_ticket(req, scope, ticket.expires_ms(), now_ms)
 
     def run_ended(
@@ -125,47 +107,9 @@
         actions: list[Action] = []
         for waiter in record.waiters:
             if outcome is Outcome.ANSWERED:
-                actions += self._replay(waiter, ended)
+                actions += self.waiting.replay(waiter, ended)
             else:
-                actions += self._end(waiter, outcome, reason)
-        return actions
-
-    def caller_gone(self, request_id: int) -> list[Action]:
-        """Forget a waiting request whose caller has gone."""
-        waiting = self.waiting.get(request_id)
-        if waiting is None:
-            return []
-        if waiting.attempt_id is not None:
-            return [CancelAttempt(waiting.attempt_id)]
-        return self._leave(request_id, Outcome.UNKNOWN, Reason.CALLER_GONE)
-
-    def attempt_ended(self, event: AttemptEnded) -> list[Action]:
-        """Take in the end of an attempt at a key's owner."""
-        request_id = self._attempts.remove(event.attempt_id)
-        if request_id is None or request_id not in self.waiting:
-            return []
-        if event.end is AttemptEnd.ANSWERED:
-            return self._end(request_id, Outcome.ANSWERED, Reason.SERVED)
-        if event.end is AttemptEnd.PEER_NOT_RUN:
-            reason = event.peer_reason or Reason.NO_CAPACITY
-            return self._end(request_id, Outcome.NOT_RUN, reason)
-        if event.bytes_sent == 0:
-            return self._read(request_id)
-        return self._end(request_id, Outcome.UNKNOWN, Reason.OWNER_LOST)
-
-    def end_overdue(self, now_ms: int) -> list[Action]:
-        """End the waiting requests whose deadline has passed."""
-        actions: list[Action] = []
-        for request_id, waiting in self.waiting.items():
-            if waiting.arrived.deadline_ms <= now_ms:
-                actions += self._give_up(request_id, waiting, Reason.DEADLINE)
-        return actions
-
-    def stop(self) -> list[Action]:
-        """End every waiting request because the entry instance ends."""
-        actions: list[Action] = []
-        for request_id in list(self.waiting):
-            actions += self._leave(request_id, Outcome.UNKNOWN, Reason.STOPPING)
+                actions += self.waiting.end(waiter, outcome, reason)
         return actions
 
     def _follow_record(
@@ -174,11 +118,11 @@
         request_id = req.request_id
         step = step_of_record(record, req.body_digest or "")
         if step is KeyStep.REFUSE_OTHER_BODY:
-            return self._end(request_id, Outcome.NOT_RUN, Reason.KEY_REUSED)
+            return self.waiting.end(request_id, Outcome.NOT_RUN, Reason.KEY_REUSED)
         if step is KeyStep.REPLAY:
-            return self._replay(request_id, record)
+            return self.waiting.replay(request_id, record)
         if step is KeyStep.END_UNKNOWN:
-            return self._end(request_id, Outcome.UNKNOWN, Reason.BACKEND_FAILED)
+            return self.waiting.end(request_id, Outcome.UNKNOWN, Reason.BACKEND_FAILED)
         if step is KeyStep.RUN:
             return self._run(record, request_id, now_ms)
         if step is KeyStep.CLAIM:
@@ -191,7 +135,7 @@
         self, req: RequestArrived, scope: str, expires_ms: int, now_ms: int
     ) -> list[Action]:
         if self.records.is_full():
-            return self._end(req.request_id, Outcome.NOT_RUN, Reason.OVERLOAD)
+            return self.waiting.end(req.request_id, Outcome.NOT_RUN, Reason.OVERLOAD)
         record = KeyRecord(
             scope, req.body_digest or "", KeyState.FREE, expires_ms, is_ticket=True
         )
@@ -202,7 +146,7 @@
         if req.deadline_ms <= now_ms:
             free = record._replace(state=KeyState.FREE, leader=None)
             self.records.put(free)
-            late = self._end(request_id, Outcome.NOT_RUN, Reason.DEADLINE)
+            late = self.waiting.end(request_id, Outcome.NOT_RUN, Reason.DEADLINE)
             return [*late, *self._claimed(free, now_ms)]
         self.records.put(record._replace(state=KeyState.RUNNING, leader=request_id))
         self.waiting.remove(request_id)
@@ -211,7 +155,7 @@
 
     def _claim(self, req: RequestArrived, scope: str, now_ms: int) -> list[Action]:
         if self.records.is_full():
-            return self._end(req.request_id, Outcome.NOT_RUN, Reason.OVERLOAD)
+            return self.waiting.end(req.request_id, Outcome.NOT_RUN, Reason.OVERLOAD)
         known = self.records.get(scope)
         record = KeyRecord(
             scope,
@@ -243,9 +187,8 @@
         if record is not None and record.state in _BEING_SETTLED:
             return self._settle_claim(record, event, now_ms)
         actions: list[Action] = []
-        for request_id, waiting in self.waiting.items():
-            if waiting.scope == event.scope and waiting.reads:
-                actions += self._end_by_row(request_id, event.row)
+        for request_id in list(self.waiting.readers_of(event.scope)):
+            actions += self.waiting.end_by_row(request_id, event.row)
         return actions
 
     def _settle_claim(
@@ -258,15 +201,15 @@
             return self._claimed(record, now_ms)
         self.records.remove(record.scope)
         actions: list[Action] = []
-        for request_id in _members(record):
+        for request_id in members_of(record):
             if row is None or row.status or row.claimer == self._incarnation:
-                actions += self._end_by_row(request_id, row)
+                actions += self.waiting.end_by_row(request_id, row)
             else:
-                actions += self._ask_owner(request_id, row.claimer)
+                actions += self.waiting.ask_owner(request_id, row.claimer)
         return actions
 
     def _claimed(self, record: KeyRecord, now_ms: int) -> list[Action]:
-        members = _members(record)
+        members = members_of(record)
         if not members:
             self.records.put(record._replace(state=KeyState.FREE))
             return []
@@ -276,45 +219,12 @@
         unsettled = record._replace(state=KeyState.UNSETTLED, leader=None, waiters=())
         self.records.put(unsettled)
         actions: list[Action] = []
-        for request_id in _members(record):
-            actions += self._end(request_id, Outcome.NOT_RUN, Reason.STORE_UNAVAILABLE)
+        for request_id in members_of(record):
+            actions += self.waiting.end(
+                request_id, Outcome.NOT_RUN, Reason.STORE_UNAVAILABLE
+            )
         return actions
 
-    def _ask_owner(self, request_id: int, owner: str) -> list[Action]:
-        waiting = self.waiting[request_id]
-        address = self._find_owner(owner)
-        if address is None or waiting.arrived.passed_on:
-            return self._read(request_id)
-        attempt_id = self._new_id()
-        self.waiting.put(request_id, waiting._replace(attempt_id=attempt_id))
-        self._attempts.insert(attempt_id, request_id)
-        deadline_ms = waiting.arrived.deadline_ms
-        return [PassToOwner(request_id, attempt_id, address, deadline_ms)]
-
-    def _read(self, request_id: int) -> list[Action]:
-        waiting = self.waiting[request_id]
-        self.waiting.put(request_id, waiting._replace(attempt_id=None, reads=True))
-        return [ReadKey(waiting.scope, waiting.arrived.deadline_ms)]
-
-    def _end_by_row(self, request_id: int, row: StoredKey | None) -> list[Action]:
-        waiting = self.waiting[request_id]
-        if row is None or row.status is None:
-            return self._end(request_id, Outcome.UNKNOWN, Reason.OWNER_LOST)
-        if row.fingerprint != (waiting.arrived.body_digest or ""):
-            return self._end(request_id, Outcome.NOT_RUN, Reason.KEY_REUSED)
-        return self._replay_answer(request_id, row.answer)
-
-    def _replay(self, request_id: int, record: KeyRecord) -> list[Action]:
-        return self._replay_answer(request_id, self.records.answer(record.scope))
-
-    def _replay_answer(
-        self, request_id: int, answer: KeptAnswer | None
-    ) -> list[Action]:
-        if answer is None:
-            return self._end(request_id, Outcome.ANSWERED, Reason.ANSWER_NOT_KEPT)
-        end = self._end(request_id, Outcome.ANSWERED, Reason.SERVED)
-        return [ReplayAnswer(request_id, answer), *end]
-
     def _keep(self, record: KeyRecord, answer: KeptAnswer | None) -> None:
         if answer is not None:
             self.records.keep(record.scope, answer)
@@ -324,33 +234,6 @@
         )
         self.outcomes.add(row)
 
-    def _give_up(
-        self, request_id: int, waiting: WaitingRequest, reason: Reason
-    ) -> list[Action]:
-        record = self.records.get(waiting.scope)
-        claiming = record is not None and record.state is KeyState.CLAIMING
-        leads = record is not None and request_id in _members(record)
-        outcome = Outcome.NOT_RUN if claiming and leads else Outcome.UNKNOWN
-        if outcome is Outcome.NOT_RUN:
-            reason = Reason.STORE_UNAVAILABLE
-        return self._leave(request_id, outcome, reason)
-
-    def _leave(self, request_id: int, outcome: Outcome, reason: Reason) -> list[Action]:
-        waiting = self.waiting[request_id]
-        record = self.records.get(waiting.scope)
-        if record is not None and record.leader == request_id:
-            self.records.put(record._replace(leader=None))
-        elif record is not None and request_id in record.waiters:
-            rest = tuple(other for other in record.waiters if other != request_id)
-            self.records.put(record._replace(waiters=rest))
-        return self._end(request_id, outcome, reason)
-
-    def _end(self, request_id: int, outcome: Outcome, reason: Reason) -> list[Action]:
-        waiting = self.waiting.remove(request_id)
-        if waiting is not None and waiting.attempt_id is not None:
-            self._attempts.remove(waiting.attempt_id)
-        return [EndRequest(request_id, outcome, reason)]
-
     def _on_recorded(self, event: OutcomesRecorded, now_ms: int) -> list[Action]:
         self.outcomes.on_recorded(event)
         return []
@@ -358,7 +241,7 @@
     def _deadline_of(self, record: KeyRecord, now_ms: int) -> int:
         deadlines = [
             self.waiting[request_id].arrived.deadline_ms
-            for request_id in _members(record)
+            for request_id in members_of(record)
         ]
         return max(deadlines, default=now_ms)
 
@@ -380,11 +263,6 @@
 }
 
 
-def _members(record: KeyRecord) -> tuple[int, ...]:
-    leader = () if record.leader is None else (record.leader,)
-    return leader + record.waiters
-
-
 class _DeadlineSystem(System):
     period_ms = 50
 
@@ -392,7 +270,7 @@
         self._part = part
 
     def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.end_overdue(now_ms)
+        return self._part.waiting.end_overdue(now_ms)
 
 
 class _OutcomeSystem(System):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
@@ -105,7 +105,7 @@
     def _on_attempt_ended(self, event: AttemptEnded, now_ms: int) -> list[Action]:
         request_id = self.attempts.remove(event.attempt_id)
         if request_id is None:
-            return self._keys.attempt_ended(event)
+            return self._keys.waiting.attempt_ended(event)
         self._routes.attempt_ended(event, now_ms)
         row = self.requests.get(request_id)
         if row is None:
@@ -132,7 +132,7 @@
     def _on_caller_gone(self, event: CallerGone, now_ms: int) -> list[Action]:
         row = self.requests.get(event.request_id)
         if row is None:
-            return self._keys.caller_gone(event.request_id)
+            return self._keys.waiting.caller_gone(event.request_id)
         if row.attempts:
             is_keyed = self._keys.is_running(event.request_id)
             return [] if is_keyed else _cancel_all(row)
@@ -140,7 +140,7 @@
         return self._end(event.request_id, Outcome.NOT_RUN, Reason.CALLER_GONE, now_ms)
 
     def _on_stop_now(self, event: StopNow, now_ms: int) -> list[Action]:
-        actions = self._keys.stop()
+        actions = self._keys.waiting.stop()
         for row in self.requests.rows():
             request_id = row.arrived.request_id
             self._admission.withdraw(request_id, now_ms)
