Let an answer from a key's owner go on past the deadline once it has begun

A request that was passed to its key's owner ended at its deadline by the tick while the owner's answer was being relayed, which broke the answer off; its attempt keeps the deadline by itself. A stop now cancels such attempts.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/keys/waiting.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/waiting.py
@@ -97,17 +97,20 @@
         return self.end(request_id, Outcome.UNKNOWN, Reason.OWNER_LOST)
 
     def end_overdue(self, now_ms: int) -> list[Action]:
-        """End the waiting requests whose deadline has passed."""
+        """End the waiting requests past their deadline but those at an owner."""
         actions: list[Action] = []
         for request_id, waiting in self._rows.items():
-            if waiting.arrived.deadline_ms <= now_ms:
+            is_overdue = waiting.arrived.deadline_ms <= now_ms
+            if is_overdue and waiting.attempt_id is None:
                 actions += self._give_up(request_id, waiting, Reason.DEADLINE)
         return actions
 
     def stop(self) -> list[Action]:
         """End every waiting request because the entry instance ends."""
         actions: list[Action] = []
-        for request_id in list(self._rows):
+        for request_id, waiting in self._rows.items():
+            if waiting.attempt_id is not None:
+                actions.append(CancelAttempt(waiting.attempt_id))
             actions += self._leave(request_id, Outcome.UNKNOWN, Reason.STOPPING)
         return actions
 
--- a/tests/core/keys/test_requests.py
+++ b/tests/core/keys/test_requests.py
@@ -25,6 +25,7 @@
     ReplayAnswer,
     RequestArrived,
     SendAttempt,
+    StopNow,
     StoredKey,
 )
 from rhubarbwell_core.model import (
@@ -198,6 +199,18 @@
     assert (replay.answer, end.outcome) == (ANSWER, Outcome.ANSWERED)
 
 
+def test_request_at_its_owner_ends_with_its_attempt_or_a_stop(one):
+    one.know("j")
+    (first,) = one.arrive(1, Driven("j").ticket())
+    (second,) = one.arrive(2, Driven("j").ticket(1))
+    assert ends(one.core.advance(3_000)) == []
+    ended = AttemptEnded(first.attempt_id, AttemptEnd.ANSWERED, 1, 1)
+    assert ends(one.core.handle(ended, 3_001))[0][1] is Outcome.ANSWERED
+    cancel, *stopped = one.core.handle(StopNow(), 3_002)
+    assert cancel == CancelAttempt(second.attempt_id)
+    assert ends(stopped) == [(2, Outcome.UNKNOWN, Reason.STOPPING)]
+
+
 def test_request_passed_on_is_not_passed_on_again(one):
     one.know("j")
     (read,) = one.arrive(1, Driven("j").ticket(), passed_on=True)
