--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -231,7 +231,11 @@
         return self.adoption.hear_version(address, version, now_ms)
 
     def _on_zone_summary(self, summary: ZoneSummary, now_ms: int) -> list[Action]:
-        heard = ZoneHeadroomHeard(summary.zone, summary.region, summary.services)
+        known = self.membership.members.of_zone(summary.zone)
+        if not known:
+            return []
+        region = known[0].heard.region
+        heard = ZoneHeadroomHeard(summary.zone, region, summary.services)
         self.zone_shares.hear(heard, now_ms)
         return list(self._handlers[ZoneHeadroomHeard](heard, now_ms))
 
