Name the event of each log line; list the check that fails

Cause: fifteen lines had no event name, so the rate limit counted them by module, and a forged hop's line told the caller's address.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src
 	$(BIN)/python -m pytest -n 4 --dist loadfile
+	cat KNOWN-RED.txt
 	$(BIN)/python -m rhubarbwell_entry --help > /dev/null 2>&1
 	$(BIN)/python -m rhubarbwell_ops demo > /dev/null
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/driver.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/driver.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
 from rhubarbwell_core import Core
 from rhubarbwell_core.engine import Action, Event
 
-__all__ = ["ActionExecutor", "CoreDriver", "monotonic_ms"]
+from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["ActionExecutor", "CoreDriver"]
 
 _log = logging.getLogger(__name__)
 
@@ -17,11 +19,6 @@
 IDLE_SLEEP_MS = 1_000
 
 
-def monotonic_ms() -> int:
-    """Return the monotonic clock in ms."""
-    return time.monotonic_ns() // 1_000_000
-
-
 class CoreDriver:
     """Feed one core and pass its actions to the executors of their types."""
 
@@ -52,6 +49,12 @@
         for action in actions:
             executor = self._executors.get(type(action))
             if executor is None:
-                _log.error("no executor for action %s", type(action).__name__)
+                log_event(
+                    _log,
+                    logging.ERROR,
+                    "action_dropped",
+                    "no executor for an action",
+                    action=type(action).__name__,
+                )
                 continue
             executor(action)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -16,7 +16,8 @@
 from rhubarbwell_platform.services import Platform
 
 from rhubarbwell_entry.adoption import LogFollower
-from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
+from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.gauges import add_gauges
 from rhubarbwell_entry.hints import PlatformHints
 from rhubarbwell_entry.keystore import KeyStore
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
@@ -29,6 +29,7 @@
 )
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 
 __all__ = ["KeyStore", "decode_stored_key", "encode_stored_key"]
 
@@ -90,7 +91,13 @@
             found = decode_stored_key(rows[key].value) if key in rows else None
             event = KeyRead(action.scope, found)
         except (PlatformError, TimeoutError, ValueError) as exc:
-            _log.warning("the row of a key could not be read: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "key_unreadable",
+                "the row of a key could not be read",
+                error=str(exc),
+            )
             event = KeyRead(action.scope, None, available=False)
         self._driver.handle(event)
 
@@ -105,7 +112,13 @@
                 await self._tables.transact(writes)
             recorded = True
         except (PlatformError, TimeoutError) as exc:
-            _log.warning("outcomes could not be recorded, trying again: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "outcomes_unrecorded",
+                "outcomes could not be recorded; trying again",
+                error=str(exc),
+            )
             recorded = False
         self._driver.handle(OutcomesRecorded(action.batch_id, recorded))
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/logs.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/logs.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from rhubarbwell_entry.driver import monotonic_ms
+from rhubarbwell_entry.clocks import monotonic_ms
 
 __all__ = ["EventRateFilter", "log_event"]
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server, Stream
 from rhubarbwell_core.model import Address
 
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.peers.codec import PeerMessageError
 from rhubarbwell_entry.peers.envelopes import (
     PROTOCOLS,
@@ -109,7 +110,13 @@
             opened = self._open(envelope)
         except PeerMessageError as exc:
             self.rejected_count += 1
-            _log.warning("rejected a peer message: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "peer_message_rejected",
+                "rejected a message that no peer key has signed",
+                error=str(exc),
+            )
             raise GRPCError(Status.PERMISSION_DENIED, str(exc)) from exc
         reply = self._collect_reply(opened)
         await stream.send_message(self._seal(opened.sender, reply))
@@ -150,7 +157,14 @@
         ) as exc:
             self.failed_count += 1
             self._disconnect(address)
-            _log.debug("peer %s:%d did not take messages: %s", *address, exc)
+            log_event(
+                _log,
+                logging.DEBUG,
+                "peer_unreachable",
+                "peer did not take messages",
+                peer=f"{address.host}:{address.port}",
+                error=str(exc),
+            )
             return
         for message in opened.messages:
             self._receive(opened.sender, message)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -14,6 +14,7 @@
 )
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy.connections import ProvenConnector, make_client_session
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop
@@ -104,7 +105,10 @@
         except asyncio.CancelledError:
             end = AttemptEnd.CANCELLED
         except Exception:
-            _log.exception("attempt %s failed unexpectedly", plan.attempt_id)
+            _log.exception(
+                "an attempt failed unexpectedly",
+                extra={"event": "attempt_failed", "attempt_id": plan.attempt_id},
+            )
             end = AttemptEnd.RESET_BEFORE_ANSWER
         self._tasks.pop(plan.attempt_id, None)
         if attempt.is_silent(end):
@@ -132,11 +136,13 @@
 
     def _retire_connections(self, plan: AttemptPlan) -> None:
         retired = self._connector.retire(plan.address)
-        _log.warning(
-            "connection to %s:%d made no progress; retired %d idle connections",
-            plan.address.host,
-            plan.address.port,
-            retired,
+        log_event(
+            _log,
+            logging.WARNING,
+            "connection_silent",
+            "a connection made no progress; retired its server's idle connections",
+            target=f"{plan.address.host}:{plan.address.port}",
+            retired=retired,
         )
         if plan.backend_id is not None:
             self._driver.handle(ConnectionSilent(plan.backend_id))
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -16,6 +16,7 @@
 from rhubarbwell_core.model import Outcome, Reason, WorkKind, match_kind
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy.attempts import AttemptSender
 from rhubarbwell_entry.proxy.bodies import CallerGoneError, UploadBody
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
@@ -121,7 +122,12 @@
         try:
             hop = self._read_hop(request)
         except ForgedHopError:
-            _log.warning("refused a request from %s with a forged hop", request.remote)
+            log_event(
+                _log,
+                logging.WARNING,
+                "hop_forged",
+                "refused a request with a forged hop",
+            )
             return Reason.FORGED_HOP
         query = request.rel_url.raw_query_string
         return _Work(name, f"{below}?{query}" if query else below, kind, hop)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -7,6 +7,7 @@
 from rhubarbwell_core.messages import StopNow
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy import CallerHandler
 
 __all__ = ["GracefulShutdown"]
@@ -53,19 +54,33 @@
         deadline_ms = self._driver.clock_ms() + self._max_ms
         self._announce()
         self._handler.leaving = True
-        _log.info("leaving: serving callers that hold cached look-up answers")
+        log_event(
+            _log,
+            logging.INFO,
+            "leaving",
+            "leaving; serving callers that hold cached look-up answers",
+        )
         cached_ms = min(self._look_up_ttl_ms() + self._margin_ms, self._max_ms)
         await self._wait(lambda: False, self._driver.clock_ms() + cached_ms)
         self._handler.refusing = True
         await self._stop_listening()
-        _log.info("waiting for %d open requests", self._handler.open_requests)
+        log_event(
+            _log,
+            logging.INFO,
+            "waiting_for_requests",
+            "waiting for open requests to end",
+            open_requests=self._handler.open_requests,
+        )
         graceful = await self._wait(
             lambda: self._handler.open_requests == 0, deadline_ms
         )
         if not graceful:
-            _log.warning(
-                "ending %d open requests with the outcome unknown",
-                self._handler.open_requests,
+            log_event(
+                _log,
+                logging.WARNING,
+                "requests_cut",
+                "ending open requests with the outcome unknown",
+                open_requests=self._handler.open_requests,
             )
             self._driver.handle(StopNow())
             await self._handler.closed(FLUSH_TIMEOUT_MS)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
@@ -33,6 +33,7 @@
 from tenacity import AsyncRetrying, retry_if_exception_type, stop_after_attempt
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.tasks import TaskGroup
 
 __all__ = ["SlotStore", "decode_slot", "encode_slot", "slot_key"]
@@ -69,7 +70,13 @@
                 found = await self._tables.scan(f"{SLOT_PREFIX}{action.zone}/")
             rows = tuple(decode_slot(row.value) for row in found)
         except (PlatformError, TimeoutError, ValueError) as exc:
-            _log.warning("the slots of the zone could not be read: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "slots_unreadable",
+                "the slots of the zone could not be read",
+                error=str(exc),
+            )
         self._driver.handle(SlotsAnswered(action.call_id, rows))
 
     async def _claim(self, action: ClaimSlot) -> None:
@@ -80,7 +87,13 @@
         except ConflictError:
             result = StoreResult.CONFLICT
         except (PlatformError, TimeoutError, ValueError) as exc:
-            _log.warning("a slot could not be claimed: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "slot_unclaimed",
+                "a slot could not be claimed",
+                error=str(exc),
+            )
             result = StoreResult.UNAVAILABLE
         self._driver.handle(SlotClaimAnswered(action.call_id, result))
 
@@ -105,7 +118,13 @@
                     self._renew_once, action.renewals
                 )
         except (PlatformError, TimeoutError, ValueError) as exc:
-            _log.warning("slots could not be renewed: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "slots_unrenewed",
+                "slots could not be renewed",
+                error=str(exc),
+            )
             results = (RenewalResult.UNAVAILABLE,) * len(action.renewals)
         self._driver.handle(SlotsRenewed(action.call_id, results))
 
@@ -135,7 +154,13 @@
                     condition = VersionIs(rows[key].version)
                     await self._transact([Write(key, None, condition)])
         except (PlatformError, TimeoutError, ValueError) as exc:
-            _log.warning("a slot could not be released, it will lapse: %s", exc)
+            log_event(
+                _log,
+                logging.WARNING,
+                "slot_unreleased",
+                "a slot could not be released; it will lapse",
+                error=str(exc),
+            )
 
     async def _transact(self, writes: list[Write]) -> None:
         self.transactions += 1
