--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/mail.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/mail.py
@@ -17,10 +17,10 @@
 __all__ = ["Mail"]
 
 MEMBER_NEWS_SENDS = 8
-ZONE_NEWS_SENDS = 4
+ZONE_NEWS_SENDS = 3
 REACH_NEWS_SENDS = 6
 MEMBERS_PER_HEARTBEAT = 6
-ZONES_PER_HEARTBEAT = 4
+ZONES_PER_HEARTBEAT = 2
 REACHES_PER_HEARTBEAT = 4
 MAX_TOLD = 4_096
 
@@ -41,6 +41,10 @@
         """Let news of an instance ride on the next heartbeats."""
         self._member_news.put(news.heard.instance_id, news)
 
+    def forget_member_news(self) -> None:
+        """Drop the news of instances that wait, as when all have heard them."""
+        self._member_news.clear()
+
     def tell_zone(self, summary: ZoneSummary) -> None:
         """Let a summary ride on the next heartbeats."""
         self._zone_news.put(summary.zone, summary)
