--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -16,7 +16,8 @@
 from rhubarbwell_platform.services import Platform
 
 from rhubarbwell_entry.adoption import LogFollower
-from rhubarbwell_entry.driver import CoreDriver, monotonic_ms
+from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.gauges import add_gauges
 from rhubarbwell_entry.hints import PlatformHints
 from rhubarbwell_entry.keystore import KeyStore
@@ -24,6 +25,7 @@
     Listener,
     address_of,
     bind_address,
+    peer_tls_context,
     tls_context,
 )
 from rhubarbwell_entry.logs import log_event
@@ -98,7 +100,9 @@
         """Start the listeners and the background tasks."""
         keys = PeerKeys([key.encode() for key in self.settings.peer_keys])
         self._session = aiohttp.ClientSession()
-        self._handler = CallerHandler(self.driver, keys)
+        self._handler = CallerHandler(
+            self.driver, keys, peer_tls=peer_tls_context(self.settings.tls)
+        )
         self._keystore = KeyStore(self.driver, self._platform.tables)
         self._peers = PeerNode(self.driver, keys)
         self._follower = LogFollower(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import ssl
 
 from rhubarbwell_core.messages import (
     AttemptEnd,
@@ -13,10 +14,11 @@
 )
 
 from rhubarbwell_entry.driver import CoreDriver
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy.connections import ProvenConnector, make_client_session
 from rhubarbwell_entry.proxy.exchanges import Exchange, ExchangeTable
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop
-from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan
+from rhubarbwell_entry.proxy.sending import Attempt, AttemptPlan, HopSigner
 
 __all__ = ["AttemptSender"]
 
@@ -27,12 +29,18 @@
     """Carry out the core's attempts at backend servers and peers."""
 
     def __init__(
-        self, driver: CoreDriver, exchanges: ExchangeTable, hop_keys: HopKeys | None
+        self,
+        driver: CoreDriver,
+        exchanges: ExchangeTable,
+        hop_keys: HopKeys | None,
+        peer_tls: ssl.SSLContext | None,
     ) -> None:
         self._driver = driver
         self._exchanges = exchanges
         self._hop_keys = hop_keys
+        self._peer_tls = peer_tls
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._closing = False
         self._connector = ProvenConnector()
         self._session = make_client_session(self._connector)
         driver.register(SendAttempt, self.send)
@@ -49,6 +57,8 @@
             backend_id=target.target_id if target.grant_id is None else None,
             grant_id=target.grant_id or "",
             fresh_connection=action.fresh_connection,
+            send_before_ms=target.send_before_ms,
+            bytes_per_s=target.bytes_per_s,
         )
         self._start(action.request_id, plan)
 
@@ -65,6 +75,7 @@
 
     async def close(self) -> None:
         """Cancel what runs and close every connection."""
+        self._closing = True
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
@@ -73,7 +84,7 @@
 
     def _start(self, request_id: int, plan: AttemptPlan) -> None:
         exchange = self._exchanges.get(request_id)
-        if exchange is None:
+        if exchange is None or self._closing:
             return
         run = self._run(plan, exchange)
         self._tasks[plan.attempt_id] = asyncio.create_task(run)
@@ -89,11 +100,15 @@
             self._hop(plan),
         )
         try:
-            end = await attempt.run()
+            is_late = plan.is_late(started_ms)
+            end = AttemptEnd.PEER_NOT_RUN if is_late else await attempt.run()
         except asyncio.CancelledError:
             end = AttemptEnd.CANCELLED
         except Exception:
-            _log.exception("attempt %s failed unexpectedly", plan.attempt_id)
+            _log.exception(
+                "an attempt failed unexpectedly",
+                extra={"event": "attempt_failed", "attempt_id": plan.attempt_id},
+            )
             end = AttemptEnd.RESET_BEFORE_ANSWER
         self._tasks.pop(plan.attempt_id, None)
         if attempt.is_silent(end):
@@ -112,20 +127,22 @@
         self._connector.forget(plan.attempt_id)
         self._driver.handle(event)
 
-    def _hop(self, plan: AttemptPlan) -> tuple[PeerHop, HopKeys] | None:
+    def _hop(self, plan: AttemptPlan) -> HopSigner | None:
         if plan.backend_id is not None or self._hop_keys is None:
             return None
         instance_id = self._driver.core.identity.instance_id
         hop = PeerHop(instance_id, plan.attempt_id, "", plan.grant_id)
-        return hop, self._hop_keys
+        return HopSigner(hop, self._hop_keys, self._peer_tls)
 
     def _retire_connections(self, plan: AttemptPlan) -> None:
         retired = self._connector.retire(plan.address)
-        _log.warning(
-            "connection to %s:%d made no progress; retired %d idle connections",
-            plan.address.host,
-            plan.address.port,
-            retired,
+        log_event(
+            _log,
+            logging.WARNING,
+            "connection_silent",
+            "a connection made no progress; retired its server's idle connections",
+            target=f"{plan.address.host}:{plan.address.port}",
+            retired=retired,
         )
         if plan.backend_id is not None:
             self._driver.handle(ConnectionSilent(plan.backend_id))
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -1,6 +1,8 @@
 """One attempt: a request sent to its target and the judgement of the answer."""
 
 import asyncio
+import ssl
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import aiohttp
@@ -29,7 +31,7 @@
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop, add_hop
 from rhubarbwell_entry.proxy.relays import AnswerRelay, has_framing
 
-__all__ = ["Attempt", "AttemptPlan"]
+__all__ = ["Attempt", "AttemptPlan", "HopSigner"]
 
 _AUTOMATIC_HEADERS = (
     hdrs.ACCEPT,
@@ -48,6 +50,20 @@
     backend_id: str | None = None
     grant_id: str = ""
     fresh_connection: bool = False
+    send_before_ms: int | None = None
+    bytes_per_s: int | None = None
+
+    def is_late(self, now_ms: int) -> bool:
+        """Tell whether the attempt must not be sent any more."""
+        return self.send_before_ms is not None and now_ms >= self.send_before_ms
+
+
+class HopSigner(NamedTuple):
+    """Sign a hop to a peer, whose callers' listener may speak TLS."""
+
+    hop: PeerHop
+    keys: HopKeys
+    tls: ssl.SSLContext | None
 
 
 class Attempt:
@@ -60,7 +76,7 @@
         driver: CoreDriver,
         session: aiohttp.ClientSession,
         connector: ProvenConnector,
-        hop: tuple[PeerHop, HopKeys] | None,
+        hop: "HopSigner | None",
     ) -> None:
         self.status: int | None = None
         self.peer_reason: Reason | None = None
@@ -122,9 +138,10 @@
 
     async def _send(self) -> aiohttp.ClientResponse:
         plan, exchange = self._plan, self._exchange
-        path = exchange.path
-        if plan.backend_id is None:
+        path, tls = exchange.path, None
+        if self._hop is not None:
             path = f"/{exchange.arrived.service}{path}"
+            tls = self._hop.tls
         self._connector.expect(
             plan.attempt_id,
             idempotent=exchange.arrived.idempotent,
@@ -133,23 +150,29 @@
         host, port = plan.address
         return await self._session.request(
             exchange.request.method,
-            URL(f"http://{host}:{port}{path}", encoded=True),
+            _make_url("http" if tls is None else "https", host, port, path),
             headers=self._headers(path),
-            data=exchange.body.chunks() if exchange.body.exists else None,
+            data=self._body() if exchange.body.exists else None,
             skip_auto_headers=_AUTOMATIC_HEADERS,
             allow_redirects=False,
+            ssl=True if tls is None else tls,
             middlewares=(send_once,),
         )
 
+    async def _body(self) -> AsyncIterator[bytes]:
+        async for chunk in self._exchange.body.chunks():
+            yield chunk
+            if self._plan.bytes_per_s:
+                await asyncio.sleep(len(chunk) / self._plan.bytes_per_s)
+
     def _headers(self, path: str) -> CIMultiDict[str]:
         request = self._exchange.request
         headers = end_to_end_headers(request.headers)
         headers[ATTEMPT_HEADER] = self._plan.attempt_id
         headers[DEADLINE_HEADER] = str(self._remaining_ms())
         if self._hop is not None:
-            hop, keys = self._hop
-            hop = hop._replace(caller=self._exchange.arrived.caller)
-            add_hop(headers, hop, keys, method=request.method, path=path)
+            hop = self._hop.hop._replace(caller=self._exchange.arrived.caller)
+            add_hop(headers, hop, self._hop.keys, method=request.method, path=path)
         return headers
 
     async def _take_answer(self, resp: aiohttp.ClientResponse) -> AttemptEnd:
@@ -189,6 +212,11 @@
         return None if outcome == Outcome.ANSWERED.value else AttemptEnd.PEER_UNKNOWN
 
 
+def _make_url(scheme: str, host: str, port: int, path: str) -> URL:
+    authority = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    return URL(f"{scheme}://{authority}{path}", encoded=True)
+
+
 def _reason_of(name: str) -> Reason | None:
     try:
         return Reason(name)
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/configuration.py
@@ -13,7 +13,12 @@
     publish_files,
     rollback,
 )
-from rhubarbwell_ops.commands.running import run_command, split_words
+from rhubarbwell_ops.commands.running import (
+    require_seconds,
+    require_whole,
+    run_command,
+    split_words,
+)
 from rhubarbwell_ops.commands.status import history, status
 from rhubarbwell_ops.exits import Report, exit_with
 
@@ -56,6 +61,7 @@
         remove: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish service and deployment files as one change.
@@ -69,10 +75,11 @@
             remove: Names of services to remove, with commas between.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)._replace(
-            base_version=base
+        options = _options(author, publish_id, dry_run, wait, force)._replace(
+            base_version=None if base is None else require_whole("base", base)
         )
         names = [name for name in split_words(remove) if name]
         paths = [str(path) for path in files]
@@ -90,6 +97,7 @@
         publish_id: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish the documents of an older version as a new version.
@@ -101,12 +109,14 @@
             publish_id: Id of an earlier try that is to be repeated.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)
+        options = _options(author, publish_id, dry_run, wait, force)
+        target = require_whole("version", version)
         run_command(
             platform,
-            lambda opened: rollback(opened, int(version), options),
+            lambda opened: rollback(opened, target, options),
             as_json=json,
         )
 
@@ -119,6 +129,7 @@
         publish_id: str = "",
         dry_run: bool = False,
         wait: float = 0.0,
+        force: bool = False,
         json: bool = False,
     ) -> None:
         """Publish that a backend server gets no new work.
@@ -131,9 +142,10 @@
             publish_id: Id of an earlier try that is to be repeated.
             dry_run: Show what would change and publish nothing.
             wait: Seconds to wait until the version is in force everywhere.
+            force: Publish also while an instance is ahead of the store.
             json: Print JSON.
         """
-        options = _options(author, publish_id, dry_run, wait)
+        options = _options(author, publish_id, dry_run, wait, force)
         run_command(
             platform,
             lambda opened: drain(opened, str(backend_id), options, undo=undo),
@@ -159,16 +171,18 @@
             limit: Number of log rows to go back.
             json: Print JSON.
         """
-        run_command(platform, lambda opened: history(opened, limit=limit), as_json=json)
+        rows = require_whole("limit", limit)
+        run_command(platform, lambda opened: history(opened, limit=rows), as_json=json)
 
 
 def _options(
-    author: str, publish_id: str, dry_run: bool, wait: float
+    author: str, publish_id: str, dry_run: bool, wait: float, force: bool
 ) -> PublishOptions:
     return PublishOptions(
         author=str(author or getpass.getuser()),
         at_ms=time.time_ns() // 1_000_000,
         publish_id=str(publish_id),
         dry_run=dry_run,
-        wait_s=float(wait),
+        wait_s=require_seconds("wait", wait),
+        force=force,
     )
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
@@ -8,12 +8,16 @@
 import aiohttp
 from rhubarbwell_core.adoption import LogHead
 from rhubarbwell_platform import InstanceList, ListedInstance, ListedState
+from rhubarbwell_platform.errors import UnavailableError
 
 from rhubarbwell_ops.operators import OperatorClient, host_port, open_operators
 
 __all__ = [
     "Adoption",
     "InstanceStatus",
+    "count_adoptions",
+    "find_ahead",
+    "is_in_force",
     "read_statuses",
     "statuses_json",
     "wait_in_force",
@@ -22,6 +26,7 @@
 STATUS_TIMEOUT_S = 2.0
 POLL_S = 0.25
 PARALLEL_CALLS = 64
+ASKED_FOR_AHEAD = 16
 
 
 class Adoption(Enum):
@@ -46,19 +51,35 @@
 
 
 async def read_statuses(
-    instances: InstanceList, head: LogHead
+    instances: InstanceList, head: LogHead, *, limit: int | None = None
 ) -> tuple[InstanceStatus, ...]:
-    """Ask every listed instance that is not leaving; raise UnavailableError."""
+    """Ask the listed instances that are not leaving, up to a limit.
+
+    Raises UnavailableError.
+    """
     listing = await instances.read()
     live = [row for row in listing.instances if row.state is ListedState.LIVE]
-    limit = asyncio.Semaphore(PARALLEL_CALLS)
+    turn = asyncio.Semaphore(PARALLEL_CALLS)
     async with open_operators(timeout_s=STATUS_TIMEOUT_S) as client:
 
         async def ask(row: ListedInstance) -> InstanceStatus:
-            async with limit:
+            async with turn:
                 return await _read_status(client, row, head)
 
-        return tuple(await asyncio.gather(*map(ask, live)))
+        return tuple(await asyncio.gather(*map(ask, live[:limit])))
+
+
+async def find_ahead(instances: InstanceList, head: LogHead) -> InstanceStatus | None:
+    """Return an instance whose version the store does not have, None without one.
+
+    Asks a few instances; one that is not reached, or no list, tells nothing.
+    """
+    try:
+        statuses = await read_statuses(instances, head, limit=ASKED_FOR_AHEAD)
+    except UnavailableError:
+        return None
+    ahead = (status for status in statuses if status.adoption is Adoption.AHEAD)
+    return next(ahead, None)
 
 
 async def wait_in_force(
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/operators.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/operators.py
@@ -1,16 +1,14 @@
 """Connections to the operators' addresses of entry instances."""
 
-import os
-import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import aiohttp
 from rhubarbwell_core.model import Address
 
-__all__ = ["CA_VARIABLE", "OperatorClient", "host_port", "open_operators"]
+from rhubarbwell_ops.connections import operators_tls
 
-CA_VARIABLE = "RHUBARBWELL_CA"
+__all__ = ["OperatorClient", "host_port", "open_operators"]
 
 
 class OperatorClient:
@@ -32,16 +30,15 @@
 
 @asynccontextmanager
 async def open_operators(*, timeout_s: float) -> AsyncIterator[OperatorClient]:
-    """Open a client; RHUBARBWELL_CA names a PEM file of authorities to trust.
+    """Open a client, over TLS if RHUBARBWELL_CA names authorities to trust.
 
-    Raises OSError for an unreadable file.
+    Raises UnavailableError for an unreadable file.
     """
-    authority = os.environ.get(CA_VARIABLE, "")
-    context = ssl.create_default_context(cafile=authority) if authority else None
-    connector = aiohttp.TCPConnector(ssl=context or True)
+    tls = operators_tls()
+    connector = aiohttp.TCPConnector(ssl=tls or True)
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
-        yield OperatorClient(session, "https" if authority else "http")
+        yield OperatorClient(session, "https" if tls else "http")
 
 
 def host_port(address: Address) -> str:
