--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/reports.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/reports.py
@@ -11,15 +11,24 @@
     decode_sketch,
     encode_sketch,
 )
+from rhubarbwell_core.links import link_share
 from rhubarbwell_core.membership import zone_headroom
 from rhubarbwell_core.messages import ServiceHeadroom
 from rhubarbwell_core.model import Reason, rank_from_name, rank_name
 
-__all__ = ["InstanceReport", "decode_report", "encode_report", "make_report"]
+__all__ = ["InstanceReport", "LinkUse", "decode_report", "encode_report", "make_report"]
+
+
+class LinkUse(NamedTuple):
+    """Give the bytes/s of a link that are granted and that may be granted."""
+
+    other: str
+    granted: int
+    grantable: int
 
 
 class InstanceReport(NamedTuple):
-    """Hold an instance's burn rows, its zone's headroom and drains in progress."""
+    """Hold an instance's burn rows, its zone's headroom, links and drains."""
 
     instance_id: str
     zone: str
@@ -27,6 +36,7 @@
     rows: tuple[BurnRow, ...]
     headroom: tuple[ServiceHeadroom, ...]
     draining: tuple[str, ...]
+    links: tuple[LinkUse, ...] = ()
 
 
 def make_report(core: Core, now_ms: int) -> InstanceReport:
@@ -40,6 +50,7 @@
         tuple(burn_rows(core.burn, now_ms)),
         zone_headroom(backends, zone),
         tuple(row.backend_id for row in backends if row.draining),
+        _link_uses(core, now_ms),
     )
 
 
@@ -52,6 +63,7 @@
         "rows": [_encode_row(row) for row in report.rows],
         "headroom": [headroom._asdict() for headroom in report.headroom],
         "draining": list(report.draining),
+        "links": [use._asdict() for use in report.links],
     }
 
 
@@ -64,9 +76,27 @@
         tuple(_decode_row(row) for row in body["rows"]),
         tuple(_decode_headroom(item) for item in body["headroom"]),
         tuple(str(backend_id) for backend_id in body["draining"]),
+        tuple(_decode_link(item) for item in body["links"]),
     )
 
 
+def _link_uses(core: Core, now_ms: int) -> tuple[LinkUse, ...]:
+    """Return this instance's part of the links of its region."""
+    if core.configuration is None:
+        return ()
+    deployment = core.configuration.deployment
+    own = core.identity
+    uses = []
+    for region in deployment.regions:
+        share = link_share(deployment, own.zone, own.region, region.name)
+        if region.name == own.region or not share:
+            continue
+        lent = core.grants.lending.grantor.reserved_link(region.name, now_ms)
+        granted = max(lent.request_bytes_per_s, lent.response_bytes_per_s)
+        uses.append(LinkUse(region.name, granted, share))
+    return tuple(uses)
+
+
 def _encode_row(row: BurnRow) -> dict[str, Any]:
     windows = [
         {
@@ -101,3 +131,7 @@
 
 def _decode_headroom(item: Any) -> ServiceHeadroom:
     return ServiceHeadroom(str(item["service"]), int(item["slots"]), int(item["free"]))
+
+
+def _decode_link(item: Any) -> LinkUse:
+    return LinkUse(str(item["other"]), int(item["granted"]), int(item["grantable"]))
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/fleet.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/fleet.py
@@ -6,7 +6,9 @@
 from rhubarbwell_core.burn import BurnReport, merge_rows
 from rhubarbwell_entry.reports import InstanceReport
 
-__all__ = ["FleetReport", "RegionHeadroom", "merge_reports"]
+__all__ = ["FleetReport", "LinkHeadroom", "RegionHeadroom", "merge_reports"]
+
+BYTES_PER_MBIT = 125_000
 
 
 class RegionHeadroom(NamedTuple):
@@ -18,12 +20,22 @@
     free: int
 
 
+class LinkHeadroom(NamedTuple):
+    """Give the Mbit/s that a region grants another and that it may grant."""
+
+    region: str
+    other: str
+    granted: float
+    grantable: float
+
+
 class FleetReport(NamedTuple):
-    """Hold the burn, the headroom of regions and the drains in progress."""
+    """Hold the burn, the headroom of regions and links and the drains."""
 
     burn: BurnReport
     headroom: tuple[RegionHeadroom, ...]
     draining: tuple[str, ...]
+    links: tuple[LinkHeadroom, ...] = ()
 
 
 def merge_reports(
@@ -37,6 +49,7 @@
         BurnReport(rows, answered, tuple(unreachable)),
         _sum_headroom(reports),
         tuple(sorted(draining)),
+        _sum_links(reports),
     )
 
 
@@ -54,3 +67,16 @@
         total = known._replace(slots=known.slots + slots, free=known.free + free)
         regions[region, service] = total
     return tuple(regions.values())
+
+
+def _sum_links(reports: Sequence[InstanceReport]) -> tuple[LinkHeadroom, ...]:
+    links: dict[tuple[str, str], LinkHeadroom] = {}
+    for report in reports:
+        for use in report.links:
+            key = (report.region, use.other)
+            known = links.get(key, LinkHeadroom(*key, 0.0, 0.0))
+            links[key] = known._replace(
+                granted=known.granted + use.granted / BYTES_PER_MBIT,
+                grantable=known.grantable + use.grantable / BYTES_PER_MBIT,
+            )
+    return tuple(links[key] for key in sorted(links))
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/json_form.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/json_form.py
@@ -15,6 +15,7 @@
     return {
         "rows": [_row(row) for row in report.burn.rows],
         "headroom": [room._asdict() for room in report.headroom],
+        "links": [link._asdict() for link in report.links],
         "draining": list(report.draining),
         "answered": list(report.burn.answered),
         "unreachable": list(report.burn.unreachable),
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/tables.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/report/tables.py
@@ -32,12 +32,18 @@
 
 
 def format_fleet_report(report: FleetReport) -> str:
-    """Return the burn, the headroom by region and the drains in progress."""
+    """Return the burn, the headroom by region and link and the drains."""
     headroom = tabulate(report.headroom, headers=["region", "service", "slots", "free"])
+    links = tabulate(
+        report.links,
+        headers=["region", "other", "granted Mbit/s", "grantable Mbit/s"],
+        floatfmt=".1f",
+    )
     draining = ", ".join(report.draining) or "none"
     parts = [
         format_burn_report(report.burn),
         headroom,
+        links,
         f"drains in progress: {draining}",
     ]
     return "\n\n".join(parts)
--- a/tests/ops/report/test_report.py
+++ b/tests/ops/report/test_report.py
@@ -4,9 +4,15 @@
 from rhubarbwell_core.burn import BurnReport, BurnRow, SeriesKey, Tally
 from rhubarbwell_core.messages import ServiceHeadroom
 from rhubarbwell_core.model import Rank, Reason
-from rhubarbwell_entry.reports import InstanceReport, decode_report, encode_report
+from rhubarbwell_entry.reports import (
+    InstanceReport,
+    LinkUse,
+    decode_report,
+    encode_report,
+)
 from rhubarbwell_ops.report import (
     FleetReport,
+    LinkHeadroom,
     RegionHeadroom,
     fleet_report_json,
     format_burn_report,
@@ -47,7 +53,8 @@
 def test_report_survives_the_way_through_json():
     row = make_burn().rows[0]
     headroom = (ServiceHeadroom("slotsvc", 9, 4),)
-    sent = InstanceReport("i", "r-a", "r", (row,), headroom, ("b1",))
+    links = (LinkUse("q", 125_000, 250_000),)
+    sent = InstanceReport("i", "r-a", "r", (row,), headroom, ("b1",), links)
     got = decode_report(json.loads(json.dumps(encode_report(sent))))
     assert got.rows[0].windows == row.windows
     assert got.rows[0].latencies.count == 1
@@ -64,6 +71,14 @@
     assert room == RegionHeadroom("r", "s", 18, 7)
 
 
+def test_links_add_up_the_parts_of_a_regions_instances():
+    part = InstanceReport(
+        "i", "r-a", "r", (), (), (), (LinkUse("q", 125_000, 250_000),)
+    )
+    (link,) = merge_reports([part, part]).links
+    assert link == LinkHeadroom("r", "q", 2.0, 4.0)
+
+
 async def test_instances_that_do_not_answer_a_report_are_named():
     other = BackendStandIn("not-an-instance")
     address = await other.start()
