--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/gauges.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/gauges.py
@@ -11,6 +11,7 @@
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.metrics import InstanceMetrics
 from rhubarbwell_entry.peers import PeerNode
+from rhubarbwell_entry.reports import link_uses
 
 __all__ = ["add_gauges"]
 
@@ -128,6 +129,13 @@
     ]
 
 
+def _granted_links(core: Core, now_ms: int) -> Iterable[Observation]:
+    return [
+        Observation(use.granted, {"region": use.other})
+        for use in link_uses(core, now_ms)
+    ]
+
+
 def _may_grant(core: Core, now_ms: int) -> Iterable[Observation]:
     return [Observation(int(core.slots.may_grant(now_ms)))]
 
@@ -153,5 +161,6 @@
     _Gauge("rhubarbwell.limit", "{request}", "Concurrency limit.", _limits),
     _Gauge("rhubarbwell.weight", "1", "Share of work by region.", _weights),
     _Gauge("rhubarbwell.granted.slots", "{slot}", "Slots lent out.", _granted_slots),
+    _Gauge("rhubarbwell.granted.link", "By/s", "Link lent out.", _granted_links),
     _Gauge("rhubarbwell.slot.held", "1", "1 while grants are allowed.", _may_grant),
 )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/reports.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/reports.py
@@ -16,7 +16,14 @@
 from rhubarbwell_core.messages import ServiceHeadroom
 from rhubarbwell_core.model import Reason, rank_from_name, rank_name
 
-__all__ = ["InstanceReport", "LinkUse", "decode_report", "encode_report", "make_report"]
+__all__ = [
+    "InstanceReport",
+    "LinkUse",
+    "decode_report",
+    "encode_report",
+    "link_uses",
+    "make_report",
+]
 
 
 class LinkUse(NamedTuple):
@@ -50,7 +57,7 @@
         tuple(burn_rows(core.burn, now_ms)),
         zone_headroom(backends, zone),
         tuple(row.backend_id for row in backends if row.draining),
-        _link_uses(core, now_ms),
+        link_uses(core, now_ms),
     )
 
 
@@ -80,7 +87,7 @@
     )
 
 
-def _link_uses(core: Core, now_ms: int) -> tuple[LinkUse, ...]:
+def link_uses(core: Core, now_ms: int) -> tuple[LinkUse, ...]:
     """Return this instance's part of the links of its region."""
     if core.configuration is None:
         return ()
