--- a/tests/entry/test_gauges.py
+++ b/tests/entry/test_gauges.py
@@ -15,7 +15,7 @@
     return text
 
 
-def test_every_gauge_reads_the_state_of_a_core():
+async def test_every_gauge_reads_the_state_of_a_core():
     text = render(make_core(make_deployment(1, 100), seed=1))
     names = {line.split("{")[0] for line in text.splitlines() if line[0] != "#"}
     wanted = {
@@ -34,7 +34,7 @@
     assert found == wanted
 
 
-def test_number_of_series_does_not_grow_with_instances():
+async def test_number_of_series_does_not_grow_with_instances():
     few = render(make_core(make_deployment(1, 100), seed=1))
     many = render(make_core(make_deployment(1, 2_900), seed=1))
     assert len(many.splitlines()) == len(few.splitlines())
