Keep the headroom of zones in one table

Cause: look-up shares and the choice of lenders each had a table of what zones said, with the same age limit.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/lenders.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/lenders.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Collection, Iterable
 from random import Random
-from typing import NamedTuple
 
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.messages import (
@@ -11,20 +10,14 @@
     ServiceHeadroom,
     ZoneHeadroomHeard,
 )
+from rhubarbwell_core.shifts import HeadroomTable
 
 __all__ = ["LenderChoice"]
 
-HEADROOM_MAX_AGE_MS = 10_000
 REFUSED_PAUSE_MS = 2_000
 MIN_FREE_PART = 0.1
 
 
-class _Heard(NamedTuple):
-    region: str
-    services: dict[str, ServiceHeadroom]
-    measured_ms: int
-
-
 class LenderChoice:
     """Name peers of other regions by the headroom of their zones."""
 
@@ -32,14 +25,12 @@
         self._region = region
         self._peers = peers
         self._rng = rng
-        self._heard = Table[str, _Heard]("headroom of other zones")
+        self._headroom = HeadroomTable()
         self._paused: dict[str, int] = {}
 
     def hear(self, event: ZoneHeadroomHeard, now_ms: int) -> None:
         """Take in the headroom of a zone."""
-        services = {room.service: room for room in event.services}
-        measured_ms = now_ms - event.age_ms
-        self._heard.put(event.zone, _Heard(event.region, services, measured_ms))
+        self._headroom.hear(event, now_ms)
 
     def pause(self, instance_id: str, now_ms: int) -> None:
         """Leave out a peer that refused or can't be reached for a while."""
@@ -55,10 +46,9 @@
         """Return a ready peer, zones with more free slots being likelier."""
         left_out = {*taken, *self._still_paused(now_ms)}
         rooms = {
-            zone: room
-            for zone, heard in self._heard.items()
-            if heard.region in regions
-            and (room := _free_slots(heard, service, now_ms)) > 0
+            zone: free
+            for zone in self._headroom.zones_of(regions)
+            if (free := _free_slots(self._headroom.room(zone, service, now_ms))) > 0
         }
         by_zone: dict[str, list[PeerHeard]] = {}
         for peer in self._peers.rows():
@@ -80,8 +70,7 @@
         return list(self._paused)
 
 
-def _free_slots(heard: _Heard, service: str, now_ms: int) -> int:
-    room = heard.services.get(service)
-    if room is None or now_ms > heard.measured_ms + HEADROOM_MAX_AGE_MS:
+def _free_slots(room: ServiceHeadroom | None) -> int:
+    if room is None:
         return 0
     return room.free if room.free >= MIN_FREE_PART * room.slots else 0
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/shifts/zones.py
@@ -6,12 +6,12 @@
 from rhubarbwell_core.engine import Action, System, Table
 from rhubarbwell_core.messages import ServiceHeadroom, ZoneHeadroomHeard
 from rhubarbwell_core.model import DeploymentSpec, Identity
+from rhubarbwell_core.shifts.headroom import HeadroomTable
 from rhubarbwell_core.shifts.weights import spread_weights, zone_weights
 
 __all__ = ["MeasureOwnZone", "ZoneShares"]
 
 SHARE_PERIOD_MS = 500
-HEADROOM_MAX_AGE_MS = 10_000
 
 
 class _Shares(NamedTuple):
@@ -19,11 +19,6 @@
     moved_ms: int
 
 
-class _Heard(NamedTuple):
-    services: dict[str, ServiceHeadroom]
-    measured_ms: int
-
-
 class ZoneShares:
     """Hold the weights of zones by service and the callers' order of zones."""
 
@@ -31,7 +26,7 @@
         self._deployment = DeploymentSpec("", (), ())
         self._regions: dict[str, str] = {}
         self._locals: dict[tuple[str, ...], tuple[str, ...]] = {}
-        self._heard = Table[str, _Heard]("headroom of zones")
+        self._headroom = HeadroomTable()
         self._shares = Table[tuple[str, tuple[str, ...]], _Shares]("zone shares")
 
     def configure(self, deployment: DeploymentSpec) -> None:
@@ -46,8 +41,7 @@
 
     def hear(self, event: ZoneHeadroomHeard, now_ms: int) -> None:
         """Take in the headroom of a zone."""
-        services = {room.service: room for room in event.services}
-        self._heard.put(event.zone, _Heard(services, now_ms - event.age_ms))
+        self._headroom.hear(event, now_ms)
 
     def shares(
         self, service: str, zones: Sequence[str], live: Sequence[str], now_ms: int
@@ -59,7 +53,7 @@
         local = self._of_first_region(tuple(zones))
         near = tuple(zone for zone in live if zone in local)
         if not near:
-            return spread_weights(live, self._headroom(service, live, now_ms))
+            return spread_weights(live, self._rooms(service, live, now_ms))
         return self._shares_near(service, near, now_ms)
 
     def _shares_near(
@@ -71,7 +65,7 @@
         weights = zone_weights(
             {} if known is None else known.weights,
             local,
-            self._headroom(service, local, now_ms),
+            self._rooms(service, local, now_ms),
             shift_cap_per_s=self._deployment.shift_cap_per_s,
             elapsed_ms=0 if known is None else now_ms - known.moved_ms,
         )
@@ -90,17 +84,11 @@
             self._locals[zones] = local
         return local
 
-    def _headroom(
+    def _rooms(
         self, service: str, zones: Iterable[str], now_ms: int
     ) -> dict[str, ServiceHeadroom]:
-        rooms = {}
-        for zone in zones:
-            heard = self._heard.get(zone)
-            if heard is None or now_ms > heard.measured_ms + HEADROOM_MAX_AGE_MS:
-                continue
-            if service in heard.services:
-                rooms[zone] = heard.services[service]
-        return rooms
+        rooms = {zone: self._headroom.room(zone, service, now_ms) for zone in zones}
+        return {zone: room for zone, room in rooms.items() if room is not None}
 
 
 class MeasureOwnZone(System):
