Write addresses into URLs by one function

Cause: host_port stood in four places, two of which left IPv6 addresses without brackets: polls of backend servers and the demonstration's callers.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/model/identity.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/model/identity.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Address", "Identity"]
+__all__ = ["Address", "Identity", "host_port"]
 
 
 class Address(NamedTuple):
@@ -21,3 +21,13 @@
     region: str
     callers: Address
     peers: Address
+
+
+def host_port(address: Address) -> str:
+    """Return the address as in a URL.
+
+    >>> host_port(Address("::1", 80))
+    '[::1]:80'
+    """
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
@@ -8,7 +8,13 @@
 
 import aiohttp
 from rhubarbwell_core.messages import LoadReported
-from rhubarbwell_core.model import BackendSpec, ServiceSpec, zones_of_region
+from rhubarbwell_core.model import (
+    Address,
+    BackendSpec,
+    ServiceSpec,
+    host_port,
+    zones_of_region,
+)
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
@@ -93,7 +99,7 @@
         self._driver.handle(report._replace(healthy=healthy))
 
     async def _get(self, spec: BackendSpec, path: str) -> _Answer | None:
-        url = f"http://{spec.host}:{spec.port}{path}"
+        url = f"http://{host_port(Address(spec.host, spec.port))}{path}"
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         try:
             async with self._session.get(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/peers/transport.py
@@ -11,7 +11,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
-from rhubarbwell_core.model import Address
+from rhubarbwell_core.model import Address, host_port
 
 from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.peers.codec import PeerMessageError
@@ -162,7 +162,7 @@
                 logging.DEBUG,
                 "peer_unreachable",
                 "peer did not take messages",
-                peer=f"{address.host}:{address.port}",
+                peer=host_port(address),
                 error=str(exc),
             )
             return
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -12,6 +12,7 @@
     PassToOwner,
     SendAttempt,
 )
+from rhubarbwell_core.model import host_port
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
@@ -141,7 +142,7 @@
             logging.WARNING,
             "connection_silent",
             "a connection made no progress; retired its server's idle connections",
-            target=f"{plan.address.host}:{plan.address.port}",
+            target=host_port(plan.address),
             retired=retired,
         )
         if plan.backend_id is not None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -9,7 +9,7 @@
 from aiohttp import hdrs
 from multidict import CIMultiDict
 from rhubarbwell_core.messages import AttemptEnd, AttemptHeadersReceived, KeptAnswer
-from rhubarbwell_core.model import Address, Outcome, Reason
+from rhubarbwell_core.model import Address, Outcome, Reason, host_port
 from yarl import URL
 
 from rhubarbwell_entry.driver import CoreDriver
@@ -147,10 +147,9 @@
             idempotent=exchange.arrived.idempotent,
             fresh=plan.fresh_connection,
         )
-        host, port = plan.address
         return await self._session.request(
             exchange.request.method,
-            _make_url("http" if tls is None else "https", host, port, path),
+            _make_url("http" if tls is None else "https", plan.address, path),
             headers=self._headers(path),
             data=self._body() if exchange.body.exists else None,
             skip_auto_headers=_AUTOMATIC_HEADERS,
@@ -212,9 +211,8 @@
         return None if outcome == Outcome.ANSWERED.value else AttemptEnd.PEER_UNKNOWN
 
 
-def _make_url(scheme: str, host: str, port: int, path: str) -> URL:
-    authority = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-    return URL(f"{scheme}://{authority}{path}", encoded=True)
+def _make_url(scheme: str, address: Address, path: str) -> URL:
+    return URL(f"{scheme}://{host_port(address)}{path}", encoded=True)
 
 
 def _reason_of(name: str) -> Reason | None:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/report.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/report.py
@@ -3,11 +3,11 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from rhubarbwell_core.model import host_port
 from rhubarbwell_platform import Platform
 from rhubarbwell_platform.services import ListedState
 
 from rhubarbwell_ops.exits import ExitCode, Report
-from rhubarbwell_ops.operators import host_port
 from rhubarbwell_ops.report import (
     FleetReport,
     fleet_report_json,
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/workload.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/demo/workload.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 from ddsketch import DDSketch
-from rhubarbwell_core.model import Address, Rank, ServiceSpec, WorkKind
+from rhubarbwell_core.model import Address, Rank, ServiceSpec, WorkKind, host_port
 from rhubarbwell_entry.lookups import LOOK_UP_PATH
 
 __all__ = ["CallResult", "Caller", "Tally", "WorkItem", "run_workload", "work_items"]
@@ -16,7 +16,6 @@
 OUTCOME_HEADER = "Rhubarbwell-Outcome"
 LATENCY_ACCURACY = 0.01
 MS_PER_S = 1_000
-REQUEST_TIMEOUT_S = 30.0
 BODY = b"x" * 4_096
 
 
@@ -81,7 +80,7 @@
         good_until, addresses = self._cached.get(service, (0.0, []))
         if time.monotonic() < good_until:
             return addresses
-        url = f"http://{self._entry.host}:{self._entry.port}{LOOK_UP_PATH}"
+        url = f"http://{host_port(self._entry)}{LOOK_UP_PATH}"
         query = {"service": service, "zone": self._zone}
         async with self._session.get(url, params=query) as answer:
             body = await answer.json()
@@ -92,7 +91,7 @@
 
     async def _send(self, address: Address, item: WorkItem) -> str:
         path = f"{item.kind.path_prefix.rstrip('/')}/{self._rng.randrange(1_000)}"
-        url = f"http://{address.host}:{address.port}/{item.service}{path}"
+        url = f"http://{host_port(address)}/{item.service}{path}"
         data = BODY if item.kind.max_body_bytes >= len(BODY) else None
         async with self._session.request(item.kind.method, url, data=data) as answer:
             await answer.read()
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/instances.py
@@ -7,10 +7,11 @@
 
 import aiohttp
 from rhubarbwell_core.adoption import LogHead
+from rhubarbwell_core.model import host_port
 from rhubarbwell_platform import InstanceList, ListedInstance, ListedState
 from rhubarbwell_platform.errors import UnavailableError
 
-from rhubarbwell_ops.operators import OperatorClient, host_port, open_operators
+from rhubarbwell_ops.operators import OperatorClient, open_operators
 
 __all__ = [
     "Adoption",
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/operators.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/operators.py
@@ -4,11 +4,10 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
-from rhubarbwell_core.model import Address
 
 from rhubarbwell_ops.connections import operators_tls
 
-__all__ = ["OperatorClient", "host_port", "open_operators"]
+__all__ = ["OperatorClient", "open_operators"]
 
 
 class OperatorClient:
@@ -39,13 +38,3 @@
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
         yield OperatorClient(session, "https" if tls else "http")
-
-
-def host_port(address: Address) -> str:
-    """Return the address as in a URL.
-
-    >>> host_port(Address("::1", 80))
-    '[::1]:80'
-    """
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
