Search a look-up's prefix once

Cause: the core asked for the order of zones and the answer asked again, and both filtered the live ones. The directory is refreshed by a PeriodicCall, which replaces its own system, and the core's wrapper around a system's run is gone.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/core.py
@@ -167,9 +167,9 @@
         """Answer a look-up; raise ValueError for a malformed address."""
         ticket = self._mint_ticket(now_ms) if query.wants_ticket else None
         zones = self._look_ups.zone_order(query)
-        live = [zone for zone in zones if self._look_ups.directory.offers(zone)]
+        live = self._look_ups.live_zones(zones)
         shares = self.zone_shares.shares(query.service, zones, live, now_ms)
-        return self._look_ups.look_up(query, shares=shares, ticket=ticket)
+        return self._look_ups.look_up(live, shares=shares, ticket=ticket)
 
     def _zone_peers(self) -> list[PeerHeard]:
         return self.membership.zone_peers()
@@ -201,7 +201,7 @@
             self._add_system(system)
 
     def _add_system(self, system: System) -> None:
-        self.timers.subscribe(system.period_ms, _run_of(system))
+        self.timers.subscribe(system.period_ms, system.run)
 
     def _on_config(self, event: ConfigReceived, now_ms: int) -> list[Action]:
         cfg = event.configuration
@@ -242,7 +242,3 @@
 
     def _headroom(self) -> tuple[ServiceHeadroom, ...]:
         return zone_headroom(self.backends.rows.rows(), self.identity.zone)
-
-
-def _run_of(system: System) -> Callable[[int], Sequence[Action]]:
-    return system.run
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/engine/systems.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/engine/systems.py
@@ -6,7 +6,7 @@
 
 from rhubarbwell_core.engine.messages import Action
 
-__all__ = ["EventHandler", "Part", "System"]
+__all__ = ["EventHandler", "Part", "PeriodicCall", "System"]
 
 EventHandler = Callable[[Any, int], Sequence[Action]]
 
@@ -21,6 +21,24 @@
         """Bring the tables up to now_ms and return what is to be done."""
 
 
+class PeriodicCall(System):
+    """Run a function every period_ms; it may return actions.
+
+    >>> PeriodicCall(100, lambda now_ms: None).run(100)
+    ()
+    """
+
+    def __init__(
+        self, period_ms: int, call: Callable[[int], Sequence[Action] | None]
+    ) -> None:
+        self.period_ms = period_ms
+        self._call = call
+
+    def run(self, now_ms: int) -> Sequence[Action]:
+        """Call the function and return its actions."""
+        return self._call(now_ms) or ()
+
+
 class Part(ABC):
     """Bring a subject's tables, event handlers and systems into a core."""
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/answers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/answers.py
@@ -40,11 +40,11 @@
     rng: Random,
     ticket: str | None = None,
 ) -> LookUpAnswer:
-    """Draw instances of the zones, which come in the caller's preference order.
+    """Draw instances of live zones, which come in the caller's preference order.
 
     The first zone is drawn by the shares, the others follow as fallbacks.
     """
-    order = _order_zones(directory, zones, shares, rng)
+    order = _order_zones(zones, shares, rng)
     offered: list[OfferedInstance] = []
     for place, zone in enumerate(order):
         offered += directory.draw(zone, _offers_of(place), rng)
@@ -53,17 +53,13 @@
 
 
 def _order_zones(
-    directory: InstanceDirectory,
-    zones: Sequence[str],
-    shares: Mapping[str, float],
-    rng: Random,
+    zones: Sequence[str], shares: Mapping[str, float], rng: Random
 ) -> list[str]:
-    live = [zone for zone in zones if directory.offers(zone)]
-    weights = [shares.get(zone, 0.0) for zone in live]
+    weights = [shares.get(zone, 0.0) for zone in zones]
     if sum(weights) <= 0.0:
-        return live
-    first = rng.choices(live, weights)[0]
-    return [first, *(zone for zone in live if zone != first)]
+        return list(zones)
+    first = rng.choices(zones, weights)[0]
+    return [first, *(zone for zone in zones if zone != first)]
 
 
 def _offers_of(place: int) -> int:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/lookups/part.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from random import Random
 
-from rhubarbwell_core.engine import Action, Part, System, Table
+from rhubarbwell_core.engine import Part, PeriodicCall, System, Table
 from rhubarbwell_core.lookups.answers import LookUpAnswer, LookUpQuery, answer_look_up
 from rhubarbwell_core.lookups.directory import InstanceDirectory
 from rhubarbwell_core.lookups.prefixes import PrefixIndex, index_blocks
@@ -19,6 +19,7 @@
 __all__ = ["LookUpPart"]
 
 MAX_ZONES_OFFERED = 6
+REFRESH_PERIOD_MS = 500
 
 
 class LookUpPart(Part):
@@ -38,7 +39,7 @@
 
     def systems(self) -> Sequence[System]:
         """Return the system that brings the directory up to date."""
-        return (_DirectorySystem(self),)
+        return (PeriodicCall(REFRESH_PERIOD_MS, self.refresh),)
 
     def configure(self, configuration: Configuration, now_ms: int) -> None:
         """Take the client blocks and sites of the configuration."""
@@ -57,18 +58,18 @@
 
     def look_up(
         self,
-        query: LookUpQuery,
+        zones: Sequence[str],
         *,
         shares: Mapping[str, float],
         ticket: str | None = None,
     ) -> LookUpAnswer:
-        """Answer a look-up; raise ValueError for a malformed address.
+        """Offer instances of live zones, which come in order of preference.
 
         shares give the part of a service's work that each zone should get.
         """
         return answer_look_up(
             self.directory,
-            self.zone_order(query),
+            zones,
             shares=shares,
             ttl_ms=self._deployment.look_up_ttl_ms,
             rng=self._rng,
@@ -76,7 +77,10 @@
         )
 
     def zone_order(self, query: LookUpQuery) -> tuple[str, ...]:
-        """Return the zones to offer, in the caller's order of preference."""
+        """Return the zones to offer, in the caller's order of preference.
+
+        Raises ValueError for a malformed address.
+        """
         if query.zone is None and query.address is not None:
             site = self._blocks.site_of(query.address)
             if site is not None and site in self._site_zones:
@@ -86,6 +90,10 @@
             self._zone_orders[zone] = self._order_from(zone)
         return self._zone_orders[zone]
 
+    def live_zones(self, zones: Sequence[str]) -> list[str]:
+        """Return those of the zones that have a ready instance, in their order."""
+        return [zone for zone in zones if self.directory.offers(zone)]
+
     def _order_from(self, zone: str) -> tuple[str, ...]:
         """Order zones from one: itself, its sisters, then the nearest regions."""
         region = region_of_zone(self._deployment, zone) or self._identity.region
@@ -105,14 +113,3 @@
             other = link.second if link.first == region else link.first
             delays[other] = link.delay_ms
     return delays
-
-
-class _DirectorySystem(System):
-    period_ms = 500
-
-    def __init__(self, part: LookUpPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        self._part.refresh(now_ms)
-        return ()
--- a/tests/core/lookups/test_part.py
+++ b/tests/core/lookups/test_part.py
@@ -42,8 +42,13 @@
     return part, table
 
 
+def look_up(part, shares=None, **query):
+    zones = part.zone_order(LookUpQuery("s", **query))
+    return part.look_up(part.live_zones(zones), shares=shares or {})
+
+
 def offered(part, **query):
-    answer = part.look_up(LookUpQuery("s", **query), shares={})
+    answer = look_up(part, **query)
     return [offer.instance_id for offer in answer.instances]
 
 
@@ -83,16 +88,14 @@
 
 def test_shares_choose_the_first_zone():
     part, _ = make_part(peer("b", "n-b"), peer("a", "n-a"))
-    query = LookUpQuery("s")
     firsts = Counter(
-        part.look_up(query, shares={"n-a": 0.25, "n-b": 0.75}).instances[0].zone
-        for _ in range(400)
+        look_up(part, {"n-a": 0.25, "n-b": 0.75}).instances[0].zone for _ in range(400)
     )
     assert 240 < firsts["n-b"] < 360
 
 
 def test_ttl_is_jittered_below_the_configured_one():
     part, _ = make_part(peer("a", "n-a"))
-    ttls = {part.look_up(LookUpQuery("s"), shares={}).ttl_ms for _ in range(50)}
+    ttls = {look_up(part).ttl_ms for _ in range(50)}
     assert len(ttls) > 10
     assert max(ttls) <= DEPLOYMENT.look_up_ttl_ms
