--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
@@ -32,13 +32,14 @@
 )
 from rhubarbwell_core.adoption.position import Candidate, LogPosition, pack_document
 from rhubarbwell_core.engine import Action, EventHandler
-from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.engine.systems import Part, PeriodicCall, System
 from rhubarbwell_core.messages import ConfigReceived, SendPeerMessage
 from rhubarbwell_core.model import Address
 
 __all__ = ["POLLERS_PER_ZONE", "AdoptionPart"]
 
 POLL_PERIOD_MS = 2_000
+POLL_CHECK_PERIOD_MS = 250
 POLLERS_PER_ZONE = 2
 FIRST_RETRY_MS = 250
 CALL_TIMEOUT_MS = 8_000
@@ -99,7 +100,7 @@
 
     def systems(self) -> Sequence[System]:
         """Return the system that polls."""
-        return (_PollSystem(self),)
+        return (PeriodicCall(POLL_CHECK_PERIOD_MS, self.poll),)
 
     def poll(self, now_ms: int) -> list[Action]:
         """Read the head if this instance is to poll and no call is open."""
@@ -288,13 +289,3 @@
             return False
         self._calls_open.discard(call_id)
         return True
-
-
-class _PollSystem(System):
-    period_ms = 250
-
-    def __init__(self, part: AdoptionPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.poll(now_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/burn/observer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/burn/observer.py
@@ -10,7 +10,6 @@
 __all__ = ["BurnObserver", "EndedRequest", "SeriesKey"]
 
 FIRST_SERVER_ERROR = 500
-UNKNOWN_OBJECTIVE = 0.99
 
 
 class SeriesKey(NamedTuple):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/grants/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/grants/part.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
-from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
+from rhubarbwell_core.engine import (
+    Action,
+    EventHandler,
+    Part,
+    PeriodicCall,
+    System,
+    Table,
+)
 from rhubarbwell_core.grants.borrowing import BORROW_PERIOD_MS, Borrowing
 from rhubarbwell_core.grants.capacity import measured_part
 from rhubarbwell_core.grants.lending import Lending
@@ -59,7 +66,7 @@
 
     def systems(self) -> Sequence[System]:
         """Return the system that asks for grants and moves weights."""
-        return (_BorrowSystem(self),)
+        return (PeriodicCall(BORROW_PERIOD_MS, self.run),)
 
     def run(self, now_ms: int) -> list[Action]:
         """Forget what is over and return the asks that are due."""
@@ -82,13 +89,3 @@
             return None
         busy = sum(row.in_flight + other_load(row, now_ms) for row in rows)
         return max(0.0, 1.0 - busy / slots)
-
-
-class _BorrowSystem(System):
-    period_ms = BORROW_PERIOD_MS
-
-    def __init__(self, part: GrantPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.run(now_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/keys/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/keys/requests.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
-from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
+from rhubarbwell_core.engine import (
+    Action,
+    EventHandler,
+    Part,
+    PeriodicCall,
+    System,
+    Table,
+)
 from rhubarbwell_core.keys.outcomes import OutcomeQueue
 from rhubarbwell_core.keys.owners import KeyStep, step_of_record
 from rhubarbwell_core.keys.records import KeyRecord, KeyState, KeyTable, key_scope
@@ -26,6 +33,9 @@
 StartRequest = Callable[[RequestArrived, int], list[Action]]
 
 KEEP_MS = TICKET_LIFE_MS
+DEADLINE_PERIOD_MS = 50
+OUTCOME_PERIOD_MS = 200
+EXPIRY_PERIOD_MS = 5_000
 MAX_STORED_BODY_BYTES = 4_096
 
 
@@ -55,7 +65,11 @@
 
     def systems(self) -> Sequence[System]:
         """Return the systems that end waiting, batch outcomes and expire records."""
-        return (_DeadlineSystem(self), _OutcomeSystem(self), _ExpirySystem(self))
+        return (
+            PeriodicCall(DEADLINE_PERIOD_MS, self.waiting.end_overdue),
+            PeriodicCall(OUTCOME_PERIOD_MS, self._batch_outcomes),
+            PeriodicCall(EXPIRY_PERIOD_MS, self.records.expire),
+        )
 
     def concerns(self, req: RequestArrived) -> bool:
         """Tell whether the request's key matters here."""
@@ -112,6 +126,10 @@
                 actions += self.waiting.end(waiter, outcome, reason)
         return actions
 
+    def _batch_outcomes(self, now_ms: int) -> list[Action]:
+        batch = self.outcomes.next_batch()
+        return [] if batch is None else [batch]
+
     def _follow_record(
         self, record: KeyRecord, req: RequestArrived, now_ms: int
     ) -> list[Action]:
@@ -261,35 +279,3 @@
     Outcome.NOT_RUN: KeyState.FREE,
     Outcome.UNKNOWN: KeyState.UNKNOWN,
 }
-
-
-class _DeadlineSystem(System):
-    period_ms = 50
-
-    def __init__(self, part: KeyedPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.waiting.end_overdue(now_ms)
-
-
-class _OutcomeSystem(System):
-    period_ms = 200
-
-    def __init__(self, part: KeyedPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        batch = self._part.outcomes.next_batch()
-        return [] if batch is None else [batch]
-
-
-class _ExpirySystem(System):
-    period_ms = 5_000
-
-    def __init__(self, part: KeyedPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        self._part.records.expire(now_ms)
-        return []
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from rhubarbwell_core.engine import Action, EventHandler, Table
-from rhubarbwell_core.engine.systems import Part, System
+from rhubarbwell_core.engine.systems import Part, PeriodicCall, System
 from rhubarbwell_core.membership.mail import Mail
 from rhubarbwell_core.membership.members import MemberTable
 from rhubarbwell_core.membership.own import OwnRow, Verdict
@@ -33,6 +33,7 @@
 
 __all__ = ["MembershipPart"]
 
+PROBE_CHECK_PERIOD_MS = 100
 SUMMARY_PERIOD_MS = 2_000
 SUMMARY_REFRESH_MS = 60_000
 JOIN_TIMEOUT_MS = 2_000
@@ -100,7 +101,10 @@
 
     def systems(self) -> Sequence[System]:
         """Return the systems that probe peers and sum up the zone."""
-        return (_ProbeSystem(self), _SummarySystem(self))
+        return (
+            PeriodicCall(PROBE_CHECK_PERIOD_MS, self.probe_due),
+            PeriodicCall(SUMMARY_PERIOD_MS, self.sum_up),
+        )
 
     def measure(
         self,
@@ -287,23 +291,3 @@
             self._peers.remove(instance_id)
         else:
             self._peers.put(instance_id, heard)
-
-
-class _ProbeSystem(System):
-    period_ms = 100
-
-    def __init__(self, part: MembershipPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.probe_due(now_ms)
-
-
-class _SummarySystem(System):
-    period_ms = SUMMARY_PERIOD_MS
-
-    def __init__(self, part: MembershipPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.sum_up(now_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/requests/lifecycle.py
@@ -3,7 +3,14 @@
 from collections.abc import Mapping, Sequence
 
 from rhubarbwell_core.admission import Admission, Admitted, Refused
-from rhubarbwell_core.engine import Action, EventHandler, Part, System, Table
+from rhubarbwell_core.engine import (
+    Action,
+    EventHandler,
+    Part,
+    PeriodicCall,
+    System,
+    Table,
+)
 from rhubarbwell_core.keys import KeyedPart
 from rhubarbwell_core.messages import (
     AttemptEnded,
@@ -25,6 +32,8 @@
 __all__ = ["RequestPart"]
 
 MAX_ATTEMPTS = 3
+QUEUE_PERIOD_MS = 10
+HEDGE_PERIOD_MS = 50
 
 
 class RequestPart(Part):
@@ -60,7 +69,10 @@
 
     def systems(self) -> Sequence[System]:
         """Return the systems that serve the queue and hedge silent attempts."""
-        return (_QueueSystem(self), _HedgeSystem(self))
+        return (
+            PeriodicCall(QUEUE_PERIOD_MS, self.drain_queue),
+            PeriodicCall(HEDGE_PERIOD_MS, self.hedge_silent),
+        )
 
     def drain_queue(self, now_ms: int) -> list[Action]:
         """Start or refuse the queued requests whose turn has come."""
@@ -284,23 +296,3 @@
 
 def _cancel_all(row: RequestRow) -> list[Action]:
     return [CancelAttempt(attempt_id) for attempt_id in row.attempts]
-
-
-class _QueueSystem(System):
-    period_ms = 10
-
-    def __init__(self, part: RequestPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.drain_queue(now_ms)
-
-
-class _HedgeSystem(System):
-    period_ms = 50
-
-    def __init__(self, part: RequestPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.hedge_silent(now_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/slots/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/slots/part.py
@@ -4,7 +4,7 @@
 from itertools import count
 from random import Random
 
-from rhubarbwell_core.engine import Action, EventHandler, Part, System
+from rhubarbwell_core.engine import Action, EventHandler, Part, PeriodicCall, System
 from rhubarbwell_core.messages import (
     ClaimSlot,
     PeerHeard,
@@ -35,6 +35,7 @@
 
 __all__ = ["SlotPart"]
 
+RUN_EVERY_MS = 500
 RENEW_EVERY_MS = 3_000
 RETRY_EVERY_MS = 1_000
 READ_EVERY_MS = 2_000
@@ -81,7 +82,7 @@
 
     def systems(self) -> Sequence[System]:
         """Return the system that claims, renews and relays."""
-        return (_SlotSystem(self),)
+        return (PeriodicCall(RUN_EVERY_MS, self.run),)
 
     def configure(self, configuration: Configuration, now_ms: int) -> None:
         """Take the zone's number of slots into force, none with a single region."""
@@ -231,13 +232,3 @@
         elif found.proves_outage:
             until_ms = max(self.lease.hold_over_ms, found.sent_ms + HOLD_OVER_MS)
             self.lease = self.lease._replace(hold_over_ms=until_ms)
-
-
-class _SlotSystem(System):
-    period_ms = 500
-
-    def __init__(self, part: SlotPart) -> None:
-        self._part = part
-
-    def run(self, now_ms: int) -> Sequence[Action]:
-        return self._part.run(now_ms)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -1,18 +1,17 @@
 """One entry instance: its core, its listeners and its background tasks."""
 
-import asyncio
 import logging
 import secrets
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random, SystemRandom
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import aiohttp
 from aiohttp import web
 from rhubarbwell_core import Core
 from rhubarbwell_core.messages import IncarnationSuperseded, LeaveAsked
-from rhubarbwell_core.model import Address, Identity
+from rhubarbwell_core.model import Address, Identity, host_port
 from rhubarbwell_platform.services import Platform
 
 from rhubarbwell_entry.adoption import LogFollower
@@ -38,6 +37,7 @@
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.shutdown import GracefulShutdown
 from rhubarbwell_entry.slotstore import SlotStore
+from rhubarbwell_entry.tasks import TaskGroup
 
 __all__ = ["EntryInstance"]
 
@@ -79,7 +79,7 @@
         )
         self.driver = CoreDriver(core, clock_ms=clock_ms)
         self._shutdown: GracefulShutdown | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskGroup()
 
     @property
     def core(self) -> Core:
@@ -116,19 +116,19 @@
         hints = PlatformHints(
             self.driver, self._platform.instances, self.settings.seeds
         )
-        self._spawn(self.driver.run())
-        self._spawn(hints.run())
+        self._tasks.spawn(self.driver.run())
+        self._tasks.spawn(hints.run())
         self._follower.start()
-        self._spawn(BackendMonitor(self.driver, self._session).run())
+        self._tasks.spawn(BackendMonitor(self.driver, self._session).run())
         log_event(
             _log,
             logging.INFO,
             "instance_started",
             "entry instance listens for callers",
             instance_id=self.identity.instance_id,
-            callers=_host_port(self.callers),
-            operators=_host_port(self.operators),
-            peers=_host_port(self.identity.peers),
+            callers=host_port(self.callers),
+            operators=host_port(self.operators),
+            peers=host_port(self.identity.peers),
         )
 
     async def shut_down(self) -> bool:
@@ -151,9 +151,7 @@
 
     async def stop(self) -> None:
         """Stop at once, without a graceful shutdown."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         await self._callers_listener.stop()
         await self._operators_listener.stop()
         await self._peers.close()
@@ -196,9 +194,6 @@
         OperatorHandler(self.driver, self.metrics).add_routes(app)
         return app
 
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coro))
-
 
 def _bind_all(settings: Settings) -> _Sockets:
     bound: list[socket.socket] = []
@@ -212,10 +207,6 @@
     return _Sockets(*bound)
 
 
-def _host_port(address: Address) -> str:
-    return f"{address.host}:{address.port}"
-
-
 def _make_identity(settings: Settings, sockets: _Sockets) -> Identity:
     return Identity(
         settings.instance_id,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
@@ -4,8 +4,6 @@
 import base64
 import json
 import logging
-from collections.abc import Coroutine
-from typing import Any
 
 from rhubarbwell_core.messages import (
     ClaimKey,
@@ -30,6 +28,7 @@
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.tasks import TaskGroup
 
 __all__ = ["KeyStore", "decode_stored_key", "encode_stored_key"]
 
@@ -48,23 +47,15 @@
         self.transactions = 0
         self._driver = driver
         self._tables = tables
-        self._tasks: set[asyncio.Task[None]] = set()
-        driver.register(ClaimKey, lambda action: self._spawn(self._claim(action)))
-        driver.register(ReadKey, lambda action: self._spawn(self._read(action)))
-        driver.register(
-            RecordOutcomes, lambda action: self._spawn(self._record(action))
-        )
+        self._tasks = TaskGroup()
+        spawn = self._tasks.spawn
+        driver.register(ClaimKey, lambda action: spawn(self._claim(action)))
+        driver.register(ReadKey, lambda action: spawn(self._read(action)))
+        driver.register(RecordOutcomes, lambda action: spawn(self._record(action)))
 
     async def close(self) -> None:
         """Cancel the calls that are under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(call)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        await self._tasks.close()
 
     async def _claim(self, action: ClaimKey) -> None:
         row = action.row
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings_files.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/settings_files.py
@@ -14,6 +14,7 @@
     read_source,
 )
 
+from rhubarbwell_entry.peers.keys import MAX_PEER_KEYS
 from rhubarbwell_entry.settings import (
     DEFAULT_STOP_MAX_S,
     Settings,
@@ -23,7 +24,6 @@
 __all__ = ["SettingsError", "parse_settings", "read_settings"]
 
 MIN_KEY_LENGTH = 32
-MAX_PEER_KEYS = 2
 PORTS = Range(0, 65_535)
 LOG_FORMATS = ("json", "plain")
 LOG_LEVELS = ("debug", "info", "warning", "error")
