--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
@@ -0,0 +1,15 @@
+"""Direct forwarding: entry instances send to the backend servers of any region."""
+
+from rhubarbwell_core.direct.admission import *
+from rhubarbwell_core.direct.affinity import *
+from rhubarbwell_core.direct.backends import *
+from rhubarbwell_core.direct.budgets import *
+from rhubarbwell_core.direct.coldstart import *
+from rhubarbwell_core.direct.estimates import *
+from rhubarbwell_core.direct.instances import *
+from rhubarbwell_core.direct.judgement import *
+from rhubarbwell_core.direct.model import *
+from rhubarbwell_core.direct.replica import *
+from rhubarbwell_core.direct.requests import *
+from rhubarbwell_core.direct.routes import *
+from rhubarbwell_core.direct.steering import *
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -0,0 +1,217 @@
+"""The table of backend servers with what is known of each."""
+
+from collections.abc import Iterable, Mapping
+
+from rhubarbwell_core.direct.model import BackendEntry
+from rhubarbwell_core.engine import Table
+
+__all__ = ["BackendState", "BackendTable"]
+
+# Registry entries that lapse while the store is out return within about 2 s.
+RETURN_GRACE_MS = 2_200
+REPORT_AGE_MS = 1_500
+FIRST_EJECTION_MS = 500
+MAX_EJECTION_MS = 4_000
+FAILURE_RATE = 0.2
+MAX_WORK_RATIO = 20.0
+MIN_WORK_RATIO = 0.2
+WORK_RATIO_RATE = 0.25
+
+
+class BackendState:
+    """Hold what an instance knows of one backend server."""
+
+    __slots__ = (
+        "cold_until_ms",
+        "ejected_until_ms",
+        "entry",
+        "failing_since_ms",
+        "failure_share",
+        "failures_in_row",
+        "in_flight",
+        "last_answer_ms",
+        "region",
+        "removal_due_ms",
+        "reported_at_ms",
+        "reported_in_flight",
+        "reported_load",
+        "sent_at_ms",
+        "work_ratio",
+    )
+
+    def __init__(self, entry: BackendEntry, region: str, now_ms: int) -> None:
+        self.entry = entry
+        self.region = region
+        self.in_flight = 0
+        self.reported_load = 0
+        self.reported_in_flight = 0
+        self.reported_at_ms = -REPORT_AGE_MS
+        self.cold_until_ms = now_ms + entry.cold_ms
+        self.ejected_until_ms = 0
+        self.failures_in_row = 0
+        self.failure_share = 0.0
+        self.failing_since_ms: int | None = None
+        self.work_ratio = 1.0
+        self.last_answer_ms = now_ms
+        self.removal_due_ms: int | None = None
+        self.sent_at_ms: dict[str, int] = {}
+
+    def load(self, now_ms: int) -> float:
+        """Return the requests that are expected to run or wait at the server.
+
+        A report counts the requests of all instances at its time; the own requests
+        sent since then are added, and it counts less as it ages.
+        """
+        age_ms = now_ms - self.reported_at_ms
+        if age_ms >= REPORT_AGE_MS:
+            return float(self.in_flight)
+        others = max(0, self.reported_load - self.reported_in_flight)
+        return self.in_flight + others * (1.0 - age_ms / REPORT_AGE_MS)
+
+    def take_report(self, running: int, waiting: int, now_ms: int) -> None:
+        """Take in the load that an answer told, its own request excluded."""
+        self.reported_load = running + waiting
+        self.reported_in_flight = self.in_flight
+        self.reported_at_ms = now_ms
+
+    def oldest_wait_ms(self, now_ms: int) -> int:
+        """Return how long the oldest request has waited beyond the last answer."""
+        if not self.sent_at_ms:
+            return 0
+        oldest = next(iter(self.sent_at_ms.values()))
+        return now_ms - max(oldest, self.last_answer_ms)
+
+    def answered(self, now_ms: int, work_ratio: float | None) -> None:
+        """Learn from an answer; work_ratio is its work against the expected one."""
+        self.last_answer_ms = now_ms
+        self.failures_in_row = 0
+        self.failure_share *= 1.0 - FAILURE_RATE
+        if work_ratio is not None:
+            ratio = min(max(work_ratio, MIN_WORK_RATIO), MAX_WORK_RATIO)
+            self.work_ratio += WORK_RATIO_RATE * (ratio - self.work_ratio)
+
+    def refused(self) -> None:
+        """Learn from a request that the server turned away or failed."""
+        self.failure_share += FAILURE_RATE * (1.0 - self.failure_share)
+
+    def failed(self, now_ms: int) -> None:
+        """Learn from a connection that failed; eject the server for a while."""
+        self.refused()
+        self.failures_in_row += 1
+        pause_ms = FIRST_EJECTION_MS << min(self.failures_in_row - 1, 3)
+        self.ejected_until_ms = now_ms + min(pause_ms, MAX_EJECTION_MS)
+
+
+class BackendTable:
+    """Know the backend servers that the registry lists.
+
+    Registry rows are given as they change; which servers may be used is a matter of
+    their state, of evacuated zones and of the time.
+    """
+
+    def __init__(self, regions: Mapping[str, str]) -> None:
+        self.rows = Table[str, BackendState]("backend servers")
+        self.evacuated: frozenset[str] = frozenset()
+        self.generation = 0
+        self._regions = regions
+        self._by_service: dict[str, list[BackendState]] = {}
+        self._store_back_ms: int | None = None
+        self._store_is_out = False
+
+    def of_service(self, service: str) -> list[BackendState]:
+        """Return the listed servers of a service that are not leaving."""
+        return self._by_service.get(service, [])
+
+    def put(self, entry: BackendEntry, now_ms: int) -> None:
+        """Add a server or take in its newer entry."""
+        state = self.rows.get(entry.backend_id)
+        if state is None or _has_restarted(state.entry, entry):
+            state = BackendState(entry, self._regions.get(entry.zone, ""), now_ms)
+            self.rows.put(entry.backend_id, state)
+            self._rebuild()
+            return
+        changed = state.entry.draining != entry.draining
+        changed |= state.entry.service != entry.service
+        changed |= state.removal_due_ms is not None
+        changed |= state.entry.zone != entry.zone
+        state.entry = entry
+        state.region = self._regions.get(entry.zone, "")
+        state.removal_due_ms = None
+        if entry.cold_ms:
+            state.cold_until_ms = max(state.cold_until_ms, now_ms + entry.cold_ms)
+        if changed:
+            self._rebuild()
+
+    def remove(self, backend_id: str, now_ms: int) -> None:
+        """Remove a server, after a grace if the store is or was just out."""
+        state = self.rows.get(backend_id)
+        if state is None:
+            return
+        if self._store_is_out:
+            state.removal_due_ms = now_ms + RETURN_GRACE_MS
+        elif self._store_back_ms is not None and now_ms < self._grace_end_ms():
+            state.removal_due_ms = self._grace_end_ms()
+        else:
+            self.rows.remove(backend_id)
+        self._rebuild()
+
+    def keep_only(self, listed: Iterable[str], now_ms: int) -> None:
+        """Remove the servers that a full listing does not name."""
+        names = set(listed)
+        for backend_id in self.rows:
+            if backend_id not in names:
+                self.remove(backend_id, now_ms)
+
+    def store_lost(self, now_ms: int) -> None:
+        """Keep what lapses from now on until the store is back."""
+        self._store_is_out = True
+
+    def store_regained(self, now_ms: int) -> None:
+        """Give entries that lapsed meanwhile the time to return."""
+        if self._store_is_out:
+            self._store_is_out = False
+            self._store_back_ms = now_ms
+            for state in self.rows.rows():
+                if state.removal_due_ms is not None:
+                    state.removal_due_ms = self._grace_end_ms()
+
+    def advance(self, now_ms: int) -> list[str]:
+        """Remove servers whose grace has ended and return their ids."""
+        if self._store_is_out:
+            return []
+        due = [
+            backend_id
+            for backend_id, state in self.rows.items()
+            if state.removal_due_ms is not None and state.removal_due_ms <= now_ms
+        ]
+        for backend_id in due:
+            self.rows.remove(backend_id)
+        if due:
+            self._rebuild()
+        return due
+
+    def evacuate(self, zones: frozenset[str], cold_ms: int, now_ms: int) -> None:
+        """Use no server of the zones; servers of zones taken back may be cold."""
+        returned = self.evacuated - zones
+        self.evacuated = zones
+        for state in self.rows.rows():
+            if state.entry.zone in returned:
+                state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        self._rebuild()
+
+    def _grace_end_ms(self) -> int:
+        assert self._store_back_ms is not None
+        return self._store_back_ms + RETURN_GRACE_MS
+
+    def _rebuild(self) -> None:
+        self.generation += 1
+        by_service: dict[str, list[BackendState]] = {}
+        for state in self.rows.rows():
+            entry = state.entry
+            if not entry.draining and entry.zone not in self.evacuated:
+                by_service.setdefault(entry.service, []).append(state)
+        self._by_service = by_service
+
+
+def _has_restarted(old: BackendEntry, new: BackendEntry) -> bool:
+    return old.born_ms != new.born_ms or old.address != new.address
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/budgets.py
@@ -0,0 +1,81 @@
+"""Shares of budgets that all entry instances spend together."""
+
+from collections import deque
+from typing import NamedTuple
+
+__all__ = ["RetryBudgetRule", "SharedRetryBudget", "SlidingCount"]
+
+# Part of the fleet's budget that is used; the rest covers views of the fleet that
+# differ and requests whose first send is counted in a later window.
+BUDGET_USED = 0.7
+
+
+class RetryBudgetRule(NamedTuple):
+    """Bound the repeats of a service over all instances within a window."""
+
+    ratio: float
+    slack: float
+    window_ms: int
+
+
+class SlidingCount:
+    """Count events of the last window_ms.
+
+    >>> count = SlidingCount(1_000)
+    >>> count.add(0)
+    >>> count.value(900), count.value(1_001)
+    (1, 0)
+    """
+
+    __slots__ = ("_times", "window_ms")
+
+    def __init__(self, window_ms: int) -> None:
+        self.window_ms = window_ms
+        self._times: deque[int] = deque()
+
+    def add(self, now_ms: int) -> None:
+        """Count an event."""
+        self._times.append(now_ms)
+
+    def value(self, now_ms: int) -> int:
+        """Return how many events the window holds."""
+        times = self._times
+        while times and times[0] < now_ms - self.window_ms:
+            times.popleft()
+        return len(times)
+
+
+class SharedRetryBudget:
+    """Allow an instance its part of the fleet's repeats, per service.
+
+    The ratio is earned by the instance's own requests; the slack is divided by
+    the number of instances.
+
+    >>> budget = SharedRetryBudget(RetryBudgetRule(0.2, 20, 10_000))
+    >>> [budget.try_spend("s", 10, 0) for _ in range(3)]
+    [True, False, False]
+    """
+
+    def __init__(self, rule: RetryBudgetRule) -> None:
+        self._rule = rule
+        self._requests: dict[str, SlidingCount] = {}
+        self._repeats: dict[str, SlidingCount] = {}
+
+    def request_arrived(self, service: str, now_ms: int) -> None:
+        """Earn a share of a repeat."""
+        self._count(self._requests, service).add(now_ms)
+
+    def try_spend(self, service: str, instances: int, now_ms: int) -> bool:
+        """Count a repeat if the instance's share allows one."""
+        requests = self._count(self._requests, service).value(now_ms)
+        repeats = self._count(self._repeats, service)
+        share = self._rule.ratio * requests + self._rule.slack / max(instances, 1)
+        if repeats.value(now_ms) + 1 > BUDGET_USED * share:
+            return False
+        repeats.add(now_ms)
+        return True
+
+    def _count(self, counts: dict[str, SlidingCount], service: str) -> SlidingCount:
+        if service not in counts:
+            counts[service] = SlidingCount(self._rule.window_ms)
+        return counts[service]
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/coldstart.py
@@ -0,0 +1,64 @@
+"""The rate of requests to backend servers with cold caches."""
+
+from collections.abc import Sequence
+
+from rhubarbwell_core.direct.budgets import SlidingCount
+from rhubarbwell_core.membership.rendezvous import rendezvous
+
+__all__ = ["ColdStartLimiter"]
+
+# Each share is spent within this longer time, so that a request which is held up
+# on its way does not fall into the second of the next one.
+SHARE_WINDOW_MS = 1_150
+
+
+class ColdStartLimiter:
+    """Give out the rate that a cold backend server bears among instances.
+
+    Where the rate is below one request a second and instance, rendezvous hashing
+    chooses the instances that may send.
+
+    >>> limiter = ColdStartLimiter("a")
+    >>> limiter.configure(["a"])
+    >>> [limiter.try_send("b-1", 2.0, 0) for _ in range(3)]
+    [True, True, False]
+    """
+
+    def __init__(self, instance_id: str) -> None:
+        self._instance_id = instance_id
+        self._instances: Sequence[str] = (instance_id,)
+        self._sent: dict[str, SlidingCount] = {}
+        self._owned: dict[tuple[str, int], bool] = {}
+
+    def configure(self, instances: Sequence[str]) -> None:
+        """Take the ids of the instances that share the rate."""
+        if set(instances) != set(self._instances):
+            self._instances = tuple(instances)
+            self._owned.clear()
+
+    def may_send(self, backend_id: str, rate_per_s: float, now_ms: int) -> bool:
+        """Tell whether the instance's share allows a request now."""
+        share = self._share(backend_id, rate_per_s)
+        sent = self._sent.get(backend_id)
+        return share > (sent.value(now_ms) if sent is not None else 0)
+
+    def try_send(self, backend_id: str, rate_per_s: float, now_ms: int) -> bool:
+        """Count a request if the instance's share allows one."""
+        if not self.may_send(backend_id, rate_per_s, now_ms):
+            return False
+        self._sent.setdefault(backend_id, SlidingCount(SHARE_WINDOW_MS)).add(now_ms)
+        return True
+
+    def forget(self, backend_id: str) -> None:
+        """Drop the count of a backend server that is gone."""
+        self._sent.pop(backend_id, None)
+
+    def _share(self, backend_id: str, rate_per_s: float) -> int:
+        instances = len(self._instances)
+        if rate_per_s >= instances:
+            return int(rate_per_s / instances)
+        key = (backend_id, int(rate_per_s))
+        if key not in self._owned:
+            owners = rendezvous(backend_id, self._instances, int(rate_per_s))
+            self._owned[key] = self._instance_id in owners
+        return 1 if self._owned[key] else 0
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -0,0 +1,76 @@
+"""A copy of one table of the metadata store that peers can follow."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+__all__ = ["ReplicaRow", "ReplicaUpdate", "TableReplica"]
+
+
+class ReplicaRow(NamedTuple):
+    """Hold a row as of a version of the store; value is None once deleted."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+class ReplicaUpdate(NamedTuple):
+    """Hold changes up to a version; complete means that no other row exists."""
+
+    rows: Sequence[ReplicaRow]
+    version: int
+    complete: bool = False
+
+
+class TableReplica:
+    """Keep the newest state of a table from updates in any order.
+
+    >>> replica = TableReplica()
+    >>> _ = replica.apply(ReplicaUpdate([ReplicaRow("a", 2, b"x")], 2))
+    >>> replica.apply(ReplicaUpdate([ReplicaRow("a", 1, b"old")], 1))
+    []
+    >>> replica.changes_after(1).rows
+    [ReplicaRow(key='a', version=2, value=b'x')]
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._rows: dict[str, ReplicaRow] = {}
+
+    def apply(self, update: ReplicaUpdate) -> list[ReplicaRow]:
+        """Take in an update and return the rows that it changed."""
+        changed = [row for row in update.rows if self._is_newer(row)]
+        if update.complete and update.version >= self.version:
+            changed += self._missing_from(update)
+        for row in changed:
+            self._rows[row.key] = row
+        self.version = max(self.version, update.version)
+        return changed
+
+    def changes_after(self, version: int) -> ReplicaUpdate:
+        """Return the rows that changed after a version, deleted ones included."""
+        rows = [row for row in self._rows.values() if row.version > version]
+        rows.sort(key=lambda row: row.version)
+        return ReplicaUpdate(rows, self.version)
+
+    def prune(self, oldest_version: int) -> None:
+        """Forget deleted rows that every follower has heard of."""
+        self._rows = {
+            key: row
+            for key, row in self._rows.items()
+            if row.value is not None or row.version >= oldest_version
+        }
+
+    def _is_newer(self, row: ReplicaRow) -> bool:
+        known = self._rows.get(row.key)
+        return known is None or row.version > known.version
+
+    def _missing_from(self, update: ReplicaUpdate) -> list[ReplicaRow]:
+        listed = {row.key for row in update.rows}
+        return [
+            ReplicaRow(key, update.version, None)
+            for key, row in self._rows.items()
+            if key not in listed
+            and row.value is not None
+            and row.version <= update.version
+        ]
--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -0,0 +1,307 @@
+"""The choice of a backend server for each attempt of a request."""
+
+from collections.abc import Collection, Sequence
+from random import Random
+from typing import NamedTuple
+
+from rhubarbwell_core.direct.admission import AdmissionRule, admits, retry_after_ms
+from rhubarbwell_core.direct.affinity import AffinityOrders, PlacedBackend
+from rhubarbwell_core.direct.backends import BackendTable
+from rhubarbwell_core.direct.budgets import RetryBudgetRule, SharedRetryBudget
+from rhubarbwell_core.direct.coldstart import ColdStartLimiter
+from rhubarbwell_core.direct.estimates import WorkTimes, ZoneDelays
+from rhubarbwell_core.direct.judgement import AttemptResult, Verdict, judge
+from rhubarbwell_core.direct.model import Route, RoutingConfig
+from rhubarbwell_core.direct.requests import (
+    ActiveRequest,
+    Refusal,
+    RefusalReason,
+    Target,
+)
+from rhubarbwell_core.direct.routes import RouteTable, WeightedSplits
+
+__all__ = ["AttemptReport", "DirectSteering", "LoadReport", "SteeringRules"]
+
+# Positions of a region's affinity order that are weighed for an object.
+MAX_POSITIONS = 6
+# Random part of a cost, so that instances with equal views choose differently.
+COST_NOISE = 0.1
+# Cost of a failed attempt, as a multiple of the route's objective.
+FAILURE_COST = 1.0
+# Part of a backend server's connections that the instances use together.
+CONNECTIONS_USED = 0.8
+MIN_RETRY_MS = 30
+
+
+class SteeringRules(NamedTuple):
+    """Set the bounds that all instances keep together."""
+
+    retries: RetryBudgetRule
+    admission: AdmissionRule = AdmissionRule()
+
+
+class LoadReport(NamedTuple):
+    """Count the requests at a backend server as one of its answers told."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AttemptReport(NamedTuple):
+    """Tell how an attempt ended."""
+
+    result: AttemptResult
+    latency_ms: int
+    load: LoadReport | None = None
+    cold_ms: int | None = None
+
+
+class DirectSteering:
+    """Choose, for one entry instance, where requests go and which are refused."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        regions: dict[str, str],
+        rules: SteeringRules,
+        rng: Random,
+    ) -> None:
+        self.zone = zone
+        self.region = regions[zone]
+        self.config: RoutingConfig | None = None
+        self.routes: RouteTable | None = None
+        self.backends = BackendTable(regions)
+        self.delays = ZoneDelays(zone, regions)
+        self.work = WorkTimes()
+        self.cold_starts = ColdStartLimiter(instance_id)
+        self.retries = SharedRetryBudget(rules.retries)
+        self._splits = WeightedSplits()
+        self._orders = AffinityOrders(self.backends)
+        self._rules = rules
+        self._rng = rng
+        self._instances = 1
+
+    def configure(self, config: RoutingConfig) -> bool:
+        """Take in a configuration unless a newer one is in force."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self.routes = RouteTable(config)
+        self._splits.configure(config)
+        return True
+
+    def set_instances(self, instance_ids: Sequence[str]) -> None:
+        """Take the ids of the live entry instances, the own one included."""
+        self._instances = max(len(instance_ids), 1)
+        self.cold_starts.configure(instance_ids)
+
+    def set_evacuated(self, zones: Collection[str], now_ms: int) -> None:
+        """Take the zones whose backend servers get nothing."""
+        rules = self.config.services.values() if self.config is not None else ()
+        cold_ms = max((rule.cold_start_ms for rule in rules), default=0)
+        self.backends.evacuate(frozenset(zones), cold_ms, now_ms)
+
+    def admit(
+        self, request_id: str, route: Route, key: str, deadline_ms: int, now_ms: int
+    ) -> ActiveRequest:
+        """Begin a request of a route."""
+        service = self._splits.next_service(route)
+        self.retries.request_arrived(service, now_ms)
+        return ActiveRequest(
+            request_id,
+            route,
+            service,
+            key,
+            arrived_ms=now_ms,
+            deadline_ms=deadline_ms,
+        )
+
+    def choose(self, req: ActiveRequest, now_ms: int) -> Target | Refusal:
+        """Return the backend server of the next attempt, or a refusal."""
+        candidates = self._candidates(req, now_ms)
+        remaining_ms = req.give_up_ms - now_ms
+        if not candidates:
+            return self._no_backend(req, now_ms)
+        costs = [self._target(req, placed, now_ms) for placed in candidates]
+        best = min(costs, key=lambda pair: pair[0])[1]
+        state = self.backends.rows[best.backend_id]
+        slots = state.entry.slots
+        if admits(
+            self._rules.admission,
+            req.route,
+            load=best.load,
+            slots=slots,
+            finish_ms=best.expected_ms,
+            remaining_ms=remaining_ms,
+        ):
+            return best
+        pause_ms = retry_after_ms(
+            best.expected_ms, req.route.objective_ms, req.deadline_ms - now_ms
+        )
+        return Refusal(RefusalReason.NO_ROOM, pause_ms, best.load, best.expected_ms)
+
+    def started(self, req: ActiveRequest, target: Target, now_ms: int) -> None:
+        """Count an attempt that is about to be sent."""
+        state = self.backends.rows[target.backend_id]
+        state.in_flight += 1
+        state.sent_at_ms[req.request_id] = now_ms
+        req.attempts += 1
+        req.tried.add(target.backend_id)
+        if target.is_cold:
+            rate = self._cold_rate(target.service)
+            self.cold_starts.try_send(target.backend_id, rate, now_ms)
+
+    def ended(
+        self,
+        req: ActiveRequest,
+        target: Target,
+        report: AttemptReport,
+        now_ms: int,
+    ) -> Verdict:
+        """Learn from an attempt and return what becomes of the request."""
+        self._learn(req, target, report, now_ms)
+        if report.result is AttemptResult.NOT_SENT:
+            req.attempts -= 1
+        retry = self._may_retry(req, report.result, now_ms)
+        verdict = judge(
+            report.result,
+            is_idempotent=req.route.kind.is_idempotent,
+            may_have_run=req.may_have_run,
+            may_retry=retry,
+        )
+        req.may_have_run |= not report.result.is_proof_of_not_run
+        return verdict
+
+    def abandoned(self, req: ActiveRequest, target: Target) -> None:
+        """Count an attempt whose caller has left."""
+        state = self.backends.rows.get(target.backend_id)
+        if state is not None:
+            state.in_flight = max(0, state.in_flight - 1)
+            state.sent_at_ms.pop(req.request_id, None)
+
+    def _learn(
+        self, req: ActiveRequest, target: Target, report: AttemptReport, now_ms: int
+    ) -> None:
+        self.abandoned(req, target)
+        state = self.backends.rows.get(target.backend_id)
+        if state is None:
+            return
+        if report.load is not None:
+            load = report.load
+            running = max(0, load.running - 1)
+            state.take_report(running, load.waiting, now_ms)
+        if report.cold_ms is not None:
+            state.cold_until_ms = now_ms + report.cold_ms
+        result = report.result
+        if result is AttemptResult.ANSWERED:
+            round_trip_ms = self.delays.round_trip_ms(target.zone)
+            work_ms = max(report.latency_ms - round_trip_ms, 1.0)
+            if target.load < state.entry.slots and not target.is_cold:
+                state.answered(now_ms, work_ms / max(target.work_ms, 1.0))
+                self.work.add(
+                    req.route.name, target.position, work_ms / state.work_ratio
+                )
+            else:
+                state.answered(now_ms, None)
+        elif result is AttemptResult.NOT_RUN or result is AttemptResult.SERVER_ERROR:
+            state.last_answer_ms = now_ms
+            state.refused()
+        elif result is AttemptResult.NOT_SENT:
+            state.failed(now_ms)
+            cold_ms = self._cold_start_ms(target.service)
+            state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+        else:
+            state.failed(now_ms)
+
+    def _may_retry(
+        self, req: ActiveRequest, result: AttemptResult, now_ms: int
+    ) -> bool:
+        if result is AttemptResult.ANSWERED:
+            return False
+        if req.attempts >= req.route.max_attempts:
+            return False
+        if req.give_up_ms - now_ms < MIN_RETRY_MS:
+            return False
+        if result is AttemptResult.NOT_SENT and not req.may_have_run:
+            return True
+        return self.retries.try_spend(req.service, self._instances, now_ms)
+
+    def _candidates(self, req: ActiveRequest, now_ms: int) -> list[PlacedBackend]:
+        usable: list[PlacedBackend] = []
+        fallback: list[PlacedBackend] = []
+        homes = req.route.home_regions
+        limit = self._connection_limit(req.service)
+        rate = self._cold_rate(req.service)
+        for placed in self._orders.order(req.service, req.object_key):
+            state = placed.state
+            if state.entry.backend_id in req.tried:
+                continue
+            if homes and state.region not in homes:
+                continue
+            if state.in_flight >= limit:
+                continue
+            is_cold = state.cold_until_ms > now_ms
+            if is_cold and not self.cold_starts.may_send(
+                state.entry.backend_id, rate, now_ms
+            ):
+                continue
+            if state.ejected_until_ms > now_ms:
+                fallback.append(placed)
+            elif placed.position < MAX_POSITIONS or not usable:
+                usable.append(placed)
+        if usable or not fallback:
+            return usable
+        return [min(fallback, key=lambda placed: placed.state.ejected_until_ms)]
+
+    def _target(
+        self, req: ActiveRequest, placed: PlacedBackend, now_ms: int
+    ) -> tuple[float, Target]:
+        state = placed.state
+        entry = state.entry
+        load = state.load(now_ms)
+        work_ms = self.work.expected_ms(req.route.name, placed.position)
+        busy_ms = work_ms * state.work_ratio
+        stalled_ms = state.oldest_wait_ms(now_ms)
+        if stalled_ms > 2 * busy_ms:
+            busy_ms = float(stalled_ms)
+        wait_ms = busy_ms * max(0.0, load + 1.0 - entry.slots) / entry.slots
+        expected_ms = self.delays.round_trip_ms(entry.zone) + wait_ms + busy_ms
+        cost = expected_ms + FAILURE_COST * state.failure_share * req.route.objective_ms
+        cost += self._rng.uniform(0.0, COST_NOISE * work_ms)
+        target = Target(
+            entry.backend_id,
+            entry.address,
+            req.service,
+            entry.zone,
+            placed.position,
+            expected_ms,
+            work_ms,
+            load,
+            state.cold_until_ms > now_ms,
+        )
+        return cost, target
+
+    def _no_backend(self, req: ActiveRequest, now_ms: int) -> Refusal:
+        listed = self.backends.of_service(req.service)
+        reason = RefusalReason.COLD_START if listed else RefusalReason.NO_BACKEND
+        left_ms = req.deadline_ms - now_ms
+        return Refusal(reason, retry_after_ms(0.0, 0.0, left_ms))
+
+    def _connection_limit(self, service: str) -> int:
+        assert self.config is not None
+        rule = self.config.services.get(service)
+        if rule is None:
+            return 1
+        return max(1, int(CONNECTIONS_USED * rule.max_connections / self._instances))
+
+    def _cold_rate(self, service: str) -> float:
+        assert self.config is not None
+        rule = self.config.services.get(service)
+        return rule.cold_rate_per_s if rule is not None else 0.0
+
+    def _cold_start_ms(self, service: str) -> int:
+        assert self.config is not None
+        rule = self.config.services.get(service)
+        return rule.cold_start_ms if rule is not None else 0
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Direct forwarding to the backend servers of any region."""
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -0,0 +1,136 @@
+"""Following the tables of the metadata store."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from rhubarbwell_core.direct import ReplicaUpdate
+from rhubarbwell_platform.errors import HistoryLostError, PlatformError
+from rhubarbwell_platform.services import MetadataStore
+
+from rhubarbwell_entry.direct.state import FleetState
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["FollowPlan", "StoreHealth", "TableFollower"]
+
+_log = logging.getLogger(__name__)
+
+FIRST_RETRY_MS = 100
+MAX_RETRY_MS = 700
+
+
+class FollowPlan(NamedTuple):
+    """Set how a table is followed.
+
+    A call waits at the store for wait_ms; pause_ms passes between two calls, so that
+    many changes cost few calls.
+    """
+
+    table: str
+    wait_ms: int
+    pause_ms: int
+
+
+class StoreHealth:
+    """Know since when the store has not answered, over all tables."""
+
+    def __init__(
+        self,
+        on_lost: Callable[[], None],
+        on_regained: Callable[[], None],
+    ) -> None:
+        self.is_out = False
+        self._on_lost = on_lost
+        self._on_regained = on_regained
+
+    def answered(self) -> None:
+        """Note an answer."""
+        if self.is_out:
+            self.is_out = False
+            log_event(
+                _log, logging.INFO, "store_regained", "the metadata store answers again"
+            )
+            self._on_regained()
+
+    def failed(self, table: str, exc: Exception) -> None:
+        """Note a failed call."""
+        if not self.is_out:
+            self.is_out = True
+            log_event(
+                _log,
+                logging.WARNING,
+                "store_lost",
+                "a call to the metadata store failed",
+                table=table,
+                error=str(exc),
+            )
+            self._on_lost()
+
+
+class TableFollower:
+    """Keep one table of the fleet's state up to date, until cancelled."""
+
+    def __init__(
+        self,
+        plan: FollowPlan,
+        store: MetadataStore,
+        state: FleetState,
+        health: StoreHealth,
+        *,
+        rng: Random,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self.fresh_ms = 0
+        self._plan = plan
+        self._store = store
+        self._state = state
+        self._health = health
+        self._rng = rng
+        self._clock_ms = clock_ms
+        self._needs_listing = True
+
+    async def run(self) -> None:
+        """Follow the table."""
+        failures = 0
+        while True:
+            try:
+                update = await self._read()
+            except PlatformError as exc:
+                failures += 1
+                self._health.failed(self._plan.table, exc)
+                await self._pause(failures)
+                continue
+            failures = 0
+            self._health.answered()
+            now_ms = self._clock_ms()
+            self.fresh_ms = now_ms
+            self._state.apply(self._plan.table, update, now_ms)
+            await asyncio.sleep(self._plan.pause_ms / 1_000)
+
+    async def _read(self) -> ReplicaUpdate:
+        table = self._plan.table
+        if not self._needs_listing:
+            version = self._state.replicas[table].version
+            try:
+                return await self._store.read_changes(
+                    table, version, self._plan.wait_ms
+                )
+            except HistoryLostError:
+                log_event(
+                    _log,
+                    logging.WARNING,
+                    "history_lost",
+                    "the store no longer has the changes of a table; listing it",
+                    table=table,
+                    version=version,
+                )
+                self._needs_listing = True
+        update = await self._store.read_table(table)
+        self._needs_listing = False
+        return update
+
+    async def _pause(self, failures: int) -> None:
+        longest_ms = min(FIRST_RETRY_MS << min(failures, 4), MAX_RETRY_MS)
+        await asyncio.sleep(self._rng.uniform(FIRST_RETRY_MS, longest_ms) / 1_000)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -0,0 +1,238 @@
+"""One entry instance in direct forwarding: its listeners and background tasks."""
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable
+from random import Random, SystemRandom
+
+import aiohttp
+from aiohttp import web
+from rhubarbwell_core.direct import (
+    DirectSteering,
+    InstanceEntry,
+    InstanceTable,
+    SteeringRules,
+)
+from rhubarbwell_core.engine import TimerService
+from rhubarbwell_core.model import host_port
+from rhubarbwell_platform.errors import PlatformError
+from rhubarbwell_platform.services import RowWrite
+
+from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.direct.follower import FollowPlan, StoreHealth, TableFollower
+from rhubarbwell_entry.direct.handler import DirectHandler
+from rhubarbwell_entry.direct.metrics import DirectMetrics
+from rhubarbwell_entry.direct.registrations import encode_instance
+from rhubarbwell_entry.direct.sending import DirectSender
+from rhubarbwell_entry.direct.settings import DirectSettings
+from rhubarbwell_entry.direct.state import FleetState
+from rhubarbwell_entry.direct.wire import DirectPlatform
+from rhubarbwell_entry.listeners import bind_address
+from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.tasks import TaskGroup
+
+__all__ = ["DirectInstance"]
+
+_log = logging.getLogger(__name__)
+
+INCARNATION_BYTES = 8
+# A caller keeps a look-up's answer this long; some keep it three times as long.
+LOOK_UP_TTL_MS = 2_000
+CALLER_KEEPALIVE_S = 75.0
+MAX_HEADER_BYTES = 64 << 10
+BEAT_PERIOD_MS = 1_500
+# Beats that may be missing before an instance counts as gone.
+SILENT_BEATS = 3
+ADVANCE_PERIOD_MS = 250
+OPERATOR_WAIT_MS = 2_000
+BACKEND_PAUSE_MS = 600
+INSTANCE_PAUSE_MS = 1_500
+
+
+class DirectInstance:
+    """Run an entry instance on the current loop."""
+
+    def __init__(
+        self,
+        platform: DirectPlatform,
+        settings: DirectSettings,
+        *,
+        rng: Random | None = None,
+        clock_ms: Callable[[], int] = monotonic_ms,
+    ) -> None:
+        self.settings = settings
+        self._platform = platform
+        self._rng = rng or SystemRandom()
+        self._clock_ms = clock_ms
+        self._tasks = TaskGroup()
+        self._timers = TimerService(now_ms=clock_ms())
+        self._runners: list[web.ServerRunner] = []
+        self.leaving = False
+        self._beat = 0
+        self._own = InstanceEntry(
+            settings.instance_id,
+            secrets.token_hex(INCARNATION_BYTES),
+            settings.zone,
+            settings.region,
+            settings.callers,
+            settings.control,
+        )
+        self.instances = InstanceTable(
+            self._own, silence_ms=SILENT_BEATS * BEAT_PERIOD_MS
+        )
+        self.steering = DirectSteering(
+            settings.instance_id,
+            settings.zone,
+            dict(settings.regions),
+            SteeringRules(settings.retries),
+            self._rng,
+        )
+        self.state = FleetState(platform, self.steering, self.instances)
+        self.metrics = DirectMetrics()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers are to be sent here."""
+        return self.state.is_configured and not self.leaving
+
+    async def start(self) -> None:
+        """Start the listeners and the background tasks."""
+        self._session = aiohttp.ClientSession()
+        self._store = self._platform.open_store(self._session, self.settings)
+        self._health = StoreHealth(self._store_lost, self._store_regained)
+        self._sender = DirectSender(self._platform.names, self._clock_ms)
+        self.handler = DirectHandler(
+            self._platform.names,
+            self.steering,
+            self._sender,
+            self.metrics,
+            self._clock_ms,
+        )
+        await self._listen()
+        self._follow()
+        self._timers.subscribe(ADVANCE_PERIOD_MS, self._advance)
+        self._tasks.spawn(self._run_timers())
+        self._tasks.spawn(self._register())
+        log_event(
+            _log,
+            logging.INFO,
+            "instance_started",
+            "entry instance listens for callers",
+            instance_id=self.settings.instance_id,
+            zone=self.settings.zone,
+            callers=host_port(self.settings.callers),
+            incarnation=self._own.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self._tasks.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._sender.close()
+        await self._session.close()
+        log_event(_log, logging.INFO, "instance_stopped", "entry instance stopped")
+
+    async def _listen(self) -> None:
+        cfg = self.settings
+        front = await self._serve(self.handler.handle, cfg.callers)
+        self._front = front
+        by_socket = {cfg.readiness, cfg.directory, cfg.control}
+        for address in by_socket:
+            await self._serve(self._answer_operator, address)
+
+    async def _serve(self, handler: Callable[..., object], address: tuple[str, int]):
+        server = web.Server(
+            handler,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=CALLER_KEEPALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            lingering_time=0.0,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        await runner.setup()
+        sock = bind_address(address)
+        site = web.SockSite(runner, sock)
+        await site.start()
+        self._runners.append(runner)
+        return site
+
+    def _follow(self) -> None:
+        names = self._platform.names
+        plans = (
+            FollowPlan(names.operator_table, OPERATOR_WAIT_MS, 0),
+            FollowPlan(names.backend_table, OPERATOR_WAIT_MS, BACKEND_PAUSE_MS),
+            FollowPlan(names.instance_table, OPERATOR_WAIT_MS, INSTANCE_PAUSE_MS),
+        )
+        for plan in plans:
+            follower = TableFollower(
+                plan,
+                self._store,
+                self.state,
+                self._health,
+                rng=self._rng,
+                clock_ms=self._clock_ms,
+            )
+            self._tasks.spawn(follower.run())
+
+    async def _answer_operator(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == self._platform.readiness_path:
+            return web.Response(status=200 if self.is_ready else 503)
+        if request.path == self._platform.look_up_path:
+            return self._look_up(request)
+        return web.Response(status=404)
+
+    def _look_up(self, request: web.BaseRequest) -> web.Response:
+        asked = self._platform.decode_look_up(request.query)
+        offered = self.instances.offered(asked.zone, asked.region, self.is_ready)
+        if not offered:
+            return web.Response(status=503)
+        addresses = [host_port(address) for address in offered]
+        body = self._platform.encode_look_up(addresses, LOOK_UP_TTL_MS)
+        return web.json_response(body)
+
+    async def _register(self) -> None:
+        while True:
+            await self.announce()
+            await asyncio.sleep(BEAT_PERIOD_MS / 1_000)
+
+    async def announce(self) -> None:
+        """Write a heartbeat that tells whether the instance takes callers."""
+        self._beat += 1
+        entry = self._own._replace(beat=self._beat, leaving=not self.is_ready)
+        row = RowWrite(
+            self._platform.names.instance_table,
+            entry.instance_id,
+            encode_instance(entry),
+        )
+        try:
+            await self._store.write(row)
+        except PlatformError as exc:
+            log_event(
+                _log,
+                logging.WARNING,
+                "beat_failed",
+                "the own heartbeat did not reach the store",
+                beat=self._beat,
+                error=str(exc),
+            )
+
+    async def _run_timers(self) -> None:
+        while True:
+            self._timers.advance(self._clock_ms())
+            due_ms = self._timers.next_due_ms() or self._clock_ms()
+            await asyncio.sleep(max(due_ms - self._clock_ms(), 1) / 1_000)
+
+    def _advance(self, now_ms: int) -> list[object]:
+        for backend_id in self.steering.backends.advance(now_ms):
+            self.steering.cold_starts.forget(backend_id)
+        return []
+
+    def _store_lost(self) -> None:
+        self.steering.backends.store_lost(self._clock_ms())
+
+    def _store_regained(self) -> None:
+        self.steering.backends.store_regained(self._clock_ms())
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -0,0 +1,63 @@
+"""The process of an entry instance in direct forwarding."""
+
+import asyncio
+import logging
+import signal
+import sys
+from typing import Any
+
+from aiomisc import Service, entrypoint
+
+from rhubarbwell_entry.direct.instance import DirectInstance
+from rhubarbwell_entry.direct.shutdown import DirectShutdown
+from rhubarbwell_entry.direct.wire import DirectPlatform
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["run"]
+
+_log = logging.getLogger(__name__)
+
+EXIT_CANNOT_START = 3
+
+
+class DirectService(Service):
+    """Start and stop an entry instance with the process."""
+
+    instance: DirectInstance
+
+    async def start(self) -> None:
+        """Start the instance; raise OSError if an address is taken."""
+        await self.instance.start()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Stop gracefully."""
+        await DirectShutdown(self.instance).run()
+        await self.instance.stop()
+
+    def _reload(self) -> None:
+        log_event(_log, logging.INFO, "settings_reloaded", "SIGHUP received")
+
+
+def run(platform: DirectPlatform) -> None:
+    """Run an entry instance on a platform until SIGTERM."""
+    try:
+        settings = platform.read_settings()
+    except Exception as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(2) from exc
+    instance = DirectInstance(platform, settings)
+    service = DirectService(instance=instance)
+    try:
+        with entrypoint(
+            service,
+            log_level="info",
+            log_format="json",
+            log_buffering=False,
+            shutdown_timeout=settings.stop_max_ms / 1_000,
+        ) as loop:
+            loop.run_forever()
+    except OSError as exc:
+        print(f"cannot start: {exc}", file=sys.stderr)
+        raise SystemExit(EXIT_CANNOT_START) from exc
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -0,0 +1,210 @@
+"""One attempt of a request at a backend server."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp import hdrs, web
+from multidict import CIMultiDict
+from rhubarbwell_core.direct import (
+    ActiveRequest,
+    AttemptReport,
+    AttemptResult,
+    LoadReport,
+    Target,
+)
+from rhubarbwell_core.model import host_port
+from yarl import URL
+
+from rhubarbwell_entry.direct.wire import WireNames
+from rhubarbwell_entry.proxy.connections import (
+    AttemptError,
+    ProvenConnector,
+    make_client_session,
+    send_once,
+)
+from rhubarbwell_entry.proxy.headers import end_to_end_headers
+
+__all__ = ["Answer", "AttemptOutcome", "DirectSender"]
+
+_AUTOMATIC_HEADERS = (
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+    hdrs.USER_AGENT,
+)
+MISDIRECTED = 421
+FIRST_SERVER_ERROR = 500
+# Statuses that promise that a request did not run; only a server's proof counts.
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+class Answer(NamedTuple):
+    """Hold a whole answer of a backend server."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+class AttemptOutcome(NamedTuple):
+    """Tell how an attempt ended, with the answer if there is one to deliver."""
+
+    report: AttemptReport
+    detail: str
+    answer: Answer | None = None
+
+
+class DirectSender:
+    """Send requests to backend servers and check whose the answers are."""
+
+    def __init__(self, names: WireNames, clock_ms: Callable[[], int]) -> None:
+        self._names = names
+        self._clock_ms = clock_ms
+        self._connector = ProvenConnector(attempt_header=names.request_id)
+        self._session = make_client_session(self._connector)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def send(
+        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+    ) -> AttemptOutcome:
+        """Send a request once; the outcome is never an exception but cancellation."""
+        started_ms = self._clock_ms()
+        remaining_ms = req.give_up_ms - started_ms
+        self._connector.expect(
+            req.request_id, idempotent=req.route.kind.is_idempotent, fresh=False
+        )
+        try:
+            async with asyncio.timeout(max(remaining_ms, 0) / 1_000):
+                return await self._exchange(req, target, request, body, started_ms)
+        except TimeoutError:
+            result = AttemptResult.TIMED_OUT
+            if self._connector.connection_of(req.request_id) is None:
+                result = AttemptResult.NOT_SENT
+            return self._failed(result, "no answer in time", started_ms)
+        except AttemptError as exc:
+            result = AttemptResult.BROKEN
+            if self._connector.connection_of(req.request_id) is None:
+                result = AttemptResult.NOT_SENT
+            return self._failed(result, str(exc) or "connection failed", started_ms)
+        except (aiohttp.ClientError, OSError) as exc:
+            detail = f"answer broke off: {type(exc).__name__}"
+            return self._failed(AttemptResult.BROKEN, detail, started_ms)
+        finally:
+            self._connector.forget(req.request_id)
+
+    async def _exchange(
+        self,
+        req: ActiveRequest,
+        target: Target,
+        request: web.BaseRequest,
+        body: bytes,
+        started_ms: int,
+    ) -> AttemptOutcome:
+        url = URL(f"http://{host_port(target.address)}{request.raw_path}", encoded=True)
+        resp = await self._session.request(
+            request.method,
+            url,
+            headers=self._headers(req, target, request, started_ms),
+            data=body or None,
+            skip_auto_headers=_AUTOMATIC_HEADERS,
+            allow_redirects=False,
+            middlewares=(send_once,),
+        )
+        try:
+            if resp.headers.get(self._names.request_id) != req.request_id:
+                return self._failed(
+                    AttemptResult.BROKEN, "answer to another request", started_ms
+                )
+            self._connector.prove(req.request_id)
+            payload = await resp.read()
+            return self._judge(resp, payload, started_ms)
+        finally:
+            resp.close()
+
+    def _headers(
+        self,
+        req: ActiveRequest,
+        target: Target,
+        request: web.BaseRequest,
+        started_ms: int,
+    ) -> CIMultiDict[str]:
+        headers = end_to_end_headers(request.headers)
+        headers.popall(hdrs.CONTENT_LENGTH, None)
+        headers[hdrs.HOST] = request.headers.get(hdrs.HOST, "")
+        headers[self._names.expected_backend] = target.backend_id
+        headers[self._names.deadline] = str(max(req.give_up_ms - started_ms, 1))
+        return headers
+
+    def _judge(
+        self, resp: aiohttp.ClientResponse, payload: bytes, started_ms: int
+    ) -> AttemptOutcome:
+        names, headers = self._names, resp.headers
+        latency_ms = self._clock_ms() - started_ms
+        load = _read_load(headers.get(names.load, ""))
+        cold_ms = _read_cold_ms(headers.get(names.cold_remaining))
+        result, detail = self._classify(resp)
+        report = AttemptReport(result, latency_ms, load, cold_ms)
+        if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
+            return AttemptOutcome(report, detail)
+        kept = end_to_end_headers(headers)
+        kept.popall(hdrs.CONTENT_LENGTH, None)
+        return AttemptOutcome(report, detail, Answer(resp.status, kept, payload))
+
+    def _classify(self, resp: aiohttp.ClientResponse) -> tuple[AttemptResult, str]:
+        names, headers = self._names, resp.headers
+        status = resp.status
+        if status == MISDIRECTED:
+            return AttemptResult.NOT_RUN, "another backend server has the address"
+        if names.not_run in headers:
+            return AttemptResult.NOT_RUN, f"backend server refused with {status}"
+        if hdrs.CONTENT_ENCODING in headers:
+            return AttemptResult.BROKEN, "answer has an encoding"
+        if names.signature not in headers:
+            return AttemptResult.BROKEN, f"answer {status} without a signature"
+        if status in PROMISES:
+            return AttemptResult.BROKEN, f"answer {status} without proof"
+        if status >= FIRST_SERVER_ERROR:
+            return AttemptResult.SERVER_ERROR, f"backend server answered {status}"
+        return AttemptResult.ANSWERED, f"backend server answered {status}"
+
+    def _failed(
+        self, result: AttemptResult, detail: str, started_ms: int
+    ) -> AttemptOutcome:
+        return AttemptOutcome(
+            AttemptReport(result, self._clock_ms() - started_ms), detail
+        )
+
+
+def _read_load(value: str) -> LoadReport | None:
+    """Return the load of an answer's header, None without a readable one.
+
+    >>> _read_load("3,1,8")
+    LoadReport(running=3, waiting=1, slots=8)
+    """
+    parts = value.split(",")
+    if len(parts) != len(LoadReport._fields) or not all(p.isdigit() for p in parts):
+        return None
+    return LoadReport(*map(int, parts))
+
+
+def _read_cold_ms(value: str | None) -> int | None:
+    """Return the time in ms that a server stays cold, None if it does not say.
+
+    >>> _read_cold_ms("1500"), _read_cold_ms("2.5s"), _read_cold_ms("soon")
+    (1500, 2500, None)
+    """
+    text = (value or "").strip()
+    factor = 1.0
+    if text.endswith("ms"):
+        text = text[:-2]
+    elif text.endswith("s"):
+        text, factor = text[:-1], 1_000.0
+    try:
+        return round(float(text) * factor)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
@@ -0,0 +1,42 @@
+"""The settings of an entry instance in direct forwarding."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from rhubarbwell_core.direct import RetryBudgetRule
+from rhubarbwell_core.model import Address
+from rhubarbwell_platform.http import ClientOptions
+
+__all__ = ["DirectSettings"]
+
+
+class DirectSettings(NamedTuple):
+    """Hold the checked settings of a process.
+
+    regions maps each availability zone to its region; stop_max_ms is the time from
+    SIGTERM to SIGKILL; config_apply_ms and drain_ms bound how long a change may take
+    to be in force; silence_ms is the time after which an instance without heartbeats
+    counts as gone.
+    """
+
+    instance_id: str
+    zone: str
+    regions: Mapping[str, str]
+    callers: Address
+    readiness: Address
+    control: Address
+    directory: Address
+    metrics: Address
+    store: Address
+    store_options: ClientOptions
+    retries: RetryBudgetRule
+    stop_max_ms: int = 6_000
+    config_apply_ms: int = 2_000
+    drain_ms: int = 2_000
+    silence_ms: int = 3_000
+    memory_mb: int = 300
+
+    @property
+    def region(self) -> str:
+        """Return the region of the own availability zone."""
+        return self.regions[self.zone]
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -0,0 +1,47 @@
+"""The graceful stop of an entry instance in direct forwarding."""
+
+import asyncio
+import logging
+
+from rhubarbwell_entry.direct.instance import DirectInstance
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["DirectShutdown"]
+
+_log = logging.getLogger(__name__)
+
+# Parts of the time from SIGTERM to SIGKILL: new requests are taken during the first,
+# and the process ends by the second, whatever still runs.
+SERVE_SHARE = 0.55
+END_SHARE = 0.93
+POLL_MS = 20
+
+
+class DirectShutdown:
+    """Leave the directory, serve what still comes, finish what runs."""
+
+    def __init__(self, instance: DirectInstance) -> None:
+        self._instance = instance
+
+    async def run(self) -> None:
+        """Return once the process may end."""
+        instance, handler = self._instance, self._instance.handler
+        loop = asyncio.get_running_loop()
+        stop_max_s = instance.settings.stop_max_ms / 1_000
+        started_s = loop.time()
+        instance.leaving = True
+        handler.leaving = True
+        log_event(
+            _log,
+            logging.INFO,
+            "instance_leaving",
+            "entry instance leaves",
+            open_requests=handler.open_requests,
+        )
+        await instance.announce()
+        await asyncio.sleep(started_s + SERVE_SHARE * stop_max_s - loop.time())
+        handler.refuses_new = True
+        while loop.time() < started_s + END_SHARE * stop_max_s:
+            if not handler.open_requests:
+                break
+            await asyncio.sleep(POLL_MS / 1_000)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -0,0 +1,149 @@
+"""What an instance believes of the fleet, kept from the rows of the store."""
+
+import logging
+from collections.abc import Sequence
+
+from rhubarbwell_core.direct import (
+    DirectSteering,
+    InstanceTable,
+    ReplicaRow,
+    ReplicaUpdate,
+    TableReplica,
+)
+
+from rhubarbwell_entry.direct.registrations import decode_instance
+from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["FleetState"]
+
+_log = logging.getLogger(__name__)
+
+
+class FleetState:
+    """Apply rows of the store to the steering and the instance table."""
+
+    def __init__(
+        self,
+        platform: DirectPlatform,
+        steering: DirectSteering,
+        instances: InstanceTable,
+    ) -> None:
+        names = platform.names
+        self.steering = steering
+        self._platform = platform
+        self.instances = instances
+        self.replicas = {
+            names.operator_table: TableReplica(),
+            names.backend_table: TableReplica(),
+            names.instance_table: TableReplica(),
+        }
+        self._evacuated: set[str] = set()
+        self._apply = {
+            names.operator_table: self._apply_operator_rows,
+            names.backend_table: self._apply_backend_rows,
+            names.instance_table: self._apply_instance_rows,
+        }
+
+    def apply(self, table: str, update: ReplicaUpdate, now_ms: int) -> None:
+        """Take in an update of a table."""
+        changed = self.replicas[table].apply(update)
+        self._apply[table](changed, now_ms)
+
+    @property
+    def is_configured(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self.steering.config is not None
+
+    def _apply_operator_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
+        zones = set(self._evacuated)
+        for row in rows:
+            zone = self._platform.evacuated_zone(row.key)
+            if zone is not None:
+                zones.discard(zone)
+                if row.value is not None:
+                    zones.add(zone)
+            elif row.value is not None:
+                self._take_config(row)
+        if zones != self._evacuated:
+            self._evacuated = zones
+            self.steering.set_evacuated(zones, now_ms)
+            log_event(
+                _log,
+                logging.INFO,
+                "zones_evacuated",
+                "the zones whose backend servers get nothing have changed",
+                zones=sorted(zones),
+            )
+
+    def _take_config(self, row: ReplicaRow) -> None:
+        assert row.value is not None
+        try:
+            config = self._platform.decode_config(row.key, row.value)
+        except RowDecodingError as exc:
+            _log_bad_row("configuration", row, exc)
+            return
+        if config is not None and self.steering.configure(config):
+            log_event(
+                _log,
+                logging.INFO,
+                "config_in_force",
+                "a configuration is in force",
+                version=config.version,
+                row_version=row.version,
+                routes=len(config.routes),
+            )
+
+    def _apply_backend_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
+        backends = self.steering.backends
+        for row in rows:
+            if row.value is None:
+                backends.remove(row.key, now_ms)
+                self._log_backend("backend_removed", row, "gone")
+                continue
+            try:
+                entry = self._platform.decode_backend(row.key, row.value)
+            except RowDecodingError as exc:
+                _log_bad_row("backend server", row, exc)
+                backends.remove(row.key, now_ms)
+                continue
+            known = backends.rows.get(row.key)
+            if known is None or known.entry.draining != entry.draining:
+                state = "draining" if entry.draining else "ready"
+                self._log_backend("backend_changed", row, state)
+            backends.put(entry, now_ms)
+
+    def _apply_instance_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
+        for row in rows:
+            if row.value is None:
+                self.instances.remove(row.key)
+                continue
+            try:
+                self.instances.put(decode_instance(row.key, row.value), now_ms)
+            except RowDecodingError as exc:
+                _log_bad_row("entry instance", row, exc)
+        self.instances.heard(now_ms)
+        self.steering.set_instances(self.instances.live_ids())
+
+    def _log_backend(self, event: str, row: ReplicaRow, state: str) -> None:
+        log_event(
+            _log,
+            logging.INFO,
+            event,
+            "the registry changed the state of a backend server",
+            backend_id=row.key,
+            state=state,
+            row_version=row.version,
+        )
+
+
+def _log_bad_row(what: str, row: ReplicaRow, exc: Exception) -> None:
+    log_event(
+        _log,
+        logging.WARNING,
+        "row_unreadable",
+        f"a row of the store names no {what}",
+        key=row.key,
+        row_version=row.version,
+        error=str(exc),
+    )
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -0,0 +1,85 @@
+"""The interface between direct forwarding and the platform that it runs on."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import aiohttp
+from rhubarbwell_core.direct import BackendEntry, RoutingConfig
+from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_platform.services import MetadataStore
+
+from rhubarbwell_entry.direct.settings import DirectSettings
+
+__all__ = ["DirectPlatform", "LookUp", "RowDecodingError", "WireNames"]
+
+
+class RowDecodingError(RhubarbwellError):
+    """Tell why a row of the store cannot be read."""
+
+
+class WireNames(NamedTuple):
+    """Name the headers and tables that the platform uses.
+
+    signature marks an answer as a backend server's own; not_run marks an answer
+    that proves that the request did not run; object_cookie tells which object a
+    request concerns.
+    """
+
+    request_id: str
+    deadline: str
+    expected_backend: str
+    signature: str
+    load: str
+    not_run: str
+    cold_remaining: str
+    backend_id: str
+    object_cookie: str
+    operator_table: str
+    backend_table: str
+    instance_table: str
+
+
+class LookUp(NamedTuple):
+    """Tell where a caller that looks for entry instances is."""
+
+    zone: str
+    region: str
+
+
+class DirectPlatform(ABC):
+    """Translate a platform's names, formats and calls."""
+
+    names: WireNames
+    readiness_path: str
+    look_up_path: str
+
+    @abstractmethod
+    def read_settings(self) -> DirectSettings:
+        """Return the settings of the process as they are now."""
+
+    @abstractmethod
+    def open_store(
+        self, session: aiohttp.ClientSession, cfg: DirectSettings
+    ) -> MetadataStore:
+        """Return the metadata store of the settings."""
+
+    @abstractmethod
+    def decode_config(self, key: str, value: bytes) -> RoutingConfig | None:
+        """Return a configuration, None for another row; raise RowDecodingError."""
+
+    @abstractmethod
+    def evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that an operators' row evacuates, None for another row."""
+
+    @abstractmethod
+    def decode_backend(self, key: str, value: bytes) -> BackendEntry:
+        """Return a backend server's entry; raise RowDecodingError."""
+
+    @abstractmethod
+    def decode_look_up(self, query: Mapping[str, str]) -> LookUp:
+        """Return who asks for entry instances."""
+
+    @abstractmethod
+    def encode_look_up(self, addresses: list[str], ttl_ms: int) -> dict[str, object]:
+        """Return the body of the answer to a look-up."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -51,8 +51,9 @@
     that a late or doubled answer meets no other request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, attempt_header: str = ATTEMPT_HEADER) -> None:
         super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S)
+        self._attempt_header = attempt_header
         self._opened = WeakSet[ResponseHandler]()
         self._proofs = WeakKeyDictionary[ResponseHandler, _Proof]()
         self._users = WeakKeyDictionary[ResponseHandler, str]()
@@ -98,7 +99,7 @@
         self, req: "ClientRequest", traces: list["Trace"], timeout: "ClientTimeout"
     ) -> "Connection":
         """Return a proven connection of the allowed age, else a fresh one."""
-        attempt_id = req.headers[ATTEMPT_HEADER]
+        attempt_id = req.headers[self._attempt_header]
         max_age_s = self._max_ages_s[attempt_id]
         spared: list[Connection] = []
         try:
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/errors.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/errors.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AnswerLostError",
     "ConflictError",
+    "HistoryLostError",
     "MissingObjectError",
     "PlatformError",
     "UnavailableError",
@@ -37,3 +38,7 @@
     def __init__(self, key: str) -> None:
         super().__init__(f"there is no object {key!r}")
         self.key = key
+
+
+class HistoryLostError(PlatformError):
+    """Tell that the store no longer has the changes that were asked for."""
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -19,6 +19,7 @@
 from rhubarbwell_platform.errors import (
     AnswerLostError,
     ConflictError,
+    HistoryLostError,
     MissingObjectError,
     UnavailableError,
 )
@@ -114,12 +115,18 @@
         )
 
     async def call(
-        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        *,
+        wait_ms: int = 0,
     ) -> Any:
-        """Return the JSON answer of a call.
+        """Return the JSON answer of a call that may wait for wait_ms at the platform.
 
-        Raises UnavailableError, AnswerLostError (writes alone), ConflictError
-        and MissingObjectError.
+        Raises UnavailableError, AnswerLostError (writes alone), ConflictError,
+        MissingObjectError and HistoryLostError.
         """
         errors: tuple[type[Exception], ...] = (UnavailableError,)
         if kind is CallKind.IDEMPOTENT_WRITE:
@@ -130,30 +137,41 @@
             wait=self._wait,
             reraise=True,
         )
-        return await retrying(self._call_once, kind, method, path, body)
+        return await retrying(self._call_once, kind, method, path, body, wait_ms)
 
     async def _call_once(
-        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        wait_ms: int,
     ) -> Any:
         await self._limits.acquire(kind)
         if not self._breaker.allow(_now_ms()):
             raise UnavailableError("the circuit to the platform is open")
         try:
-            answer = await self._send(kind, method, path, body)
+            answer = await self._send(kind, method, path, body, wait_ms)
         except (UnavailableError, AnswerLostError):
             self._breaker.record_failure(_now_ms())
             raise
-        except (ConflictError, MissingObjectError):
+        except (ConflictError, HistoryLostError, MissingObjectError):
             self._breaker.record_success()
             raise
         self._breaker.record_success()
         return answer
 
     async def _send(
-        self, kind: CallKind, method: str, path: str, body: Mapping[str, Any] | None
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        wait_ms: int,
     ) -> Any:
         lost = UnavailableError if kind is CallKind.READ else AnswerLostError
-        timeout = aiohttp.ClientTimeout(total=self._options.timeout_ms / 1_000)
+        longest_ms = self._options.timeout_ms + wait_ms
+        timeout = aiohttp.ClientTimeout(total=longest_ms / 1_000)
         url = f"{self._base_url}{path}"
         try:
             async with self._session.request(
@@ -178,8 +196,10 @@
     body = await resp.json()
     if resp.status == 404:
         raise MissingObjectError(str(body["key"]))
-    if resp.status == 409:
-        raise ConflictError(str(body["key"]))
+    if resp.status == 410:
+        raise HistoryLostError("the platform no longer has the history")
+    if resp.status in (409, 412):
+        raise ConflictError(str(body.get("key", "")))
     if resp.status >= 400:
         raise UnavailableError(f"the platform refused the call: {body}")
     return body
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/services/metadata.py
@@ -0,0 +1,36 @@
+"""The metadata store: tables of rows whose changes can be followed."""
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from rhubarbwell_core.direct.replica import ReplicaUpdate
+
+__all__ = ["MetadataStore", "RowWrite"]
+
+
+class RowWrite(NamedTuple):
+    """Write a row, or delete it when the value is None."""
+
+    table: str
+    key: str
+    value: bytes | None
+
+
+class MetadataStore(ABC):
+    """Read tables, follow their changes and write rows."""
+
+    @abstractmethod
+    async def read_table(self, table: str) -> ReplicaUpdate:
+        """Return all rows of a table; raise UnavailableError."""
+
+    @abstractmethod
+    async def read_changes(self, table: str, after: int, wait_ms: int) -> ReplicaUpdate:
+        """Return the changes after a version, waiting up to wait_ms for one.
+
+        Raises UnavailableError, and HistoryLostError where the store no longer has
+        all changes after the version.
+        """
+
+    @abstractmethod
+    async def write(self, row: RowWrite) -> None:
+        """Write or delete a row; raise UnavailableError or AnswerLostError."""
