Expect cache hits by affinity position instead of learning work times by position

Cause: at the start every position of an order is cold, so each position in turn looked faster than the one just learned, and an instance warmed six copies of each object in each region. Ruled out: queueing (servers were under half used).

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/estimates.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/estimates.py
@@ -1,18 +1,21 @@
-"""Learned times: work by affinity position, and delays to zones."""
+"""Learned times: work with and without a cached object, and delays to zones."""
 
+from collections import OrderedDict
 from collections.abc import Mapping
+from math import sqrt
 
-__all__ = ["WorkTimes", "ZoneDelays"]
+__all__ = ["CacheEstimates", "ZoneDelays"]
 
-FIRST_WORK_MS = 150.0
-# Work on an object that a backend server does not hold, against one that it does.
-COLD_FACTOR = 2.5
-# Positions of an affinity order beyond this one share an estimate.
-POSITIONS = 8
-LEARNING_RATE = 0.1
-MIN_RATIO = 0.2
-MAX_RATIO = 20.0
-SLOWNESS_RATE = 0.25
+FIRST_WARM_MS = 120.0
+FIRST_COLD_MS = 360.0
+WORK_RATE = 0.05
+# Expected share of cache hits by affinity position, before any is learned.
+FIRST_HIT_SHARES = (0.9, 0.7, 0.5, 0.35, 0.25, 0.2)
+HIT_RATE = 0.05
+# A server that this instance itself gave an object lately most likely holds it.
+RECENT_HIT_SHARE = 0.95
+RECENT_MS = 15_000
+MAX_RECENT = 8_192
 
 SAME_ZONE_MS = 0.5
 SAME_REGION_MS = 8.0
@@ -20,38 +23,76 @@
 DELAY_RATE = 0.3
 
 
-class WorkTimes:
-    """Learn how long work takes, by route and affinity position.
+class CacheEstimates:
+    """Expect the work of a request from its object's place in affinity orders.
 
-    Positions that many requests use hold their objects in cache and are learned to
-    be fast, so that the choice keeps to them.
+    Work is short where the backend server holds the object and long where it does
+    not. Both times are learned for each route, and the share of hits for each
+    service, region and position.
 
-    >>> times = WorkTimes()
+    >>> estimates = CacheEstimates()
+    >>> first = estimates.expected_ms("r", "s", "a", 0)
+    >>> first < estimates.expected_ms("r", "s", "a", 1)
+    True
     >>> for _ in range(100):
-    ...     times.add("r", 0, 100.0)
-    >>> round(times.expected_ms("r", 0)) < times.expected_ms("r", 3)
+    ...     estimates.learn("r", "s", "a", 0, 300.0)
+    >>> estimates.expected_ms("r", "s", "a", 0) > first
     True
     """
 
     def __init__(self) -> None:
-        self._rows: dict[str, list[float]] = {}
-
-    def expected_ms(self, route: str, position: int) -> float:
-        """Return the expected time of work at a position of an affinity order."""
-        return self._row(route)[min(position, POSITIONS - 1)]
-
-    def add(self, route: str, position: int, work_ms: float) -> None:
-        """Learn from one answer."""
-        row = self._row(route)
-        index = min(position, POSITIONS - 1)
-        row[index] += LEARNING_RATE * (work_ms - row[index])
-
-    def _row(self, route: str) -> list[float]:
-        row = self._rows.get(route)
-        if row is None:
-            row = _first_row(FIRST_WORK_MS)
-            self._rows[route] = row
-        return row
+        self._work: dict[str, list[float]] = {}
+        self._hit_shares: dict[tuple[str, str], list[float]] = {}
+        self._recent: OrderedDict[tuple[str, str, str], int] = OrderedDict()
+
+    def expected_ms(
+        self,
+        route: str,
+        service: str,
+        region: str,
+        position: int,
+        *,
+        recent: bool = False,
+    ) -> float:
+        """Return the expected time of work on a request."""
+        warm_ms, cold_ms = self._times(route)
+        share = self._shares(service, region)[_index(position)]
+        if recent:
+            share = max(share, RECENT_HIT_SHARE)
+        return cold_ms + share * (warm_ms - cold_ms)
+
+    def learn(
+        self, route: str, service: str, region: str, position: int, work_ms: float
+    ) -> None:
+        """Learn from the time that a server took for a request."""
+        times = self._times(route)
+        is_hit = work_ms < sqrt(times[0] * times[1])
+        kind = 0 if is_hit else 1
+        times[kind] += WORK_RATE * (work_ms - times[kind])
+        shares = self._shares(service, region)
+        index = _index(position)
+        shares[index] += HIT_RATE * ((1.0 if is_hit else 0.0) - shares[index])
+
+    def sent(self, backend_id: str, route: str, object_key: str, now_ms: int) -> None:
+        """Remember that a server worked on an object."""
+        key = (backend_id, route, object_key)
+        self._recent[key] = now_ms
+        self._recent.move_to_end(key)
+        if len(self._recent) > MAX_RECENT:
+            self._recent.popitem(last=False)
+
+    def is_recent(
+        self, backend_id: str, route: str, object_key: str, now_ms: int
+    ) -> bool:
+        """Tell whether a server worked on an object lately for this instance."""
+        at_ms = self._recent.get((backend_id, route, object_key))
+        return at_ms is not None and now_ms - at_ms < RECENT_MS
+
+    def _times(self, route: str) -> list[float]:
+        return self._work.setdefault(route, [FIRST_WARM_MS, FIRST_COLD_MS])
+
+    def _shares(self, service: str, region: str) -> list[float]:
+        return self._hit_shares.setdefault((service, region), list(FIRST_HIT_SHARES))
 
 
 class ZoneDelays:
@@ -80,6 +121,5 @@
         self._rows[zone] = known + DELAY_RATE * (connect_ms - known)
 
 
-def _first_row(work_ms: float) -> list[float]:
-    step = (COLD_FACTOR - 1.0) / (POSITIONS - 1)
-    return [work_ms * (1.0 + step * position) for position in range(POSITIONS)]
+def _index(position: int) -> int:
+    return min(position, len(FIRST_HIT_SHARES) - 1)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -9,7 +9,7 @@
 from rhubarbwell_core.direct.backends import BackendTable
 from rhubarbwell_core.direct.budgets import RetryBudgetRule, SharedRetryBudget
 from rhubarbwell_core.direct.coldstart import ColdStartLimiter
-from rhubarbwell_core.direct.estimates import WorkTimes, ZoneDelays
+from rhubarbwell_core.direct.estimates import CacheEstimates, ZoneDelays
 from rhubarbwell_core.direct.judgement import AttemptResult, Verdict, judge
 from rhubarbwell_core.direct.model import Route, RoutingConfig
 from rhubarbwell_core.direct.requests import (
@@ -74,7 +74,7 @@
         self.routes: RouteTable | None = None
         self.backends = BackendTable(regions)
         self.delays = ZoneDelays(zone, regions)
-        self.work = WorkTimes()
+        self.cache = CacheEstimates()
         self.cold_starts = ColdStartLimiter(instance_id)
         self.retries = SharedRetryBudget(rules.retries)
         self._splits = WeightedSplits()
@@ -196,12 +196,17 @@
             state.cold_until_ms = now_ms + report.cold_ms
         result = report.result
         if result is AttemptResult.ANSWERED:
+            self.cache.sent(target.backend_id, req.route.name, req.object_key, now_ms)
             round_trip_ms = self.delays.round_trip_ms(target.zone)
             work_ms = max(report.latency_ms - round_trip_ms, 1.0)
             if target.load < state.entry.slots and not target.is_cold:
                 state.answered(now_ms, work_ms / max(target.work_ms, 1.0))
-                self.work.add(
-                    req.route.name, target.position, work_ms / state.work_ratio
+                self.cache.learn(
+                    req.route.name,
+                    req.service,
+                    state.region,
+                    target.position,
+                    work_ms / state.work_ratio,
                 )
             else:
                 state.answered(now_ms, None)
@@ -261,7 +266,15 @@
         state = placed.state
         entry = state.entry
         load = state.load(now_ms)
-        work_ms = self.work.expected_ms(req.route.name, placed.position)
+        work_ms = self.cache.expected_ms(
+            req.route.name,
+            req.service,
+            state.region,
+            placed.position,
+            recent=self.cache.is_recent(
+                entry.backend_id, req.route.name, req.object_key, now_ms
+            ),
+        )
         busy_ms = work_ms * state.work_ratio
         stalled_ms = state.oldest_wait_ms(now_ms)
         if stalled_ms > 2 * busy_ms:
