--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -298,6 +298,7 @@
             expected_ms,
             work_ms,
             load,
+            now_ms - state.reported_at_ms,
             state.cold_until_ms > now_ms,
         )
         return cost, target
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -0,0 +1,163 @@
+"""The attempts of one request until its end is known."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from aiohttp import web
+from rhubarbwell_core.direct import (
+    ActiveRequest,
+    AttemptResult,
+    DirectSteering,
+    Refusal,
+    Target,
+    Verdict,
+)
+
+from rhubarbwell_entry.direct.metrics import DirectMetrics
+from rhubarbwell_entry.direct.sending import Answer, AttemptOutcome, DirectSender
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["Forwarder", "RequestEnd", "RequestOutcome"]
+
+_log = logging.getLogger(__name__)
+
+# A caller that comes back at once would meet the same server's full queue.
+REFUSED_RETRY_MS = 50
+
+
+class RequestOutcome(Enum):
+    """Tell how a request ended; REFUSED promises that it did not run."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    TIMED_OUT = "timed_out"
+    REJECTED = "rejected"
+    CALLER_GONE = "caller_gone"
+
+
+class RequestEnd(NamedTuple):
+    """Hold what a caller is told."""
+
+    outcome: RequestOutcome
+    status: int
+    reason: str
+    retry_after_ms: int | None = None
+    answer: Answer | None = None
+
+
+class Forwarder:
+    """Send a request to one backend server after another until it has an end."""
+
+    def __init__(
+        self,
+        steering: DirectSteering,
+        sender: DirectSender,
+        metrics: DirectMetrics,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self._steering = steering
+        self._sender = sender
+        self._metrics = metrics
+        self._clock_ms = clock_ms
+
+    async def run(
+        self, req: ActiveRequest, request: web.BaseRequest, body: bytes
+    ) -> RequestEnd:
+        """Return how the request ended."""
+        failed: RequestEnd | None = None
+        while True:
+            choice = self._steering.choose(req, self._clock_ms())
+            if isinstance(choice, Refusal):
+                return failed or self._refuse(req, choice)
+            outcome, verdict = await self._attempt(req, choice, request, body)
+            if verdict is Verdict.DELIVER:
+                return _delivered(outcome)
+            if verdict is not Verdict.RETRY:
+                return failed or _undelivered(verdict, outcome.detail)
+            if outcome.answer is not None:
+                failed = _delivered(outcome)
+
+    async def _attempt(
+        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+    ) -> tuple[AttemptOutcome, Verdict]:
+        self._steering.started(req, target, self._clock_ms())
+        try:
+            outcome = await self._sender.send(req, target, request, body)
+        except asyncio.CancelledError:
+            self._steering.abandoned(req, target)
+            raise
+        report = outcome.report
+        verdict = self._steering.ended(req, target, report, self._clock_ms())
+        self._metrics.attempt_ended(target, report.result, verdict, report.latency_ms)
+        self._log_attempt(req, target, outcome, verdict)
+        return outcome, verdict
+
+    def _refuse(self, req: ActiveRequest, refusal: Refusal) -> RequestEnd:
+        reason = refusal.reason.value
+        log_event(
+            _log,
+            logging.WARNING,
+            "request_refused",
+            "no backend server gets the request",
+            request_id=req.request_id,
+            service=req.service,
+            reason=reason,
+            load=round(refusal.load, 2),
+            expected_ms=round(refusal.finish_ms),
+            remaining_ms=req.give_up_ms - self._clock_ms(),
+            attempts=req.attempts,
+            may_have_run=req.may_have_run,
+            registry_generation=self._steering.backends.generation,
+        )
+        if req.may_have_run:
+            detail = f"an attempt failed, then {reason}"
+            return RequestEnd(RequestOutcome.UNKNOWN, 502, detail)
+        pause_ms = max(refusal.retry_after_ms, REFUSED_RETRY_MS)
+        return RequestEnd(RequestOutcome.REFUSED, 503, reason, pause_ms)
+
+    def _log_attempt(
+        self,
+        req: ActiveRequest,
+        target: Target,
+        outcome: AttemptOutcome,
+        verdict: Verdict,
+    ) -> None:
+        answered = outcome.report.result is AttemptResult.ANSWERED
+        log_event(
+            _log,
+            logging.INFO if answered else logging.WARNING,
+            "attempt_answered" if answered else "attempt_failed",
+            outcome.detail,
+            request_id=req.request_id,
+            backend_id=target.backend_id,
+            service=target.service,
+            zone=target.zone,
+            attempt=req.attempts,
+            position=target.position,
+            load=round(target.load, 2),
+            load_age_ms=target.load_age_ms,
+            expected_ms=round(target.expected_ms),
+            latency_ms=outcome.report.latency_ms,
+            result=outcome.report.result.value,
+            verdict=verdict.value,
+        )
+
+
+def _delivered(outcome: AttemptOutcome) -> RequestEnd:
+    assert outcome.answer is not None
+    status = outcome.answer.status
+    return RequestEnd(
+        RequestOutcome.ANSWERED, status, outcome.detail, answer=outcome.answer
+    )
+
+
+def _undelivered(verdict: Verdict, detail: str) -> RequestEnd:
+    if verdict is Verdict.REFUSE:
+        return RequestEnd(RequestOutcome.REFUSED, 503, detail, REFUSED_RETRY_MS)
+    if verdict is Verdict.TIMEOUT:
+        return RequestEnd(RequestOutcome.TIMED_OUT, 504, detail)
+    return RequestEnd(RequestOutcome.UNKNOWN, 502, detail)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -3,26 +3,29 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random, SystemRandom
 
 import aiohttp
 from aiohttp import web
+from opentelemetry.metrics import Observation
 from rhubarbwell_core.direct import (
     DirectSteering,
     InstanceEntry,
     InstanceTable,
     SteeringRules,
 )
-from rhubarbwell_core.engine import TimerService
-from rhubarbwell_core.model import host_port
+from rhubarbwell_core.engine import Action, TimerService
+from rhubarbwell_core.model import Address, host_port
 from rhubarbwell_platform.errors import PlatformError
 from rhubarbwell_platform.services import RowWrite
 
 from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.direct.follower import FollowPlan, StoreHealth, TableFollower
+from rhubarbwell_entry.direct.forwarding import Forwarder
 from rhubarbwell_entry.direct.handler import DirectHandler
 from rhubarbwell_entry.direct.metrics import DirectMetrics
+from rhubarbwell_entry.direct.operators import OperatorAnswers
 from rhubarbwell_entry.direct.registrations import encode_instance
 from rhubarbwell_entry.direct.sending import DirectSender
 from rhubarbwell_entry.direct.settings import DirectSettings
@@ -34,11 +37,11 @@
 
 __all__ = ["DirectInstance"]
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 _log = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
-# A caller keeps a look-up's answer this long; some keep it three times as long.
-LOOK_UP_TTL_MS = 2_000
 CALLER_KEEPALIVE_S = 75.0
 MAX_HEADER_BYTES = 64 << 10
 BEAT_PERIOD_MS = 1_500
@@ -89,23 +92,30 @@
             self._rng,
         )
         self.state = FleetState(platform, self.steering, self.instances)
-        self.metrics = DirectMetrics()
+        self.metrics = DirectMetrics(settings)
+        self._add_gauges()
 
     @property
     def is_ready(self) -> bool:
         """Tell whether callers are to be sent here."""
         return self.state.is_configured and not self.leaving
 
+    @property
+    def _config_version(self) -> int:
+        config = self.steering.config
+        return config.version if config is not None else 0
+
     async def start(self) -> None:
         """Start the listeners and the background tasks."""
         self._session = aiohttp.ClientSession()
         self._store = self._platform.open_store(self._session, self.settings)
         self._health = StoreHealth(self._store_lost, self._store_regained)
         self._sender = DirectSender(self._platform.names, self._clock_ms)
+        forwarder = Forwarder(self.steering, self._sender, self.metrics, self._clock_ms)
         self.handler = DirectHandler(
             self._platform.names,
             self.steering,
-            self._sender,
+            forwarder,
             self.metrics,
             self._clock_ms,
         )
@@ -131,20 +141,23 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._sender.close()
+        self.metrics.close()
         await self._session.close()
         log_event(_log, logging.INFO, "instance_stopped", "entry instance stopped")
 
     async def _listen(self) -> None:
         cfg = self.settings
-        front = await self._serve(self.handler.handle, cfg.callers)
-        self._front = front
-        by_socket = {cfg.readiness, cfg.directory, cfg.control}
-        for address in by_socket:
-            await self._serve(self._answer_operator, address)
+        await self._listen_at(cfg.callers, self.handler.handle)
+        operators = OperatorAnswers(
+            self._platform, self.instances, self.metrics, lambda: self.is_ready
+        )
+        addresses = {cfg.readiness, cfg.directory, cfg.control, cfg.metrics}
+        for address in sorted(addresses):
+            await self._listen_at(address, operators.handle)
 
-    async def _serve(self, handler: Callable[..., object], address: tuple[str, int]):
+    async def _listen_at(self, address: Address, handle: Handler) -> None:
         server = web.Server(
-            handler,
+            handle,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=CALLER_KEEPALIVE_S,
@@ -154,11 +167,8 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await runner.setup()
-        sock = bind_address(address)
-        site = web.SockSite(runner, sock)
-        await site.start()
+        await web.SockSite(runner, bind_address(address)).start()
         self._runners.append(runner)
-        return site
 
     def _follow(self) -> None:
         names = self._platform.names
@@ -178,22 +188,6 @@
             )
             self._tasks.spawn(follower.run())
 
-    async def _answer_operator(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path == self._platform.readiness_path:
-            return web.Response(status=200 if self.is_ready else 503)
-        if request.path == self._platform.look_up_path:
-            return self._look_up(request)
-        return web.Response(status=404)
-
-    def _look_up(self, request: web.BaseRequest) -> web.Response:
-        asked = self._platform.decode_look_up(request.query)
-        offered = self.instances.offered(asked.zone, asked.region, self.is_ready)
-        if not offered:
-            return web.Response(status=503)
-        addresses = [host_port(address) for address in offered]
-        body = self._platform.encode_look_up(addresses, LOOK_UP_TTL_MS)
-        return web.json_response(body)
-
     async def _register(self) -> None:
         while True:
             await self.announce()
@@ -226,10 +220,39 @@
             due_ms = self._timers.next_due_ms() or self._clock_ms()
             await asyncio.sleep(max(due_ms - self._clock_ms(), 1) / 1_000)
 
-    def _advance(self, now_ms: int) -> list[object]:
+    def _advance(self, now_ms: int) -> Sequence[Action]:
         for backend_id in self.steering.backends.advance(now_ms):
             self.steering.cold_starts.forget(backend_id)
-        return []
+        return ()
+
+    def _add_gauges(self) -> None:
+        backends = self.steering.backends
+        self.metrics.add_gauge(
+            "rhubarbwell.backends.listed",
+            "{server}",
+            "Backend servers that the registry lists.",
+            lambda: [Observation(len(backends.rows))],
+        )
+        self.metrics.add_gauge(
+            "rhubarbwell.instances.live",
+            "{instance}",
+            "Entry instances that run, the own one included.",
+            lambda: [Observation(len(self.instances.live_ids()))],
+        )
+        self.metrics.add_gauge(
+            "rhubarbwell.config.version",
+            "{version}",
+            "Version of the configuration in force, 0 before the first.",
+            lambda: [
+                Observation(config.version if (config := self.steering.config) else 0)
+            ],
+        )
+        self.metrics.add_gauge(
+            "rhubarbwell.store.out",
+            "1",
+            "1 while the metadata store does not answer this instance.",
+            lambda: [Observation(int(self._health.is_out))],
+        )
 
     def _store_lost(self) -> None:
         self.steering.backends.store_lost(self._clock_ms())
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -9,6 +9,7 @@
 from aiomisc import Service, entrypoint
 
 from rhubarbwell_entry.direct.instance import DirectInstance
+from rhubarbwell_entry.direct.logsink import install_log_handler
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event
@@ -47,14 +48,13 @@
     except Exception as exc:
         print(exc, file=sys.stderr)
         raise SystemExit(2) from exc
+    install_log_handler()
     instance = DirectInstance(platform, settings)
     service = DirectService(instance=instance)
     try:
         with entrypoint(
             service,
-            log_level="info",
-            log_format="json",
-            log_buffering=False,
+            log_config=False,
             shutdown_timeout=settings.stop_max_ms / 1_000,
         ) as loop:
             loop.run_forever()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
@@ -1,14 +1,71 @@
 """OpenTelemetry metrics of direct forwarding."""
 
-from rhubarbwell_core.direct import Route
+from rhubarbwell_core.direct import ActiveRequest, AttemptResult, Target, Verdict
+
+from rhubarbwell_entry.direct.settings import DirectSettings
+from rhubarbwell_entry.metrics import MeterRegistry
 
 __all__ = ["DirectMetrics"]
 
+MS_PER_S = 1_000
+
+
+class DirectMetrics(MeterRegistry):
+    """Count requests by route and outcome, attempts by service and result.
 
-class DirectMetrics:
-    """Count what an entry instance does."""
+    Their number of series is bounded by the routes and services of the
+    configuration.
+    """
+
+    def __init__(self, settings: DirectSettings) -> None:
+        super().__init__(settings.instance_id, settings.zone, settings.region)
+        meter = self._meter
+        self._requests = meter.create_counter(
+            "rhubarbwell.requests", "{request}", "Ended requests by outcome."
+        )
+        self._latency = meter.create_histogram(
+            "rhubarbwell.request.duration",
+            "s",
+            "Time from a request's arrival to its end.",
+        )
+        self._attempts = meter.create_counter(
+            "rhubarbwell.attempts",
+            "{attempt}",
+            "Attempts at backend servers by how they ended.",
+        )
+        self._attempt_latency = meter.create_histogram(
+            "rhubarbwell.attempt.duration", "s", "Time from an attempt to its end."
+        )
 
     def request_ended(
-        self, route: Route, service: str, status: int, latency_ms: int
+        self, req: ActiveRequest, status: int, outcome: str, latency_ms: int
     ) -> None:
         """Count an ended request and its latency."""
+        route = req.route
+        self._requests.add(
+            1,
+            {
+                "route": route.name,
+                "kind": route.kind.value,
+                "status": status,
+                "outcome": outcome,
+            },
+        )
+        self._latency.record(latency_ms / MS_PER_S, {"route": route.name})
+
+    def attempt_ended(
+        self, target: Target, result: AttemptResult, verdict: Verdict, latency_ms: int
+    ) -> None:
+        """Count an ended attempt and its latency."""
+        self._attempts.add(
+            1,
+            {
+                "service": target.service,
+                "zone": target.zone,
+                "result": result.value,
+                "verdict": verdict.value,
+            },
+        )
+        self._attempt_latency.record(
+            latency_ms / MS_PER_S, {"service": target.service, "zone": target.zone}
+        )
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
@@ -0,0 +1,51 @@
+"""Answers to look-ups, readiness checks and requests for metrics."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from rhubarbwell_core.direct import InstanceTable
+from rhubarbwell_core.model import host_port
+
+from rhubarbwell_entry.direct.wire import DirectPlatform
+from rhubarbwell_entry.metrics import MeterRegistry
+
+__all__ = ["OperatorAnswers"]
+
+# A caller keeps a look-up's answer this long; some keep it three times as long.
+LOOK_UP_TTL_MS = 2_000
+METRICS_PATH = "/metrics"
+
+
+class OperatorAnswers:
+    """Answer what is asked of an instance itself."""
+
+    def __init__(
+        self,
+        platform: DirectPlatform,
+        instances: InstanceTable,
+        metrics: MeterRegistry,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._platform = platform
+        self._instances = instances
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the answer to a request."""
+        if request.path == self._platform.readiness_path:
+            return web.Response(status=200 if self._is_ready() else 503)
+        if request.path == self._platform.look_up_path:
+            return self._look_up(request)
+        if request.path == METRICS_PATH:
+            return web.Response(body=self._metrics.render(), content_type="text/plain")
+        return web.Response(status=404)
+
+    def _look_up(self, request: web.BaseRequest) -> web.Response:
+        asked = self._platform.decode_look_up(request.query)
+        offered = self._instances.offered(asked.zone, asked.region, self._is_ready())
+        if not offered:
+            return web.Response(status=503)
+        addresses = [host_port(address) for address in offered]
+        body = self._platform.encode_look_up(addresses, LOOK_UP_TTL_MS)
+        return web.json_response(body)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -25,6 +25,7 @@
     send_once,
 )
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
+from rhubarbwell_entry.proxy.relays import has_framing
 
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
@@ -122,6 +123,12 @@
                 )
             self._connector.prove(req.request_id)
             payload = await resp.read()
+            if not has_framing(resp) and self._connector.was_reset(req.request_id):
+                return self._failed(
+                    AttemptResult.BROKEN,
+                    "answer without a length was reset",
+                    started_ms,
+                )
             return self._judge(resp, payload, started_ms)
         finally:
             resp.close()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/metrics.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/metrics.py
@@ -11,29 +11,52 @@
 from rhubarbwell_core.burn import EndedRequest
 from rhubarbwell_core.model import Identity, rank_name
 
-__all__ = ["Gauge", "InstanceMetrics"]
+__all__ = ["Gauge", "InstanceMetrics", "MeterRegistry"]
 
 Gauge = Callable[[], Iterable[Observation]]
 MS_PER_S = 1_000
 
 
-class InstanceMetrics:
-    """Count what an entry instance does, apart from other instances' counts."""
+class MeterRegistry:
+    """Hold the meters of one entry instance, apart from other instances'."""
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self, instance_id: str, zone: str, region: str) -> None:
         self._registry = CollectorRegistry()
         reader = PrometheusMetricReader(registry=self._registry)
         resource = Resource.create(
             {
                 "service.name": "rhubarbwell-entry",
-                "service.instance.id": identity.instance_id,
-                "cloud.availability_zone": identity.zone,
-                "cloud.region": identity.region,
+                "service.instance.id": instance_id,
+                "cloud.availability_zone": zone,
+                "cloud.region": region,
             }
         )
         self._provider = MeterProvider([reader], resource=resource)
-        meter = self._provider.get_meter("rhubarbwell")
-        self._meter = meter
+        self._meter = self._provider.get_meter("rhubarbwell")
+
+    def add_gauge(self, name: str, unit: str, description: str, read: Gauge) -> None:
+        """Read a gauge whenever the metrics are asked for."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return read()
+
+        self._meter.create_observable_gauge(name, [observe], unit, description)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Stop collecting."""
+        self._provider.shutdown()
+
+
+class InstanceMetrics(MeterRegistry):
+    """Count what an entry instance does."""
+
+    def __init__(self, identity: Identity) -> None:
+        super().__init__(identity.instance_id, identity.zone, identity.region)
+        meter = self._meter
         self._requests = meter.create_counter(
             "rhubarbwell.requests", "{request}", "Ended requests by outcome."
         )
@@ -70,19 +93,3 @@
     def config_alarm_met(self, alarm: ConfigurationAlarm) -> None:
         """Count an alarm on the configuration."""
         self._alarms.add(1, {"kind": alarm.kind.value})
-
-    def add_gauge(self, name: str, unit: str, description: str, read: Gauge) -> None:
-        """Read a gauge whenever the metrics are asked for."""
-
-        def observe(_: CallbackOptions) -> Iterable[Observation]:
-            return read()
-
-        self._meter.create_observable_gauge(name, [observe], unit, description)
-
-    def render(self) -> bytes:
-        """Return all metrics in the text format of Prometheus."""
-        return generate_latest(self._registry)
-
-    def close(self) -> None:
-        """Stop collecting."""
-        self._provider.shutdown()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -1,5 +1,6 @@
 """Connections to backend servers that are fresh or have proven themselves."""
 
+import asyncio
 import time
 from typing import TYPE_CHECKING, NamedTuple
 from weakref import WeakKeyDictionary, WeakSet
@@ -59,6 +60,7 @@
         self._users = WeakKeyDictionary[ResponseHandler, str]()
         self._max_ages_s: dict[str, float] = {}
         self._in_use: dict[str, AttemptConnection] = {}
+        self._closings = WeakKeyDictionary[ResponseHandler, asyncio.Future[None]]()
 
     def expect(self, attempt_id: str, *, idempotent: bool, fresh: bool) -> None:
         """Set which connections an attempt may use before it is sent."""
@@ -79,6 +81,12 @@
         """Return how many connections have been opened and still exist."""
         return len(self._opened)
 
+    def was_reset(self, attempt_id: str) -> bool:
+        """Tell whether the attempt's connection ended by a reset."""
+        used = self._in_use.get(attempt_id)
+        closing = None if used is None else self._closings.get(used.protocol)
+        return closing is not None and closing.done() and _failure(closing) is not None
+
     def forget(self, attempt_id: str) -> None:
         """Forget an attempt that has ended."""
         self._max_ages_s.pop(attempt_id, None)
@@ -118,6 +126,10 @@
             for other in spared:
                 other.release()
         self._opened.add(protocol)
+        if fresh and (closing := protocol.closed) is not None:
+            # A failure that nobody asks for is no error of the program.
+            closing.add_done_callback(_failure)
+            self._closings[protocol] = closing
         address = Address(req.url.host or "", req.url.port or 0)
         self._in_use[attempt_id] = AttemptConnection(protocol, address, fresh)
         self._users[protocol] = attempt_id
@@ -135,6 +147,10 @@
         return time.monotonic() - proof.at_s <= max_age_s
 
 
+def _failure(closing: asyncio.Future[None]) -> BaseException | None:
+    return None if closing.cancelled() else closing.exception()
+
+
 class _Proof(NamedTuple):
     address: Address
     at_s: float
--- /dev/null
+++ b/tests/core/direct/test_judgement.py
@@ -0,0 +1,32 @@
+"""What follows from each end of an attempt, as a table."""
+
+import pytest
+from rhubarbwell_core.direct import AttemptResult as R
+from rhubarbwell_core.direct import Verdict as V
+from rhubarbwell_core.direct import judge
+
+ROWS = [
+    # result, idempotent, may have run, may retry, verdict
+    (R.ANSWERED, False, False, True, V.DELIVER),
+    (R.SERVER_ERROR, False, False, True, V.DELIVER),
+    (R.SERVER_ERROR, True, False, True, V.RETRY),
+    (R.SERVER_ERROR, True, False, False, V.DELIVER),
+    (R.NOT_SENT, False, False, True, V.RETRY),
+    (R.NOT_SENT, False, False, False, V.REFUSE),
+    (R.NOT_RUN, False, False, True, V.RETRY),
+    (R.NOT_RUN, False, False, False, V.REFUSE),
+    (R.NOT_RUN, True, True, False, V.UNKNOWN),
+    (R.BROKEN, False, False, True, V.UNKNOWN),
+    (R.BROKEN, True, False, True, V.RETRY),
+    (R.BROKEN, True, False, False, V.UNKNOWN),
+    (R.TIMED_OUT, True, False, True, V.TIMEOUT),
+    (R.TIMED_OUT, False, False, True, V.TIMEOUT),
+]
+
+
+@pytest.mark.parametrize("result, idempotent, ran, retry, verdict", ROWS)
+def test_verdict(result, idempotent, ran, retry, verdict):
+    assert (
+        judge(result, is_idempotent=idempotent, may_have_run=ran, may_retry=retry)
+        is verdict
+    )
--- /dev/null
+++ b/tests/core/direct/test_loads.py
@@ -0,0 +1,92 @@
+"""Patterns of load that a fleet of instances has to serve together."""
+
+from collections import Counter
+
+from rhubarbwell_core.direct import RequestKind
+from support.direct_fleet import DirectFleet, Load, Work, read_route
+
+REGIONS = {"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c", "c-2": "c"}
+# A third of the callers, a ninth of the servers.
+SMALL_REGION = {"a-1": 1, "a-2": 1, "b-1": 4, "b-2": 4, "c-1": 4, "c-2": 4}
+
+
+def even_load(per_s, **fields):
+    return [Load(zone, per_s / len(REGIONS), **fields) for zone in REGIONS]
+
+
+def test_objects_meet_servers_that_hold_them():
+    """Work without caches is 1.6 times the slots; with them it is half of them."""
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12)
+    fleet.run(even_load(240.0, to_ms=30_000))
+    assert fleet.hit_share() > 0.9
+    assert fleet.share(from_ms=10_000) > 0.85
+
+
+def test_region_with_a_third_of_the_callers_and_a_ninth_of_the_slots():
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12)
+    fleet.run(even_load(200.0, to_ms=30_000))
+    for zone in ("a-1", "a-2"):
+        assert fleet.share(zone=zone, from_ms=10_000) > 0.7
+    answered = [row for row in fleet.ended if row.status == 200]
+    assert len(answered) > 0.95 * len(fleet.ended)
+
+
+def test_hot_object_is_spread_over_more_than_one_server():
+    """One object alone asks for more than one server's slots."""
+    fleet = DirectFleet(REGIONS, SMALL_REGION, work=Work(objects=1))
+    fleet.run(even_load(60.0))
+    assert len([n for n in fleet.sends.values() if n > 20]) >= 2
+    assert fleet.share(from_ms=3_000) > 0.9
+
+
+def test_half_of_a_service_slow_by_twelve():
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12)
+    names = sorted(fleet.servers)[::2]
+
+    def slow_down(_now_ms):
+        for name in names:
+            fleet.servers[name].slowness = 12.0
+
+    fleet.at(10_000, slow_down)
+    fleet.run(even_load(90.0, to_ms=25_000))
+    late = [row for row in fleet.ended if row.at_ms > 15_000]
+    answered = [row for row in late if row.status == 200]
+    assert len(answered) > 0.8 * len(late)
+
+
+def test_servers_that_shed_half_of_what_reaches_them():
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12)
+    for server in list(fleet.servers.values())[:6]:
+        server.shed_share = 0.45
+    fleet.run(even_load(90.0))
+    answered = [row for row in fleet.ended if row.status == 200]
+    assert len(answered) > 0.95 * len(fleet.ended)
+
+
+def test_dead_servers_are_left_out_at_once():
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12)
+
+    def kill(_now_ms):
+        for name in ("b-4", "b-12"):
+            fleet.servers[name].down = True
+
+    fleet.at(10_000, kill)
+    fleet.run(even_load(90.0))
+    statuses = Counter(row.status for row in fleet.ended if row.at_ms > 10_000)
+    assert statuses[200] > 0.97 * statuses.total()
+
+
+def test_flood_of_the_least_urgent_kind_leaves_the_urgent_one_served():
+    urgent = read_route("urgent", priority=0)
+    bulk = read_route("bulk", kind=RequestKind.UPLOAD, priority=2, objective_ms=800)
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12, routes=(urgent, bulk))
+    loads = even_load(60.0, route="urgent") + even_load(600.0, route="bulk")
+    fleet.run(loads)
+    rows = [row for row in fleet.ended if row.at_ms > 5_000]
+    served = Counter(row.route for row in rows if row.status == 200)
+    asked = Counter(row.route for row in rows)
+    assert served["urgent"] / asked["urgent"] > 0.9
+    refused = [r for r in rows if r.route == "bulk" and r.status == 503]
+    assert refused
+    # A refusal that needed no answer of a server comes at once.
+    assert sorted(r.latency_ms for r in refused)[len(refused) // 2] < 150
--- /dev/null
+++ b/tests/entry/direct/test_instance.py
@@ -0,0 +1,387 @@
+"""An entry instance in direct forwarding against stand-ins, over HTTP."""
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+from rhubarbwell_entry.direct.instance import DirectInstance
+from rhubarbwell_entry.direct.shutdown import DirectShutdown
+from support.users_platform import (
+    StoreStandIn,
+    TestPlatform,
+    UsersBackend,
+    config_body,
+    make_settings,
+)
+
+WAIT_S = 10.0
+HANG_S = 3.0
+
+
+class Fleet:
+    """Hold a store, backend servers, one instance and a caller."""
+
+    def __init__(self, store, backends, instance, session):
+        self.store = store
+        self.backends = backends
+        self.instance = instance
+        self.session = session
+        self._next_id = 0
+
+    def url(self, path):
+        cfg = self.instance.settings
+        return f"http://{cfg.callers.host}:{cfg.callers.port}{path}"
+
+    async def ask(self, path="/read/x", method="GET", data=None, **headers):
+        self._next_id += 1
+        request_id = f"req-{self._next_id}"
+        sent = {
+            "Host": "h.example",
+            "X-Rhubarbwell-Request-Id": request_id,
+            "X-Rhubarbwell-Request-Deadline": "2000",
+            **headers,
+        }
+        async with self.session.request(
+            method, self.url(path), data=data, headers=sent
+        ) as resp:
+            body = await resp.read()
+            return resp, body
+
+    async def operator(self, address, path):
+        url = f"http://{address.host}:{address.port}{path}"
+        async with self.session.get(url) as resp:
+            text = await resp.text()
+            return resp.status, text
+
+
+async def until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def free_ports(number):
+    socks = [socket.socket() for _ in range(number)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+@asynccontextmanager
+async def running(backends=2, *, config=True):
+    store = StoreStandIn()
+    await store.start()
+    servers = [UsersBackend(f"b-{n}") for n in range(backends)]
+    for server in servers:
+        await server.start()
+        await store.write("servers", server.backend_id, server.entry())
+    if config:
+        await store.write("op", "config", config_body())
+    settings = make_settings(store.address, free_ports(5))
+    instance = DirectInstance(TestPlatform(settings), settings)
+    await instance.start()
+    async with aiohttp.ClientSession() as session:
+        fleet = Fleet(store, servers, instance, session)
+        if config:
+            await until(lambda: instance.is_ready)
+            await until(lambda: len(instance.steering.backends.rows) == backends)
+        try:
+            yield fleet
+        finally:
+            await instance.stop()
+            for server in servers:
+                await server.stop()
+            await store.stop()
+
+
+async def test_request_reaches_a_server_unchanged_and_its_answer_returns():
+    async with running() as fleet:
+        resp, body = await fleet.ask("/pay/a%2Fb?q=%20", "POST", b"body")
+        assert (resp.status, body) == (200, b"echo:body")
+        assert resp.headers["X-Rhubarbwell-Server-Stamp"] == "3e1b.07"
+        ((method, path, headers, sent),) = [
+            seen for server in fleet.backends for seen in server.seen
+        ]
+        assert (method, path, sent) == ("POST", "/pay/a%2Fb?q=%20", b"body")
+        assert headers["X-Rhubarbwell-Request-Id"] == "req-1"
+        assert headers["Host"] == "h.example"
+        assert int(headers["X-Rhubarbwell-Request-Deadline"]) <= 1_000
+        assert headers["X-Rhubarbwell-Expect-Instance"] in ("b-0", "b-1")
+
+
+async def test_unknown_route_is_404_and_no_configuration_503():
+    async with running() as fleet:
+        resp, _ = await fleet.ask("/other/")
+        assert resp.status == 404
+    async with running(config=False) as fleet:
+        resp, _ = await fleet.ask()
+        assert resp.status == 503
+        assert float(resp.headers["Retry-After"]) > 0
+
+
+async def test_look_up_and_readiness():
+    async with running() as fleet:
+        cfg = fleet.instance.settings
+        status, _ = await fleet.operator(cfg.readiness, "/rhubarbwell/readiness")
+        assert status == 200
+        query = "/rhubarbwell/resolve?name=h.example&region=a&zone=a-1"
+        status, text = await fleet.operator(cfg.directory, query)
+        assert status == 200
+        assert f'"{cfg.callers.host}:{cfg.callers.port}"' in text
+        assert '"ttl": "2000ms"' in text
+
+
+async def test_refused_unsafe_request_is_tried_at_another_server():
+    async with running() as fleet:
+
+        async def shed(request):
+            return web.Response(
+                status=503,
+                headers={
+                    "X-Rhubarbwell-Not-Executed": "1",
+                    "X-Rhubarbwell-Request-Id": request.headers[
+                        "X-Rhubarbwell-Request-Id"
+                    ],
+                },
+            )
+
+        fleet.backends[0].behave = shed
+        for _ in range(4):
+            resp, _ = await fleet.ask("/pay/x", "POST", b"1")
+            assert resp.status == 200
+
+
+async def crossed(request):
+    return web.Response(
+        body=b"another's",
+        headers={
+            "X-Rhubarbwell-Request-Id": "someone-else",
+            "X-Rhubarbwell-Server-Stamp": "s",
+        },
+    )
+
+
+async def unsigned(request):
+    request_id = request.headers["X-Rhubarbwell-Request-Id"]
+    return web.Response(body=b"x", headers={"X-Rhubarbwell-Request-Id": request_id})
+
+
+async def encoded(request):
+    request_id = request.headers["X-Rhubarbwell-Request-Id"]
+    headers = {
+        "X-Rhubarbwell-Request-Id": request_id,
+        "X-Rhubarbwell-Server-Stamp": "s",
+        "Content-Encoding": "gzip",
+    }
+    return web.Response(body=b"x", headers=headers)
+
+
+async def cut_short(request):
+    request_id = request.headers["X-Rhubarbwell-Request-Id"]
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+        f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
+        "X-Rhubarbwell-Server-Stamp: s\r\n\r\nhalf"
+    )
+    request.transport.write(head.encode())
+    request.transport.close()
+    return web.Response()
+
+
+async def reset_without_length(request):
+    request_id = request.headers["X-Rhubarbwell-Request-Id"]
+    head = (
+        f"HTTP/1.1 200 OK\r\nX-Rhubarbwell-Request-Id: {request_id}\r\n"
+        "X-Rhubarbwell-Server-Stamp: s\r\n\r\nhalf"
+    )
+    request.transport.write(head.encode())
+    await asyncio.sleep(0.05)
+    linger = struct.pack("ii", 1, 0)
+    sock = request.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+    return web.Response()
+
+
+async def no_answer(request):
+    request.transport.abort()
+    return web.Response()
+
+
+@pytest.mark.parametrize(
+    "behave",
+    [crossed, unsigned, encoded, cut_short, reset_without_length, no_answer],
+    ids=lambda f: f.__name__,
+)
+async def test_answer_that_is_not_the_servers_own_is_unknown_and_sent_once(behave):
+    async with running() as fleet:
+        for server in fleet.backends:
+            server.behave = behave
+        resp, _ = await fleet.ask("/pay/x", "POST", b"1")
+        assert resp.status == 502
+        assert "X-Rhubarbwell-Server-Stamp" not in resp.headers
+        assert sum(len(server.seen) for server in fleet.backends) == 1
+
+
+async def test_safe_request_is_repeated_after_a_broken_answer():
+    async with running() as fleet:
+        fleet.backends[0].behave = cut_short
+        for _ in range(6):
+            resp, _ = await fleet.ask()
+            assert resp.status == 200
+
+
+async def test_whole_answer_without_a_length_is_delivered():
+    async with running(1) as fleet:
+
+        async def unframed(request):
+            request_id = request.headers["X-Rhubarbwell-Request-Id"]
+            head = (
+                f"HTTP/1.1 200 OK\r\nX-Rhubarbwell-Request-Id: {request_id}\r\n"
+                "X-Rhubarbwell-Server-Stamp: s\r\n\r\nwhole"
+            )
+            request.transport.write(head.encode())
+            request.transport.close()
+            return web.Response()
+
+        fleet.backends[0].behave = unframed
+        resp, body = await fleet.ask("/pay/x", "POST", b"1")
+        assert (resp.status, body) == (200, b"whole")
+
+
+async def test_route_timeout_ends_a_request():
+    async with running(1) as fleet:
+
+        async def hang(request):
+            await asyncio.sleep(HANG_S)
+            return web.Response()
+
+        fleet.backends[0].behave = hang
+        resp, _ = await fleet.ask()
+        assert resp.status == 504
+
+
+async def test_error_of_a_server_is_passed_on_whole():
+    async with running(1) as fleet:
+
+        async def fail(request):
+            return fleet.backends[0].answer(request, status=500, body=b"sorry")
+
+        fleet.backends[0].behave = fail
+        resp, body = await fleet.ask("/pay/x", "POST", b"1")
+        assert (resp.status, body) == (500, b"sorry")
+        assert "X-Rhubarbwell-Server-Stamp" in resp.headers
+
+
+async def test_draining_server_gets_nothing_more():
+    async with running() as fleet:
+        leaving = fleet.backends[0]
+        await fleet.store.write("servers", "b-0", leaving.entry(state="draining"))
+        table = fleet.instance.steering.backends
+        await until(lambda: table.rows["b-0"].entry.draining)
+        leaving.seen.clear()
+        for number in range(8):
+            cookie = f"X-Rhubarbwell-Affinity-Key={number}"
+            resp, _ = await fleet.ask(Cookie=cookie)
+            assert resp.status == 200
+        assert leaving.seen == []
+
+
+async def test_unreadable_entry_disturbs_no_other():
+    async with running() as fleet:
+        await fleet.store.write("servers", "b-9", b"\xff")
+        await fleet.store.write("servers", "b-1", {"state": "asleep"})
+        table = fleet.instance.steering.backends
+        await until(lambda: "b-1" not in table.rows)
+        resp, _ = await fleet.ask()
+        assert resp.status == 200
+
+
+async def test_configuration_never_goes_back():
+    async with running() as fleet:
+        steering = fleet.instance.steering
+        await fleet.store.write("op", "config", config_body(5, timeout="500ms"))
+        await until(lambda: steering.config.version == 5)
+        await fleet.store.write("op", "config", config_body(4))
+        await fleet.store.write("op", "evacuate/a-2", {})
+        await until(lambda: "a-2" in steering.backends.evacuated)
+        assert steering.config.version == 5
+
+
+async def test_history_that_is_gone_is_read_anew():
+    async with running() as fleet:
+        fleet.store.first_kept = fleet.store.version + 10
+        fleet.store.version += 20
+        await fleet.store.write("op", "config", config_body(9))
+        await until(lambda: fleet.instance.steering.config.version == 9)
+
+
+async def test_requests_are_served_while_the_store_is_out():
+    async with running() as fleet:
+
+        async def out(request):
+            return web.Response(status=503)
+
+        fleet.store.fault = out
+        await until(lambda: fleet.instance._health.is_out)
+        resp, _ = await fleet.ask()
+        assert resp.status == 200
+        fleet.store.fault = None
+        await until(lambda: not fleet.instance._health.is_out)
+
+
+async def test_stop_serves_what_runs_and_tells_the_registry():
+    async with running(1) as fleet:
+        release = asyncio.Event()
+
+        async def slow(request):
+            await release.wait()
+            return fleet.backends[0].answer(request)
+
+        fleet.backends[0].behave = slow
+        asked = asyncio.create_task(fleet.ask())
+        await until(lambda: fleet.backends[0].seen)
+        stopping = asyncio.create_task(DirectShutdown(fleet.instance).run())
+        await until(lambda: fleet.instance.leaving)
+        release.set()
+        resp, _ = await asked
+        assert resp.status == 200
+        assert resp.headers["Connection"] == "close"
+        await stopping
+        row = fleet.store.value("instances", "i-1")
+        assert row["leaving"] is True
+
+
+async def test_caller_that_leaves_frees_its_server():
+    async with running(1) as fleet:
+        gone = asyncio.Event()
+
+        async def hang(request):
+            try:
+                await asyncio.sleep(HANG_S)
+            finally:
+                gone.set()
+            return web.Response()
+
+        fleet.backends[0].behave = hang
+        asked = asyncio.create_task(fleet.ask())
+        await until(lambda: fleet.backends[0].seen)
+        asked.cancel()
+        state = fleet.instance.steering.backends.rows["b-0"]
+        await until(lambda: state.in_flight == 0)
+
+
+async def test_metrics_count_requests_and_attempts():
+    async with running() as fleet:
+        await fleet.ask()
+        _, text = await fleet.operator(fleet.instance.settings.metrics, "/metrics")
+        assert "rhubarbwell_requests" in text
+        assert "rhubarbwell_attempt_duration" in text
+        assert 'outcome="answered"' in text
--- /dev/null
+++ b/tests/support/users_platform.py
@@ -0,0 +1,265 @@
+"""Stand-ins of the users' store and of a backend server, spoken to over HTTP."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from rhubarbwell_core.direct import RetryBudgetRule
+from rhubarbwell_core.model import Address, host_port
+from rhubarbwell_entry.direct.settings import DirectSettings
+from rhubarbwell_platform.http import ClientOptions
+from rhubarbwell_wire.adapter import UsersPlatform
+
+__all__ = ["StoreStandIn", "UsersBackend", "config_body", "make_settings"]
+
+LOOPBACK = "127.0.0.1"
+
+
+class Served:
+    """Serve a handler on a loopback port."""
+
+    async def start(self) -> None:
+        server = web.Server(self.handle, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, LOOPBACK, 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = Address(host, port)
+
+    async def stop(self) -> None:
+        await self._runner.cleanup()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+
+class StoreStandIn(Served):
+    """Keep rows in memory; `fault` answers a call in place of the store."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.first_kept = 0
+        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self.calls: list[str] = []
+        self.fault: Callable[[web.BaseRequest], Awaitable[web.Response | None]] | None
+        self.fault = None
+        self._changed = asyncio.Condition()
+
+    async def write(self, table: str, key: str, value: Any) -> None:
+        """Write a row as an operator or a backend server would; None deletes it."""
+        async with self._changed:
+            self.version += 1
+            data = value if isinstance(value, bytes | None) else _encode(value)
+            self.rows[table, key] = self.version, data
+            self._changed.notify_all()
+
+    def value(self, table: str, key: str) -> Any:
+        """Return a row's decoded value, None without one."""
+        row = self.rows.get((table, key))
+        return None if row is None or row[1] is None else json.loads(row[1])
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        call = request.path.rpartition("/")[2]
+        self.calls.append(call)
+        if self.fault is not None:
+            answer = await self.fault(request)
+            if answer is not None:
+                return answer
+        if call == "rows-get":
+            return self._answer(self._listed(request.query["table"]))
+        if call == "rows-feed":
+            return await self._feed(request)
+        return await self._transact(await request.json())
+
+    def _listed(self, table: str) -> list[dict[str, Any]]:
+        rows = [
+            _row(name, key, version, value)
+            for (name, key), (version, value) in sorted(self.rows.items())
+            if name == table and value is not None
+        ]
+        return rows
+
+    async def _feed(self, request: web.BaseRequest) -> web.Response:
+        table, after = request.query["table"], int(request.query["after"])
+        if after < self.first_kept:
+            return web.Response(status=410)
+        wait_s = int(request.query["waitMs"]) / 1_000
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait_for(lambda: self._since(table, after))
+            except TimeoutError:
+                pass
+        return self._answer(self._since(table, after))
+
+    def _since(self, table: str, after: int) -> list[dict[str, Any]]:
+        found = [
+            _row(name, key, version, value)
+            for (name, key), (version, value) in self.rows.items()
+            if name == table and version > after
+        ]
+        return sorted(found, key=lambda row: row["rowVersion"])
+
+    async def _transact(self, body: dict[str, Any]) -> web.Response:
+        for item in body["writes"]:
+            value = base64.b64decode(item["value"])
+            await self.write(item["table"], item["key"], value)
+        for item in body["remove"]:
+            await self.write(item["table"], item["key"], None)
+        return web.json_response({"rowVersion": self.version, "now": "1ms"})
+
+    def _answer(self, rows: list[dict[str, Any]]) -> web.Response:
+        body = {"rows": rows, "hasMore": False, "rowVersion": self.version}
+        return web.json_response({**body, "now": "1ms"})
+
+
+class UsersBackend(Served):
+    """Answer requests as a backend server; `behave` may answer in its place."""
+
+    def __init__(
+        self, backend_id: str, service: str = "svc", zone: str = "a-1"
+    ) -> None:
+        self.backend_id = backend_id
+        self.service = service
+        self.zone = zone
+        self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.behave: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] | None
+        self.behave = None
+
+    def entry(self, **fields: Any) -> dict[str, Any]:
+        """Return the server's registry entry."""
+        return {
+            "service": self.service,
+            "address": host_port(self.address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "coldRemaining": "0ms",
+            "sequence": 1,
+            **fields,
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get("X-Rhubarbwell-Expect-Instance")
+        if expected not in (None, self.backend_id):
+            return web.Response(
+                status=421, headers={"X-Rhubarbwell-Instance-Id": self.backend_id}
+            )
+        body = await request.read()
+        headers = dict(request.headers)
+        self.seen.append((request.method, request.raw_path, headers, body))
+        if self.behave is not None:
+            return await self.behave(request)
+        return self.answer(request, body=b"echo:" + body)
+
+    def answer(
+        self, request: web.BaseRequest, *, status: int = 200, body: bytes = b"ok"
+    ) -> web.Response:
+        """Return a signed answer to a request."""
+        headers = {
+            "X-Rhubarbwell-Request-Id": request.headers["X-Rhubarbwell-Request-Id"],
+            "X-Rhubarbwell-Server-Stamp": "3e1b.07",
+            "X-Rhubarbwell-Server-Load": "1,0,3",
+        }
+        return web.Response(status=status, body=body, headers=headers)
+
+
+class TestPlatform(UsersPlatform):
+    """The users' platform with settings given by a test."""
+
+    __test__ = False
+
+    def __init__(self, settings: DirectSettings) -> None:
+        self._settings = settings
+
+    def read_settings(self) -> DirectSettings:
+        return self._settings
+
+
+def config_body(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with one safe and one unsafe route to svc."""
+    kinds = {"/read/": "safe", "/pay/": "unsafe"}
+    routes = [
+        {
+            "resourceKind": "routes",
+            "metadata": {"name": f"r{prefix.replace('/', '-')}"},
+            "spec": {
+                "host": "h.example",
+                "prefix": prefix,
+                "kind": kind,
+                "timeout": "1s",
+                "targetLatency": "300ms",
+                "priority": 1,
+                "service": "svc",
+                "maxAttempts": 2,
+                "sticky": True,
+                "homeRegions": [],
+                **changes,
+            },
+        }
+        for prefix, kind in kinds.items()
+    ]
+    service = {
+        "resourceKind": "services",
+        "metadata": {"name": "svc"},
+        "spec": {
+            "healthPath": "/health",
+            "maxConnections": 390,
+            "coldStart": "3s",
+            "coldPerS": 6.8,
+        },
+    }
+    limits = {
+        "resourceKind": "limits",
+        "metadata": {},
+        "spec": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1 << 20,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+    }
+    return {"version": version, "resources": [*routes, service, limits]}
+
+
+def make_settings(
+    store: Address, ports: list[int], *, name: str = "i-1", zone: str = "a-1"
+) -> DirectSettings:
+    """Return settings whose listeners use the ports."""
+    addresses = [Address(LOOPBACK, port) for port in ports]
+    callers, readiness, control, directory, metrics = addresses
+    return DirectSettings(
+        name,
+        zone,
+        {"a-1": "a", "a-2": "a", "b-1": "b"},
+        callers,
+        readiness,
+        control,
+        directory,
+        metrics,
+        store,
+        ClientOptions(timeout_ms=800, max_tries=1, failures_to_open=1_000_000),
+        RetryBudgetRule(0.2, 62.0, 10_000),
+        stop_max_ms=1_000,
+    )
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def _row(table: str, key: str, version: int, value: bytes | None) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "table": table,
+        "part": "",
+        "key": key,
+        "rowVersion": version,
+    }
+    if value is None:
+        return {**row, "deleted": True}
+    return {**row, "value": base64.b64encode(value).decode()}
--- /dev/null
+++ b/tests/wire/test_records.py
@@ -0,0 +1,97 @@
+"""Rows of the users' store, good and bad."""
+
+import json
+import platform as standard_platform
+
+import pytest
+from rhubarbwell_core.direct import RequestKind
+from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.wire import RowDecodingError
+from rhubarbwell_wire.adapter import UsersPlatform
+from support.users_platform import config_body
+
+ENTRY = {
+    "service": "svc",
+    "address": "10.128.0.9:8080",
+    "zone": "a-1",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldRemaining": "1.5s",
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def test_folder_leaves_the_standard_module_alone():
+    assert standard_platform.python_implementation()
+
+
+def test_backend_entry():
+    entry = UsersPlatform().decode_backend("i-1", json.dumps(ENTRY).encode())
+    assert entry.address == Address("10.128.0.9", 8080)
+    assert (entry.cold_ms, entry.slots, entry.draining) == (1_500, 3, False)
+    assert entry.born_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"service": 7},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.9:0"},
+        {"address": ["10.128.0.9", 8080]},
+        {"zone": ""},
+        {"slots": "3"},
+        {"slots": 0},
+        {"slots": True},
+        {"slots": float("nan")},
+        {"state": "asleep"},
+        {"coldRemaining": 1500},
+        {"coldRemaining": "soon"},
+        {"born": "today"},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(changes):
+    data = json.dumps({**ENTRY, **changes}).encode()
+    with pytest.raises(RowDecodingError):
+        UsersPlatform().decode_backend("i-1", data)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b"null", b'{"a"'])
+def test_unreadable_entry_names_no_server(data):
+    with pytest.raises(RowDecodingError):
+        UsersPlatform().decode_backend("i-1", data)
+
+
+def test_configuration():
+    data = json.dumps(config_body(7)).encode()
+    config = UsersPlatform().decode_config("config", data)
+    assert config.version == 7
+    safe, unsafe = config.routes
+    assert (safe.kind, unsafe.kind) == (RequestKind.SAFE, RequestKind.UNSAFE)
+    assert (safe.timeout_ms, safe.objective_ms, safe.max_attempts) == (1_000, 300, 2)
+    assert config.services["svc"].cold_rate_per_s == 6.8
+    assert config.limits.idle_timeout_ms == 15_000
+
+
+def test_split_route():
+    split = [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]
+    body = config_body(split=split)
+    for item in body["resources"]:
+        item["spec"].pop("service", None)
+    config = UsersPlatform().decode_config("config", json.dumps(body).encode())
+    assert [part.weight for part in config.routes[0].parts] == [90, 10]
+
+
+def test_row_of_an_evacuation():
+    platform = UsersPlatform()
+    assert platform.evacuated_zone("evacuate/a-1") == "a-1"
+    assert platform.evacuated_zone("config") is None
+    assert platform.decode_config("evacuate/a-1", b"{}") is None
+
+
+def test_unreadable_configuration():
+    with pytest.raises(RowDecodingError):
+        UsersPlatform().decode_config("config", b'{"version":3}')
--- /dev/null
+++ b/tests/wire/test_settings.py
@@ -0,0 +1,64 @@
+"""The settings file that the users' platform writes."""
+
+import pytest
+from rhubarbwell_core.model import Address
+from rhubarbwell_wire.settings import SettingsFileError, read_settings
+
+GOOD = """
+node = "front-tirol-a-1"
+ip = "10.1.0.15"
+zone = "a-1"
+region = "a"
+heartbeat = "1500ms"
+unknown = "ignored"
+[zones]
+a-1 = "a"
+b-1 = "b"
+[listen]
+front = "10.1.0.15:8641"
+ready = "10.1.0.15:8640"
+control = "10.1.0.15:8649"
+directory = "10.1.0.15:8644"
+[limits]
+memoryMb = 300
+[bounds]
+stabilityWindow = "4000ms"
+drain = "2500ms"
+grace = "6s"
+configApply = "2500ms"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+retrySlack = 62
+[platform]
+address = "10.200.1.7:8642"
+writesPerS = 400
+readsPerS = 2000
+"""
+
+
+def read(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    return read_settings(path)
+
+
+def test_settings(tmp_path):
+    cfg = read(tmp_path, GOOD)
+    assert cfg.instance_id == "front-tirol-a-1"
+    assert (cfg.region, cfg.stop_max_ms, cfg.drain_ms) == ("a", 6_000, 2_500)
+    assert cfg.store == Address("10.200.1.7", 8642)
+    assert cfg.retries == (0.2, 62.0, 10_000)
+
+
+def test_findings_come_together(tmp_path):
+    text = GOOD.replace('"6s"', '"six"').replace('"10.1.0.15:8640"', '"nowhere"')
+    with pytest.raises(SettingsFileError) as caught:
+        read(tmp_path, text.replace('node = "front-tirol-a-1"', ""))
+    message = str(caught.value)
+    for place in ("bounds.grace", "listen.ready", "'node'"):
+        assert place in message
+
+
+def test_a_file_that_is_no_toml(tmp_path):
+    with pytest.raises(SettingsFileError):
+        read(tmp_path, "node = ")
