Read the store at one instance and follow it from the others; explain a request from logs

One instance, by rendezvous hashing among those that run, reads the store; the others follow it over the control address and read for themselves as soon as their copy is older than 1.3 s.

--- /dev/null
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
@@ -0,0 +1,61 @@
+"""The choice of the instance that reads the metadata store for others."""
+
+from collections.abc import Sequence
+
+from rhubarbwell_core.direct.model import InstanceEntry
+from rhubarbwell_core.membership.rendezvous import rendezvous
+
+__all__ = ["ReaderChoice"]
+
+# A reader that failed or was behind is asked again after this time.
+PENALTY_MS = 3_000
+# Instances that follow one reader before each region gets a reader of its own.
+MAX_FOLLOWERS = 16
+
+
+class ReaderChoice:
+    """Choose whom an instance asks for changes of the store's tables.
+
+    One instance of a small fleet, or of each region of a large one, reads the store
+    and the others follow it, so that calls to the store do not grow with the fleet.
+    Instances that fail are passed over for a while, the own one included.
+
+    >>> from rhubarbwell_core.model import Address
+    >>> here = Address("127.0.0.1", 1)
+    >>> own = InstanceEntry("i-1", "x", "a-1", "a", here, here)
+    >>> ReaderChoice(own).choose([], 0) is None
+    True
+    """
+
+    def __init__(self, own: InstanceEntry) -> None:
+        self._own = own
+        self._barred_until_ms: dict[str, int] = {}
+
+    def choose(
+        self, others: Sequence[InstanceEntry], now_ms: int
+    ) -> InstanceEntry | None:
+        """Return the instance to follow, None to read the store."""
+        entries = {entry.instance_id: entry for entry in others if not entry.leaving}
+        entries[self._own.instance_id] = self._own
+        for instance_id in self._order(entries):
+            if self._barred_until_ms.get(instance_id, 0) > now_ms:
+                continue
+            if instance_id == self._own.instance_id:
+                return None
+            return entries[instance_id]
+        return None
+
+    def bar(self, instance_id: str, now_ms: int) -> None:
+        """Pass an instance over that failed or whose tables are old."""
+        self._barred_until_ms[instance_id] = now_ms + PENALTY_MS
+
+    def _order(self, entries: dict[str, InstanceEntry]) -> list[str]:
+        if len(entries) <= MAX_FOLLOWERS:
+            return rendezvous("store reader", entries, len(entries))
+        region = self._own.region
+        near = [name for name, entry in entries.items() if entry.region == region]
+        far = [name for name in entries if name not in near]
+        return [
+            *rendezvous("store reader", near, len(near)),
+            *rendezvous("store reader", far, len(far)),
+        ]
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -5,6 +5,9 @@
 
 __all__ = ["ReplicaRow", "ReplicaUpdate", "TableReplica"]
 
+# Deleted rows that are kept for followers; one that is further behind gets a listing.
+MAX_DELETED = 1_000
+
 
 class ReplicaRow(NamedTuple):
     """Hold a row as of a version of the store; value is None once deleted."""
@@ -35,6 +38,7 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self._forgotten_version = 0
         self._rows: dict[str, ReplicaRow] = {}
 
     def apply(self, update: ReplicaUpdate) -> list[ReplicaRow]:
@@ -45,21 +49,31 @@
         for row in changed:
             self._rows[row.key] = row
         self.version = max(self.version, update.version)
+        self._forget_deleted()
         return changed
 
+    def has_changes_after(self, version: int) -> bool:
+        """Tell whether a row has changed after a version."""
+        return any(row.version > version for row in self._rows.values())
+
     def changes_after(self, version: int) -> ReplicaUpdate:
         """Return the rows that changed after a version, deleted ones included."""
-        rows = [row for row in self._rows.values() if row.version > version]
+        rows = list(self._rows.values())
+        if version < self._forgotten_version:
+            listed = [row for row in rows if row.value is not None]
+            return ReplicaUpdate(listed, self.version, complete=True)
+        rows = [row for row in rows if row.version > version]
         rows.sort(key=lambda row: row.version)
         return ReplicaUpdate(rows, self.version)
 
-    def prune(self, oldest_version: int) -> None:
-        """Forget deleted rows that every follower has heard of."""
-        self._rows = {
-            key: row
-            for key, row in self._rows.items()
-            if row.value is not None or row.version >= oldest_version
-        }
+    def _forget_deleted(self) -> None:
+        deleted = [row for row in self._rows.values() if row.value is None]
+        if len(deleted) <= MAX_DELETED:
+            return
+        deleted.sort(key=lambda row: row.version)
+        for row in deleted[: -MAX_DELETED // 2]:
+            del self._rows[row.key]
+            self._forgotten_version = row.version
 
     def _is_newer(self, row: ReplicaRow) -> bool:
         known = self._rows.get(row.key)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -13,24 +13,38 @@
 from rhubarbwell_entry.direct.state import FleetState
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["FollowPlan", "StoreHealth", "TableFollower"]
+__all__ = ["FollowPlan", "StoreHealth", "TableFollower", "Upstream"]
 
 _log = logging.getLogger(__name__)
 
 FIRST_RETRY_MS = 100
 MAX_RETRY_MS = 400
+UPSTREAM_CHECK_S = 0.1
 
 
 class FollowPlan(NamedTuple):
     """Set how a table is followed.
 
     A call waits at the store for wait_ms; pause_ms passes between two calls, so that
-    many changes cost few calls.
+    many changes cost few calls. A copy older than stale_ms is not relied on.
     """
 
     table: str
     wait_ms: int
     pause_ms: int
+    stale_ms: int
+
+
+class Upstream:
+    """Name the instance that reads the store for this one, None for itself."""
+
+    def __init__(self) -> None:
+        self.reader: str | None = None
+
+    @property
+    def reads_store(self) -> bool:
+        """Tell whether this instance reads the store itself."""
+        return self.reader is None
 
 
 class StoreHealth:
@@ -78,15 +92,16 @@
         store: MetadataStore,
         state: FleetState,
         health: StoreHealth,
+        upstream: Upstream,
         *,
         rng: Random,
         clock_ms: Callable[[], int],
     ) -> None:
-        self.fresh_ms = 0
         self._plan = plan
         self._store = store
         self._state = state
         self._health = health
+        self._upstream = upstream
         self._rng = rng
         self._clock_ms = clock_ms
         self._needs_listing = True
@@ -95,6 +110,9 @@
         """Follow the table."""
         failures = 0
         while True:
+            if not self._must_read():
+                await asyncio.sleep(UPSTREAM_CHECK_S)
+                continue
             try:
                 update = await self._read()
             except PlatformError as exc:
@@ -104,11 +122,14 @@
                 continue
             failures = 0
             self._health.answered()
-            now_ms = self._clock_ms()
-            self.fresh_ms = now_ms
-            self._state.apply(self._plan.table, update, now_ms)
+            self._state.apply(self._plan.table, update, self._clock_ms())
             await asyncio.sleep(self._plan.pause_ms / 1_000)
 
+    def _must_read(self) -> bool:
+        """Tell whether no other instance keeps the table fresh for this one."""
+        age_ms = self._clock_ms() - self._state.fresh_ms[self._plan.table]
+        return self._upstream.reads_store or age_ms > self._plan.stale_ms
+
     async def _read(self) -> ReplicaUpdate:
         table = self._plan.table
         if not self._needs_listing:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -21,12 +21,18 @@
 from rhubarbwell_platform.services import RowWrite
 
 from rhubarbwell_entry.clocks import monotonic_ms
-from rhubarbwell_entry.direct.follower import FollowPlan, StoreHealth, TableFollower
+from rhubarbwell_entry.direct.follower import (
+    FollowPlan,
+    StoreHealth,
+    TableFollower,
+    Upstream,
+)
 from rhubarbwell_entry.direct.forwarding import Forwarder
 from rhubarbwell_entry.direct.handler import DirectHandler
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.operators import OperatorAnswers
 from rhubarbwell_entry.direct.registrations import encode_instance
+from rhubarbwell_entry.direct.relay import ChangeRelay, PeerFollower
 from rhubarbwell_entry.direct.sending import DirectSender
 from rhubarbwell_entry.direct.settings import DirectSettings
 from rhubarbwell_entry.direct.state import FleetState
@@ -44,13 +50,15 @@
 INCARNATION_BYTES = 8
 CALLER_KEEPALIVE_S = 75.0
 MAX_HEADER_BYTES = 64 << 10
-BEAT_PERIOD_MS = 1_500
-# Beats that may be missing before an instance counts as gone.
-SILENT_BEATS = 3
+BEAT_PERIOD_MS = 2_000
+# Two beats may be missing or late before an instance counts as gone.
+SILENCE_MS = 4_400
 ADVANCE_PERIOD_MS = 250
-OPERATOR_WAIT_MS = 1_500
-BACKEND_PAUSE_MS = 600
-INSTANCE_PAUSE_MS = 1_500
+# A copy that grows older than stale_ms is read from the store at once; the sum of
+# both stays below the shortest times for a configuration (2 s) and a drain (2 s).
+OPERATOR_PLAN = {"wait_ms": 500, "pause_ms": 0, "stale_ms": 1_300}
+BACKEND_PLAN = {"wait_ms": 700, "pause_ms": 50, "stale_ms": 1_500}
+INSTANCE_PLAN = {"wait_ms": 1_500, "pause_ms": 700, "stale_ms": 4_000}
 
 
 class DirectInstance:
@@ -71,6 +79,7 @@
         self._tasks = TaskGroup()
         self._timers = TimerService(now_ms=clock_ms())
         self._runners: list[web.ServerRunner] = []
+        self._upstream = Upstream()
         self.leaving = False
         self._beat = 0
         self._own = InstanceEntry(
@@ -81,9 +90,7 @@
             settings.callers,
             settings.control,
         )
-        self.instances = InstanceTable(
-            self._own, silence_ms=SILENT_BEATS * BEAT_PERIOD_MS
-        )
+        self.instances = InstanceTable(self._own, silence_ms=SILENCE_MS)
         self.steering = DirectSteering(
             settings.instance_id,
             settings.zone,
@@ -149,7 +156,11 @@
         cfg = self.settings
         await self._listen_at(cfg.callers, self.handler.handle)
         operators = OperatorAnswers(
-            self._platform, self.instances, self.metrics, lambda: self.is_ready
+            self._platform,
+            self.instances,
+            self.metrics,
+            ChangeRelay(self.state, self._health, self._clock_ms),
+            lambda: self.is_ready,
         )
         addresses = {cfg.readiness, cfg.directory, cfg.control, cfg.metrics}
         for address in sorted(addresses):
@@ -173,9 +184,9 @@
     def _follow(self) -> None:
         names = self._platform.names
         plans = (
-            FollowPlan(names.operator_table, OPERATOR_WAIT_MS, 0),
-            FollowPlan(names.backend_table, OPERATOR_WAIT_MS, BACKEND_PAUSE_MS),
-            FollowPlan(names.instance_table, OPERATOR_WAIT_MS, INSTANCE_PAUSE_MS),
+            FollowPlan(names.operator_table, **OPERATOR_PLAN),
+            FollowPlan(names.backend_table, **BACKEND_PLAN),
+            FollowPlan(names.instance_table, **INSTANCE_PLAN),
         )
         for plan in plans:
             follower = TableFollower(
@@ -183,10 +194,22 @@
                 self._store,
                 self.state,
                 self._health,
+                self._upstream,
                 rng=self._rng,
                 clock_ms=self._clock_ms,
             )
             self._tasks.spawn(follower.run())
+        peers = PeerFollower(
+            self._own,
+            self.state,
+            self.instances,
+            self._health,
+            self._upstream,
+            plans,
+            self._session,
+            self._clock_ms,
+        )
+        self._tasks.spawn(peers.run())
 
     async def _register(self) -> None:
         while True:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
@@ -6,13 +6,14 @@
 from rhubarbwell_core.direct import InstanceTable
 from rhubarbwell_core.model import host_port
 
+from rhubarbwell_entry.direct.relay import CHANGES_PATH, ChangeRelay
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.metrics import MeterRegistry
 
 __all__ = ["OperatorAnswers"]
 
 # A caller keeps a look-up's answer this long; some keep it three times as long.
-LOOK_UP_TTL_MS = 2_000
+LOOK_UP_TTL_MS = 1_000
 METRICS_PATH = "/metrics"
 
 
@@ -24,11 +25,13 @@
         platform: DirectPlatform,
         instances: InstanceTable,
         metrics: MeterRegistry,
+        relay: ChangeRelay,
         is_ready: Callable[[], bool],
     ) -> None:
         self._platform = platform
         self._instances = instances
         self._metrics = metrics
+        self._relay = relay
         self._is_ready = is_ready
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -37,6 +40,8 @@
             return web.Response(status=200 if self._is_ready() else 503)
         if request.path == self._platform.look_up_path:
             return self._look_up(request)
+        if request.path == CHANGES_PATH:
+            return await self._relay.handle(request)
         if request.path == METRICS_PATH:
             return web.Response(body=self._metrics.render(), content_type="text/plain")
         return web.Response(status=404)
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -0,0 +1,202 @@
+"""Passing changes of the store's tables on among entry instances."""
+
+import asyncio
+import base64
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from rhubarbwell_core.direct import (
+    InstanceEntry,
+    InstanceTable,
+    ReaderChoice,
+    ReplicaRow,
+    ReplicaUpdate,
+)
+from rhubarbwell_core.model import host_port
+
+from rhubarbwell_entry.direct.follower import FollowPlan, StoreHealth, Upstream
+from rhubarbwell_entry.direct.state import FleetState
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["CHANGES_PATH", "ChangeRelay", "PeerFollower"]
+
+_log = logging.getLogger(__name__)
+
+CHANGES_PATH = "/changes"
+# A reader that is cut off is noticed after the wait and the slack together.
+WAIT_MS = 300
+SLACK_MS = 500
+PAUSE_MS = 150
+RECHECK_MS = 500
+MS_PER_S = 1_000
+
+
+class ChangeRelay:
+    """Answer other instances with the changes that this one knows."""
+
+    def __init__(
+        self, state: FleetState, health: StoreHealth, clock_ms: Callable[[], int]
+    ) -> None:
+        self._state = state
+        self._health = health
+        self._clock_ms = clock_ms
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer once a table has changes after the versions of the query."""
+        try:
+            known = {name: int(v) for name, v in request.query.items()}
+        except ValueError:
+            return web.Response(status=400)
+        if not self._has_news(known):
+            await self._state.wait_for_change(WAIT_MS / MS_PER_S)
+        return web.json_response(self._body(known))
+
+    def _has_news(self, known: Mapping[str, int]) -> bool:
+        replicas = self._state.replicas
+        return any(
+            name in replicas and replicas[name].has_changes_after(version)
+            for name, version in known.items()
+        )
+
+    def _body(self, known: Mapping[str, int]) -> dict[str, Any]:
+        now_ms = self._clock_ms()
+        tables = {
+            name: _encode(replica.changes_after(known.get(name, 0)))
+            | {"age_ms": now_ms - self._state.fresh_ms[name]}
+            for name, replica in self._state.replicas.items()
+        }
+        return {"store_is_out": self._health.is_out, "tables": tables}
+
+
+class PeerFollower:
+    """Follow the instance that reads the store, or let the store be read."""
+
+    def __init__(
+        self,
+        own: InstanceEntry,
+        state: FleetState,
+        instances: InstanceTable,
+        health: StoreHealth,
+        upstream: Upstream,
+        plans: Sequence[FollowPlan],
+        session: aiohttp.ClientSession,
+        clock_ms: Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._state = state
+        self._instances = instances
+        self._health = health
+        self._upstream = upstream
+        self._plans = plans
+        self._session = session
+        self._clock_ms = clock_ms
+        self._choice = ReaderChoice(own)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            now_ms = self._clock_ms()
+            if self._upstream.reads_store and self._is_stale(now_ms):
+                self._choice.bar(self._own.instance_id, now_ms)
+            reader = self._choice.choose(self._instances.live(), now_ms)
+            if reader is None:
+                self._set_reader(None)
+                await asyncio.sleep(RECHECK_MS / MS_PER_S)
+            elif await self._follow(reader):
+                await asyncio.sleep(PAUSE_MS / MS_PER_S)
+
+    async def _follow(self, reader: InstanceEntry) -> bool:
+        try:
+            body = await self._ask(reader)
+            store_is_out = self._take(body)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            self._pass_over(reader, repr(exc))
+            return False
+        if self._is_stale(self._clock_ms()):
+            self._pass_over(reader, "its tables are old")
+            return False
+        self._set_reader(reader.instance_id)
+        if not store_is_out:
+            self._health.answered()
+        return True
+
+    async def _ask(self, reader: InstanceEntry) -> Mapping[str, Any]:
+        query = {name: str(r.version) for name, r in self._state.replicas.items()}
+        timeout = aiohttp.ClientTimeout(total=(WAIT_MS + SLACK_MS) / MS_PER_S)
+        url = f"http://{host_port(reader.control)}{CHANGES_PATH}"
+        async with self._session.get(url, params=query, timeout=timeout) as resp:
+            resp.raise_for_status()
+            body: Mapping[str, Any] = await resp.json()
+            return body
+
+    def _take(self, body: Mapping[str, Any]) -> bool:
+        now_ms = self._clock_ms()
+        for name, table in body["tables"].items():
+            update = _decode(table)
+            self._state.apply(name, update, now_ms, age_ms=int(table["age_ms"]))
+        return bool(body["store_is_out"])
+
+    def _is_stale(self, now_ms: int) -> bool:
+        return any(
+            now_ms - self._state.fresh_ms[plan.table] > plan.stale_ms
+            for plan in self._plans
+        )
+
+    def _pass_over(self, reader: InstanceEntry, reason: str) -> None:
+        self._choice.bar(reader.instance_id, self._clock_ms())
+        self._set_reader(None)
+        log_event(
+            _log,
+            logging.WARNING,
+            "reader_passed_over",
+            "the instance that reads the store for this one cannot be followed",
+            reader=reader.instance_id,
+            reason=reason,
+        )
+
+    def _set_reader(self, reader: str | None) -> None:
+        if self._upstream.reader == reader:
+            return
+        self._upstream.reader = reader
+        log_event(
+            _log,
+            logging.INFO,
+            "reader_chosen",
+            "changes of the store come from the store itself"
+            if reader is None
+            else "changes of the store come from another instance",
+            reader=reader,
+        )
+
+
+def _encode(update: ReplicaUpdate) -> dict[str, Any]:
+    rows = [
+        [row.key, row.version, None if row.value is None else _to_text(row.value)]
+        for row in update.rows
+    ]
+    return {"rows": rows, "version": update.version, "complete": update.complete}
+
+
+def _decode(table: Mapping[str, Any]) -> ReplicaUpdate:
+    rows = [
+        ReplicaRow(str(key), int(version), None if text is None else _to_bytes(text))
+        for key, version, text in table["rows"]
+    ]
+    return ReplicaUpdate(rows, int(table["version"]), bool(table["complete"]))
+
+
+def _to_text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _to_bytes(text: str) -> bytes:
+    return base64.b64decode(text)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -12,7 +12,7 @@
 
 # Parts of the time from SIGTERM to SIGKILL: new requests are taken during the first,
 # and the process ends by the second, whatever still runs.
-SERVE_SHARE = 0.55
+SERVE_SHARE = 0.6
 END_SHARE = 0.93
 POLL_MS = 20
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -1,5 +1,7 @@
 """What an instance believes of the fleet, kept from the rows of the store."""
 
+import asyncio
+import contextlib
 import logging
 from collections.abc import Sequence
 
@@ -38,6 +40,9 @@
             names.backend_table: TableReplica(),
             names.instance_table: TableReplica(),
         }
+        # Time in ms up to which each table is known to be as the store has it.
+        self.fresh_ms = dict.fromkeys(self.replicas, 0)
+        self._changed = asyncio.Event()
         self._evacuated: set[str] = set()
         self._apply = {
             names.operator_table: self._apply_operator_rows,
@@ -45,10 +50,22 @@
             names.instance_table: self._apply_instance_rows,
         }
 
-    def apply(self, table: str, update: ReplicaUpdate, now_ms: int) -> None:
-        """Take in an update of a table."""
+    def apply(
+        self, table: str, update: ReplicaUpdate, now_ms: int, *, age_ms: int = 0
+    ) -> None:
+        """Take in an update of a table that is age_ms old."""
         changed = self.replicas[table].apply(update)
+        self.fresh_ms[table] = max(self.fresh_ms[table], now_ms - age_ms)
         self._apply[table](changed, now_ms)
+        if changed:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Return once a row has changed or the time has passed."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     @property
     def is_configured(self) -> bool:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/__main__.py
@@ -9,6 +9,7 @@
 
 from rhubarbwell_ops.commands import (
     ConfigurationCommands,
+    explain,
     listed_operators,
     report,
     run_command,
@@ -56,6 +57,18 @@
 
         run_command(platform, ask_listed, as_json=json)
 
+    def explain(self, request_id: str, *logs: str, json: bool = False) -> None:
+        """Name why a request ended as it did, from the logs of instances.
+
+        rhubarbwell explain 40ce863150a8bd3d front-*.log
+
+        Args:
+            request_id: The id that the caller sent with the request.
+            logs: Log files of the instances, one or more.
+            json: Print JSON.
+        """
+        exit_with(explain(str(request_id), logs), as_json=json)
+
     def demo(self, files: str = DEMO_FILES) -> None:
         """Run a small deployment on this machine for about twenty seconds."""
         try:
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/__init__.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/__init__.py
@@ -1,5 +1,6 @@
 """The commands of operators, one module each."""
 
 from rhubarbwell_ops.commands.configuration import *
+from rhubarbwell_ops.commands.explain import *
 from rhubarbwell_ops.commands.report import *
 from rhubarbwell_ops.commands.running import *
--- /dev/null
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/commands/explain.py
@@ -0,0 +1,43 @@
+"""The command that explains how a request ended."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from rhubarbwell_ops.exits import ExitCode, Report
+from rhubarbwell_ops.explanations import LogLine, explain_request, read_lines
+
+__all__ = ["explain"]
+
+_HIDDEN_FIELDS = frozenset({"event", "level", "message", "request_id", "timestamp"})
+
+
+def explain(request_id: str, paths: Sequence[str]) -> Report:
+    """Gather a request's lines from instances' logs and name the cause."""
+    if not paths:
+        return Report(ExitCode.USAGE, "no log files are given")
+    try:
+        lines = read_lines([Path(path) for path in paths])
+    except OSError as exc:
+        return Report(ExitCode.NOT_DONE, f"cannot read the logs: {exc}")
+    found = explain_request(request_id, lines)
+    if found is None:
+        text = f"no line of {len(lines)} names request {request_id}"
+        return Report(ExitCode.FINDINGS, text, {"lines_read": len(lines)})
+    rows = sorted([*found.context, *found.lines], key=lambda line: line.at_s)
+    text = "\n".join([*map(_format, rows), "", f"cause: {found.cause}"])
+    fields = {
+        "request_id": request_id,
+        "cause": found.cause,
+        "lines": [{"source": row.source, **row.fields} for row in rows],
+    }
+    return Report(ExitCode.DONE, text, fields)
+
+
+def _format(line: LogLine) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in _HIDDEN_FIELDS
+    )
+    message = line.fields.get("message", "")
+    return f"{line.at_s:10.3f} {line.source} {line.event}: {message} [{fields}]"
--- /dev/null
+++ b/tests/core/direct/test_replica.py
@@ -0,0 +1,56 @@
+"""Copies of the store's tables that instances pass on."""
+
+from random import Random
+
+from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate, TableReplica
+
+
+def listed(replica):
+    rows = replica.changes_after(0).rows
+    return {row.key: row.value for row in rows if row.value is not None}
+
+
+def test_updates_in_any_order_give_the_newest_rows():
+    rng = Random(1)
+    updates = []
+    newest = {}
+    for version in range(1, 60):
+        key = f"k{rng.randrange(8)}"
+        value = None if rng.random() < 0.3 else str(version).encode()
+        updates.append(ReplicaUpdate([ReplicaRow(key, version, value)], version))
+        newest[key] = value
+    expected = {key: value for key, value in newest.items() if value is not None}
+    for seed in range(20):
+        shuffled = [*updates, *updates[:20]]
+        Random(seed).shuffle(shuffled)
+        replica = TableReplica()
+        for update in shuffled:
+            replica.apply(update)
+        assert listed(replica) == expected
+
+
+def test_listing_deletes_what_it_does_not_name():
+    replica = TableReplica()
+    rows = [ReplicaRow("a", 1, b"1"), ReplicaRow("b", 2, b"2")]
+    replica.apply(ReplicaUpdate(rows, 2))
+    changed = replica.apply(ReplicaUpdate(rows[:1], 5, complete=True))
+    assert [(row.key, row.value) for row in changed] == [("b", None)]
+
+
+def test_an_old_listing_deletes_nothing_newer():
+    replica = TableReplica()
+    replica.apply(ReplicaUpdate([ReplicaRow("a", 7, b"1")], 7))
+    assert replica.apply(ReplicaUpdate([], 3, complete=True)) == []
+    assert listed(replica) == {"a": b"1"}
+
+
+def test_a_follower_far_behind_gets_a_listing():
+    replica = TableReplica()
+    replica.apply(ReplicaUpdate([ReplicaRow("a", 1, b"1")], 1))
+    for version in range(2, 3_000):
+        row = ReplicaRow(f"k{version}", version, None)
+        replica.apply(ReplicaUpdate([row], version))
+    update = replica.changes_after(1)
+    assert update.complete
+    assert [row.key for row in update.rows] == ["a"]
+    assert not replica.changes_after(2_990).complete
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -135,7 +135,7 @@
         status, text = await fleet.operator(cfg.directory, query)
         assert status == 200
         assert f'"{cfg.callers.host}:{cfg.callers.port}"' in text
-        assert '"ttl": "2000ms"' in text
+        assert '"ttl": "1000ms"' in text
 
 
 async def test_refused_unsafe_request_is_tried_at_another_server():
@@ -385,3 +385,57 @@
         assert "rhubarbwell_requests" in text
         assert "rhubarbwell_attempt_duration" in text
         assert 'outcome="answered"' in text
+
+
+@asynccontextmanager
+async def second_instance(fleet):
+    settings = make_settings(fleet.store.address, free_ports(5), name="i-2", zone="b-1")
+    other = DirectInstance(TestPlatform(settings), settings)
+    await other.start()
+    try:
+        yield other
+    finally:
+        await other.stop()
+
+
+def reader_of(instance):
+    return instance._upstream.reader
+
+
+async def test_one_instance_reads_the_store_and_the_other_follows():
+    async with running() as fleet, second_instance(fleet) as other:
+        pair = [fleet.instance, other]
+        await until(lambda: sorted(map(str, map(reader_of, pair)))[1] == "None")
+        await fleet.store.write("op", "config", config_body(9))
+        for instance in pair:
+            await until(lambda i=instance: i.steering.config.version == 9)
+
+
+async def test_a_follower_reads_the_store_once_its_reader_is_gone():
+    async with running() as fleet, second_instance(fleet) as other:
+        pair = [fleet.instance, other]
+        await until(lambda: any(reader_of(instance) for instance in pair))
+        follower = next(i for i in pair if reader_of(i))
+        (reader,) = (i for i in pair if i is not follower)
+        await reader.stop()
+        await fleet.store.write("op", "config", config_body(9))
+        await until(lambda: follower.steering.config.version == 9)
+
+
+async def test_an_instance_without_the_store_hears_of_changes_from_another():
+    async with running() as fleet, second_instance(fleet) as other:
+        pair = [fleet.instance, other]
+        await until(lambda: any(reader_of(instance) for instance in pair))
+        reader = next(i for i in pair if reader_of(i) is None)
+        (follower,) = (i for i in pair if i is not reader)
+        cut = reader._session
+
+        async def refuse(*args, **kwargs):
+            raise aiohttp.ClientConnectionError("cut")
+
+        original, cut._request = cut._request, refuse
+        await until(lambda: reader._health.is_out)
+        await fleet.store.write("op", "config", config_body(9))
+        await until(lambda: follower.steering.config.version == 9)
+        cut._request = original
+        await until(lambda: reader.steering.config.version == 9)
