--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/affinity.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/affinity.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from rhubarbwell_core.direct.backends import BackendState, BackendTable
-from rhubarbwell_core.membership.rendezvous import rendezvous
+from rhubarbwell_core.hashing import rendezvous
 
 __all__ = ["AffinityOrders", "PlacedBackend"]
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from rhubarbwell_core.direct.model import InstanceEntry
-from rhubarbwell_core.membership.rendezvous import rendezvous
+from rhubarbwell_core.hashing import rendezvous
 
 __all__ = ["ReaderChoice"]
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -51,6 +51,7 @@
     __slots__ = (
         "arrived_ms",
         "attempts",
+        "body_bytes",
         "deadline_ms",
         "may_have_run",
         "object_key",
@@ -69,6 +70,7 @@
         *,
         arrived_ms: int,
         deadline_ms: int,
+        body_bytes: int = 0,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -76,6 +78,7 @@
         self.object_key = object_key
         self.arrived_ms = arrived_ms
         self.deadline_ms = deadline_ms
+        self.body_bytes = body_bytes
         self.attempts = 0
         self.may_have_run = False
         self.tried: set[str] = set()
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -25,6 +25,11 @@
 # Part of a region's servers that share an object. Servers remember few objects, and
 # work on a forgotten one takes several times as long.
 COPIES_SHARE = 0.125
+# Bodies of this size are kept in the own zone, where links cost nothing, with a copy
+# of their objects of its own.
+LARGE_BODY_BYTES = 8 << 10
+# Delay that sending a KiB over a link between zones is weighed as.
+LINK_COST_MS_PER_KIB = 3.0
 # Random part of a cost, so that instances with equal views choose differently.
 COST_NOISE = 0.1
 # Cost of a failed attempt, as a multiple of the route's objective.
@@ -32,6 +37,7 @@
 # Part of a backend server's connections that the instances use together.
 CONNECTIONS_USED = 0.8
 MIN_RETRY_MS = 30
+BYTES_PER_KIB = 1_024
 
 
 class SteeringRules(NamedTuple):
@@ -105,7 +111,14 @@
         self.backends.evacuate(frozenset(zones), cold_ms, now_ms)
 
     def admit(
-        self, request_id: str, route: Route, key: str, deadline_ms: int, now_ms: int
+        self,
+        request_id: str,
+        route: Route,
+        key: str,
+        deadline_ms: int,
+        now_ms: int,
+        *,
+        body_bytes: int = 0,
     ) -> ActiveRequest:
         """Begin a request of a route."""
         service = self._splits.next_service(route)
@@ -117,6 +130,7 @@
             key,
             arrived_ms=now_ms,
             deadline_ms=deadline_ms,
+            body_bytes=body_bytes,
         )
 
     def choose(self, req: ActiveRequest, now_ms: int) -> Target | Refusal:
@@ -238,6 +252,7 @@
         usable: list[PlacedBackend] = []
         fallback: list[PlacedBackend] = []
         copies: dict[str, int] = {}
+        wants_own_zone = req.body_bytes >= LARGE_BODY_BYTES
         homes = req.route.home_regions
         limit = self._connection_limit(req.service)
         rate = self._cold_rate(req.service)
@@ -262,6 +277,11 @@
             if left > 0:
                 copies[state.region] = left - 1
                 usable.append(placed)
+            elif wants_own_zone and state.entry.zone == self.zone:
+                usable.append(placed)
+            else:
+                continue
+            wants_own_zone &= state.entry.zone != self.zone
         if usable or not fallback:
             return usable
         return [min(fallback, key=lambda placed: placed.state.ejected_until_ms)]
@@ -288,6 +308,8 @@
         wait_ms = busy_ms * max(0.0, load + 1.0 - entry.slots) / entry.slots
         expected_ms = self.delays.round_trip_ms(entry.zone) + wait_ms + busy_ms
         cost = expected_ms + FAILURE_COST * state.failure_share * req.route.objective_ms
+        if entry.zone != self.zone:
+            cost += LINK_COST_MS_PER_KIB * req.body_bytes / BYTES_PER_KIB
         cost += self._rng.uniform(0.0, COST_NOISE * work_ms)
         target = Target(
             entry.backend_id,
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/part.py
@@ -5,12 +5,12 @@
 
 from rhubarbwell_core.engine import Action, EventHandler, Table
 from rhubarbwell_core.engine.systems import Part, PeriodicCall, System
+from rhubarbwell_core.hashing import rendezvous
 from rhubarbwell_core.membership.mail import Mail
 from rhubarbwell_core.membership.members import MemberTable
 from rhubarbwell_core.membership.own import OwnRow, Verdict
 from rhubarbwell_core.membership.prober import Prober
 from rhubarbwell_core.membership.probes import ProbeTable
-from rhubarbwell_core.membership.rendezvous import rendezvous
 from rhubarbwell_core.membership.summaries import SummaryTable, has_changed
 from rhubarbwell_core.membership.syncs import Syncs
 from rhubarbwell_core.membership.zones import ZoneWatch
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/membership/zones.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
+from rhubarbwell_core.hashing import rendezvous
 from rhubarbwell_core.membership.members import MemberTable
-from rhubarbwell_core.membership.rendezvous import rendezvous
 from rhubarbwell_core.messages import PeerHeard, ZoneReach
 from rhubarbwell_core.model import Identity
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -81,7 +81,14 @@
             return RequestEnd(RequestOutcome.REJECTED, 413, "body exceeds the limit")
         deadline_ms = arrived_ms + self._remaining_ms(request)
         object_key = request.cookies.get(self._names.object_cookie, "")
-        req = steering.admit(request_id, route, object_key, deadline_ms, arrived_ms)
+        req = steering.admit(
+            request_id,
+            route,
+            object_key,
+            deadline_ms,
+            arrived_ms,
+            body_bytes=len(body),
+        )
         end = await self._forwarder.run(req, request, body)
         latency_ms = self._clock_ms() - arrived_ms
         self._metrics.request_ended(req, end.status, end.outcome.value, latency_ms)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -73,7 +73,7 @@
         clock_ms: Callable[[], int] = monotonic_ms,
     ) -> None:
         self.settings = settings
-        self._platform = platform
+        self.platform = platform
         self._rng = rng or SystemRandom()
         self._clock_ms = clock_ms
         self._tasks = TaskGroup()
@@ -115,12 +115,12 @@
     async def start(self) -> None:
         """Start the listeners and the background tasks."""
         self._session = aiohttp.ClientSession()
-        self._store = self._platform.open_store(self._session, self.settings)
+        self._store = self.platform.open_store(self._session, self.settings)
         self._health = StoreHealth(self._store_lost, self._store_regained)
-        self._sender = DirectSender(self._platform.names, self._clock_ms)
+        self._sender = DirectSender(self.platform.names, self._clock_ms)
         forwarder = Forwarder(self.steering, self._sender, self.metrics, self._clock_ms)
         self.handler = DirectHandler(
-            self._platform.names,
+            self.platform.names,
             self.steering,
             forwarder,
             self.metrics,
@@ -156,7 +156,7 @@
         cfg = self.settings
         await self._listen_at(cfg.callers, self.handler.handle)
         operators = OperatorAnswers(
-            self._platform,
+            self.platform,
             self.instances,
             self.metrics,
             ChangeRelay(self.state, self._health, self._clock_ms),
@@ -182,7 +182,7 @@
         self._runners.append(runner)
 
     def _follow(self) -> None:
-        names = self._platform.names
+        names = self.platform.names
         plans = (
             FollowPlan(names.operator_table, **OPERATOR_PLAN),
             FollowPlan(names.backend_table, **BACKEND_PLAN),
@@ -221,7 +221,7 @@
         self._beat += 1
         entry = self._own._replace(beat=self._beat, leaving=not self.is_ready)
         row = RowWrite(
-            self._platform.names.instance_table,
+            self.platform.names.instance_table,
             entry.instance_id,
             encode_instance(entry),
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -10,6 +10,7 @@
 
 from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.direct.logsink import install_log_handler
+from rhubarbwell_entry.direct.settings import SettingsError
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event
@@ -18,6 +19,7 @@
 
 _log = logging.getLogger(__name__)
 
+EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
 
 
@@ -38,16 +40,38 @@
         await self.instance.stop()
 
     def _reload(self) -> None:
-        log_event(_log, logging.INFO, "settings_reloaded", "SIGHUP received")
+        """Read the settings again; what changed needs a restart."""
+        try:
+            settings = self.instance.platform.read_settings()
+        except SettingsError as exc:
+            log_event(
+                _log,
+                logging.WARNING,
+                "settings_refused",
+                "the settings file has findings; the settings in force stay",
+                error=str(exc),
+            )
+            return
+        old = self.instance.settings._asdict()
+        changed = [
+            name for name, value in settings._asdict().items() if old[name] != value
+        ]
+        log_event(
+            _log,
+            logging.INFO,
+            "settings_reloaded",
+            "the settings were read again; changed ones hold from the next start",
+            changed=changed,
+        )
 
 
 def run(platform: DirectPlatform) -> None:
     """Run an entry instance on a platform until SIGTERM."""
     try:
         settings = platform.read_settings()
-    except Exception as exc:
+    except SettingsError as exc:
         print(exc, file=sys.stderr)
-        raise SystemExit(2) from exc
+        raise SystemExit(EXIT_BAD_SETTINGS) from exc
     install_log_handler()
     instance = DirectInstance(platform, settings)
     service = DirectService(instance=instance)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
@@ -3,7 +3,7 @@
 from rhubarbwell_core.direct import ActiveRequest, AttemptResult, Target, Verdict
 
 from rhubarbwell_entry.direct.settings import DirectSettings
-from rhubarbwell_entry.metrics import MeterRegistry
+from rhubarbwell_entry.meters import MeterRegistry
 
 __all__ = ["DirectMetrics"]
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
@@ -8,7 +8,7 @@
 
 from rhubarbwell_entry.direct.relay import CHANGES_PATH, ChangeRelay
 from rhubarbwell_entry.direct.wire import DirectPlatform
-from rhubarbwell_entry.metrics import MeterRegistry
+from rhubarbwell_entry.meters import MeterRegistry
 
 __all__ = ["OperatorAnswers"]
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -24,8 +24,8 @@
     make_client_session,
     send_once,
 )
+from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
-from rhubarbwell_entry.proxy.relays import has_framing
 
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
@@ -36,6 +36,9 @@
     hdrs.USER_AGENT,
 )
 MISDIRECTED = 421
+# Several round trips between regions, well below a lost packet's retransmission after
+# 1 s: another backend server is tried sooner, as nothing has been sent.
+CONNECT_TIMEOUT_S = 0.3
 FIRST_SERVER_ERROR = 500
 # Statuses that promise that a request did not run; only a server's proof counts.
 PROMISES = frozenset({408, 421, 429, 503})
@@ -64,7 +67,9 @@
         self._names = names
         self._clock_ms = clock_ms
         self._connector = ProvenConnector(attempt_header=names.request_id)
-        self._session = make_client_session(self._connector)
+        self._session = make_client_session(
+            self._connector, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
 
     async def close(self) -> None:
         """Close every connection."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
@@ -4,10 +4,15 @@
 from typing import NamedTuple
 
 from rhubarbwell_core.direct import RetryBudgetRule
+from rhubarbwell_core.errors import RhubarbwellError
 from rhubarbwell_core.model import Address
 from rhubarbwell_platform.http import ClientOptions
 
-__all__ = ["DirectSettings"]
+__all__ = ["DirectSettings", "SettingsError"]
+
+
+class SettingsError(RhubarbwellError):
+    """Tell everything that is wrong with a settings file."""
 
 
 class DirectSettings(NamedTuple):
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -56,7 +56,7 @@
 
     @abstractmethod
     def read_settings(self) -> DirectSettings:
-        """Return the settings of the process as they are now."""
+        """Return the settings of the process as they are now; raise SettingsError."""
 
     @abstractmethod
     def open_store(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -33,7 +33,7 @@
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
 from rhubarbwell_entry.peers import PeerKeys, PeerNode
-from rhubarbwell_entry.proxy import CallerHandler, caller_runner
+from rhubarbwell_entry.proxy.handler import CallerHandler, caller_runner
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.shutdown import GracefulShutdown
 from rhubarbwell_entry.slotstore import SlotStore
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/meters.py
@@ -0,0 +1,47 @@
+"""OpenTelemetry meters, rendered for Prometheus."""
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+__all__ = ["Gauge", "MeterRegistry"]
+
+Gauge = Callable[[], Iterable[Observation]]
+
+
+class MeterRegistry:
+    """Hold the meters of one entry instance, apart from other instances'."""
+
+    def __init__(self, instance_id: str, zone: str, region: str) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        resource = Resource.create(
+            {
+                "service.name": "rhubarbwell-entry",
+                "service.instance.id": instance_id,
+                "cloud.availability_zone": zone,
+                "cloud.region": region,
+            }
+        )
+        self._provider = MeterProvider([reader], resource=resource)
+        self._meter = self._provider.get_meter("rhubarbwell")
+
+    def add_gauge(self, name: str, unit: str, description: str, read: Gauge) -> None:
+        """Read a gauge whenever the metrics are asked for."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return read()
+
+        self._meter.create_observable_gauge(name, [observe], unit, description)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Stop collecting."""
+        self._provider.shutdown()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/metrics.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/metrics.py
@@ -1,54 +1,14 @@
 """OpenTelemetry metrics of an entry instance."""
 
-from collections.abc import Callable, Iterable
-
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
 from rhubarbwell_core.adoption import ConfigurationAlarm
 from rhubarbwell_core.burn import EndedRequest
 from rhubarbwell_core.model import Identity, rank_name
 
-__all__ = ["Gauge", "InstanceMetrics", "MeterRegistry"]
-
-Gauge = Callable[[], Iterable[Observation]]
-MS_PER_S = 1_000
-
-
-class MeterRegistry:
-    """Hold the meters of one entry instance, apart from other instances'."""
+from rhubarbwell_entry.meters import MeterRegistry
 
-    def __init__(self, instance_id: str, zone: str, region: str) -> None:
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
-        resource = Resource.create(
-            {
-                "service.name": "rhubarbwell-entry",
-                "service.instance.id": instance_id,
-                "cloud.availability_zone": zone,
-                "cloud.region": region,
-            }
-        )
-        self._provider = MeterProvider([reader], resource=resource)
-        self._meter = self._provider.get_meter("rhubarbwell")
+__all__ = ["InstanceMetrics"]
 
-    def add_gauge(self, name: str, unit: str, description: str, read: Gauge) -> None:
-        """Read a gauge whenever the metrics are asked for."""
-
-        def observe(_: CallbackOptions) -> Iterable[Observation]:
-            return read()
-
-        self._meter.create_observable_gauge(name, [observe], unit, description)
-
-    def render(self) -> bytes:
-        """Return all metrics in the text format of Prometheus."""
-        return generate_latest(self._registry)
-
-    def close(self) -> None:
-        """Stop collecting."""
-        self._provider.shutdown()
+MS_PER_S = 1_000
 
 
 class InstanceMetrics(MeterRegistry):
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -156,14 +156,16 @@
     at_s: float
 
 
-def make_client_session(connector: ProvenConnector) -> aiohttp.ClientSession:
+def make_client_session(
+    connector: ProvenConnector, *, connect_timeout_s: float = CONNECT_TIMEOUT_S
+) -> aiohttp.ClientSession:
     """Return a session that keeps no cookies and adds nothing to answers."""
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trust_env=False,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/relays.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/relays.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import aiohttp
-from aiohttp import hdrs, web
+from aiohttp import web
 from rhubarbwell_core.messages import AttemptEnd, KeptAnswer
 from rhubarbwell_core.model import Outcome
 
@@ -11,10 +11,9 @@
 from rhubarbwell_entry.proxy.exchanges import Exchange
 from rhubarbwell_entry.proxy.headers import OUTCOME_HEADER, end_to_end_headers
 
-__all__ = ["AnswerRelay", "has_framing"]
+__all__ = ["AnswerRelay"]
 
 PROGRESS_TIMEOUT_MS = 15_000
-NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class AnswerRelay:
@@ -70,11 +69,3 @@
                 await self._response.write_eof()
         except (aiohttp.ClientConnectionResetError, ConnectionError):
             self._writes = False
-
-
-def has_framing(resp: aiohttp.ClientResponse) -> bool:
-    """Tell whether a cut-short body would be noticed."""
-    if resp.method == hdrs.METH_HEAD or resp.status in NO_BODY_STATUSES:
-        return True
-    chunked = "chunked" in resp.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
-    return chunked or hdrs.CONTENT_LENGTH in resp.headers
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -20,6 +20,7 @@
     send_once,
 )
 from rhubarbwell_entry.proxy.exchanges import Exchange
+from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
@@ -29,7 +30,7 @@
     is_shed,
 )
 from rhubarbwell_entry.proxy.peers import HopKeys, PeerHop, add_hop
-from rhubarbwell_entry.proxy.relays import AnswerRelay, has_framing
+from rhubarbwell_entry.proxy.relays import AnswerRelay
 
 __all__ = ["Attempt", "AttemptPlan", "HopSigner"]
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -8,7 +8,7 @@
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
-from rhubarbwell_entry.proxy import CallerHandler
+from rhubarbwell_entry.proxy.handler import CallerHandler
 
 __all__ = ["GracefulShutdown"]
 
--- a/tests/core/direct/test_steering.py
+++ b/tests/core/direct/test_steering.py
@@ -166,3 +166,24 @@
     load = LoadReport(*reported)
     end(steering, req, target, AttemptResult.ANSWERED, load=load)
     assert steering.backends.rows["b-1"].load(10) == expected
+
+
+def test_large_bodies_stay_in_the_own_zone():
+    """Uploads over links between zones cost more than a cold cache."""
+    entries = [backend(f"b-{n}", "a-2") for n in range(6)]
+    steering, route = make(*entries, backend("b-9", "a-1"))
+    for key in map(str, range(20)):
+        req = steering.admit(f"r-{key}", route, key, 2_000, 0, body_bytes=60_000)
+        assert steering.choose(req, 0).backend_id == "b-9"
+
+
+def test_large_bodies_leave_a_zone_whose_servers_are_full():
+    entries = [backend(f"b-{n}", "a-2") for n in range(6)]
+    steering, route = make(*entries, backend("b-9", "a-1"))
+    chosen = set()
+    for key in map(str, range(20)):
+        req = steering.admit(f"r-{key}", route, key, 2_000, 0, body_bytes=60_000)
+        target = steering.choose(req, 0)
+        steering.started(req, target, 0)
+        chosen.add(target.zone)
+    assert chosen == {"a-1", "a-2"}
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -22,7 +22,7 @@
 from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import peer_tls_context, tls_context
 from rhubarbwell_entry.peers.keys import PeerKeys
-from rhubarbwell_entry.proxy import CallerHandler, caller_runner
+from rhubarbwell_entry.proxy.handler import CallerHandler, caller_runner
 
 PEER_KEYS = PeerKeys([b"a shared test key"])
 KINDS = (
--- a/tests/wire/test_settings.py
+++ b/tests/wire/test_settings.py
@@ -2,7 +2,8 @@
 
 import pytest
 from rhubarbwell_core.model import Address
-from rhubarbwell_wire.settings import SettingsFileError, read_settings
+from rhubarbwell_entry.direct.settings import SettingsError
+from rhubarbwell_wire.settings import read_settings
 
 GOOD = """
 node = "front-tirol-a-1"
@@ -52,7 +53,7 @@
 
 def test_findings_come_together(tmp_path):
     text = GOOD.replace('"6s"', '"six"').replace('"10.1.0.15:8640"', '"nowhere"')
-    with pytest.raises(SettingsFileError) as caught:
+    with pytest.raises(SettingsError) as caught:
         read(tmp_path, text.replace('node = "front-tirol-a-1"', ""))
     message = str(caught.value)
     for place in ("bounds.grace", "listen.ready", "'node'"):
@@ -60,5 +61,5 @@
 
 
 def test_a_file_that_is_no_toml(tmp_path):
-    with pytest.raises(SettingsFileError):
+    with pytest.raises(SettingsError):
         read(tmp_path, "node = ")
