--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/affinity.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/affinity.py
@@ -6,20 +6,63 @@
 from rhubarbwell_core.direct.backends import BackendState, BackendTable
 from rhubarbwell_core.hashing import rendezvous
 
-__all__ = ["AffinityOrders", "PlacedBackend"]
+__all__ = ["AffinityOrders", "ObjectCounter", "PlacedBackend"]
 
 MAX_ORDERS = 4_096
+# Servers of a region that share an object at the most, as a part of them.
+MAX_COPIES_SHARE = 0.125
+# Objects that a server is given to remember; servers forget beyond 20 to 70.
+OBJECTS_PER_SERVER = 6
+# Requests for each known object after which most objects are known.
+SAMPLES_PER_OBJECT = 3
+MAX_OBJECTS = 8_192
+
+
+class ObjectCounter:
+    """Count the objects that requests for a service concern.
+
+    >>> counter = ObjectCounter()
+    >>> counter.add("a")
+    >>> counter.copies(48)
+    1
+    >>> for _ in range(5):
+    ...     counter.add("a")
+    >>> counter.copies(48)
+    6
+    """
+
+    def __init__(self) -> None:
+        self._objects: set[str] = set()
+        self._samples = 0
+
+    def add(self, object_key: str) -> None:
+        """Count a request."""
+        self._samples += 1
+        if len(self._objects) < MAX_OBJECTS:
+            self._objects.add(object_key)
+
+    def copies(self, servers: int) -> int:
+        """Return how many of a region's servers are to share an object.
+
+        Until most objects are known each is kept at one server, as copies that are
+        given up were warmed in vain.
+        """
+        known = len(self._objects)
+        if self._samples < SAMPLES_PER_OBJECT * max(known, 1):
+            return 1
+        by_memory = OBJECTS_PER_SERVER * servers // max(known, 1)
+        return max(1, min(by_memory, round(MAX_COPIES_SHARE * servers)))
 
 
 class PlacedBackend(NamedTuple):
     """Place a backend server in the order of its region for an object.
 
-    copies is the number of the region's servers that are to hold the object.
+    servers is the number of the region's servers.
     """
 
     state: BackendState
     position: int
-    copies: int
+    servers: int
 
 
 class AffinityOrders:
@@ -35,9 +78,7 @@
         self._generation = -1
         self._orders: OrderedDict[tuple[str, str], list[PlacedBackend]] = OrderedDict()
 
-    def order(
-        self, service: str, object_key: str, copies_share: float
-    ) -> list[PlacedBackend]:
+    def order(self, service: str, object_key: str) -> list[PlacedBackend]:
         """Return the service's servers, each with its position in its region."""
         if self._generation != self._backends.generation:
             self._orders.clear()
@@ -45,15 +86,13 @@
         key = (service, object_key)
         known = self._orders.get(key)
         if known is None:
-            known = self._compute(service, object_key, copies_share)
+            known = self._compute(service, object_key)
             self._orders[key] = known
             if len(self._orders) > MAX_ORDERS:
                 self._orders.popitem(last=False)
         return known
 
-    def _compute(
-        self, service: str, object_key: str, copies_share: float
-    ) -> list[PlacedBackend]:
+    def _compute(self, service: str, object_key: str) -> list[PlacedBackend]:
         states = {s.entry.backend_id: s for s in self._backends.of_service(service)}
         sizes = Counter(state.region for state in states.values())
         placed: list[PlacedBackend] = []
@@ -62,6 +101,5 @@
             state = states[backend_id]
             position = positions.get(state.region, 0)
             positions[state.region] = position + 1
-            copies = max(1, round(copies_share * sizes[state.region]))
-            placed.append(PlacedBackend(state, position, copies))
+            placed.append(PlacedBackend(state, position, sizes[state.region]))
         return placed
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -5,7 +5,11 @@
 from typing import NamedTuple
 
 from rhubarbwell_core.direct.admission import AdmissionRule, admits, retry_after_ms
-from rhubarbwell_core.direct.affinity import AffinityOrders, PlacedBackend
+from rhubarbwell_core.direct.affinity import (
+    AffinityOrders,
+    ObjectCounter,
+    PlacedBackend,
+)
 from rhubarbwell_core.direct.backends import BackendTable
 from rhubarbwell_core.direct.budgets import RetryBudgetRule, SharedRetryBudget
 from rhubarbwell_core.direct.coldstart import ColdStartLimiter
@@ -22,9 +26,6 @@
 
 __all__ = ["AttemptReport", "DirectSteering", "LoadReport", "SteeringRules"]
 
-# Part of a region's servers that share an object. Servers remember few objects, and
-# work on a forgotten one takes several times as long.
-COPIES_SHARE = 0.125
 # Bodies of this size are kept in the own zone, where links cost nothing, with a copy
 # of their objects of its own.
 LARGE_BODY_BYTES = 8 << 10
@@ -85,6 +86,7 @@
         self.cold_starts = ColdStartLimiter(instance_id)
         self.retries = SharedRetryBudget(rules.retries)
         self._splits = WeightedSplits()
+        self._objects: dict[str, ObjectCounter] = {}
         self._orders = AffinityOrders(self.backends)
         self._rules = rules
         self._rng = rng
@@ -123,6 +125,7 @@
         """Begin a request of a route."""
         service = self._splits.next_service(route)
         self.retries.request_arrived(service, now_ms)
+        self._counter(service).add(key)
         return ActiveRequest(
             request_id,
             route,
@@ -252,11 +255,12 @@
         usable: list[PlacedBackend] = []
         fallback: list[PlacedBackend] = []
         copies: dict[str, int] = {}
+        counter = self._counter(req.service)
         wants_own_zone = req.body_bytes >= LARGE_BODY_BYTES
         homes = req.route.home_regions
         limit = self._connection_limit(req.service)
         rate = self._cold_rate(req.service)
-        order = self._orders.order(req.service, req.object_key, COPIES_SHARE)
+        order = self._orders.order(req.service, req.object_key)
         for placed in order:
             state = placed.state
             if state.entry.backend_id in req.tried:
@@ -273,7 +277,9 @@
             if state.ejected_until_ms > now_ms:
                 fallback.append(placed)
                 continue
-            left = copies.get(state.region, placed.copies)
+            left = copies.get(state.region)
+            if left is None:
+                left = counter.copies(placed.servers)
             if left > 0:
                 copies[state.region] = left - 1
                 usable.append(placed)
@@ -331,6 +337,9 @@
         left_ms = req.deadline_ms - now_ms
         return Refusal(reason, retry_after_ms(0.0, 0.0, left_ms))
 
+    def _counter(self, service: str) -> ObjectCounter:
+        return self._objects.setdefault(service, ObjectCounter())
+
     def _connection_limit(self, service: str) -> int:
         assert self.config is not None
         rule = self.config.services.get(service)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -127,8 +127,21 @@
 
     def _must_read(self) -> bool:
         """Tell whether no other instance keeps the table fresh for this one."""
+        if self._upstream.reads_store:
+            return True
         age_ms = self._clock_ms() - self._state.fresh_ms[self._plan.table]
-        return self._upstream.reads_store or age_ms > self._plan.stale_ms
+        is_stale = age_ms > self._plan.stale_ms
+        if is_stale:
+            log_event(
+                _log,
+                logging.INFO,
+                "copy_stale",
+                "the copy of a table is old; reading it from the store",
+                table=self._plan.table,
+                reader=self._upstream.reader,
+                age_ms=age_ms,
+            )
+        return is_stale
 
     async def _read(self) -> ReplicaUpdate:
         table = self._plan.table
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrations.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrations.py
@@ -12,30 +12,39 @@
 
 
 def encode_instance(entry: InstanceEntry) -> bytes:
-    """Return the row of an instance.
+    """Return the row of an instance; short, as all instances read it.
 
     >>> here = Address("127.0.0.1", 1)
     >>> entry = InstanceEntry("i-1", "a", "z", "r", here, here, 2)
     >>> decode_instance("i-1", encode_instance(entry)) == entry
     True
     """
-    return json.dumps(entry._asdict(), separators=(",", ":")).encode()
+    fields = [
+        entry.incarnation,
+        entry.zone,
+        entry.region,
+        *entry.callers,
+        *entry.control,
+        entry.beat,
+        int(entry.leaving),
+    ]
+    return json.dumps(fields, separators=(",", ":")).encode()
 
 
 def decode_instance(key: str, value: bytes) -> InstanceEntry:
     """Return the entry of a row; raise RowDecodingError."""
     try:
-        body: dict[str, Any] = json.loads(value)
-        callers, control = Address(*body["callers"]), Address(*body["control"])
+        row: Any = json.loads(value)
+        incarnation, zone, region, host, port, control, control_port, beat, left = row
         return InstanceEntry(
             key,
-            str(body["incarnation"]),
-            str(body["zone"]),
-            str(body["region"]),
-            callers,
-            control,
-            int(body["beat"]),
-            body["leaving"] is True,
+            str(incarnation),
+            str(zone),
+            str(region),
+            Address(str(host), int(port)),
+            Address(str(control), int(control_port)),
+            int(beat),
+            left == 1,
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except (TypeError, ValueError) as exc:
         raise RowDecodingError(f"unreadable registration: {exc!r}") from exc
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -50,17 +50,10 @@
             known = {name: int(v) for name, v in request.query.items()}
         except ValueError:
             return web.Response(status=400)
-        if not self._has_news(known):
+        if not self._state.has_news(known):
             await self._state.wait_for_change(WAIT_MS / MS_PER_S)
         return web.json_response(self._body(known))
 
-    def _has_news(self, known: Mapping[str, int]) -> bool:
-        replicas = self._state.replicas
-        return any(
-            name in replicas and replicas[name].has_changes_after(version)
-            for name, version in known.items()
-        )
-
     def _body(self, known: Mapping[str, int]) -> dict[str, Any]:
         now_ms = self._clock_ms()
         tables = {
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from rhubarbwell_core.direct import (
     DirectSteering,
@@ -42,6 +42,8 @@
         }
         # Time in ms up to which each table is known to be as the store has it.
         self.fresh_ms = dict.fromkeys(self.replicas, 0)
+        # Heartbeats change the table of instances all the time and can wait.
+        self._urgent = frozenset({names.operator_table, names.backend_table})
         self._changed = asyncio.Event()
         self._evacuated: set[str] = set()
         self._apply = {
@@ -57,12 +59,20 @@
         changed = self.replicas[table].apply(update)
         self.fresh_ms[table] = max(self.fresh_ms[table], now_ms - age_ms)
         self._apply[table](changed, now_ms)
-        if changed:
+        if changed and table in self._urgent:
             self._changed.set()
             self._changed = asyncio.Event()
 
+    def has_news(self, known: Mapping[str, int]) -> bool:
+        """Tell whether an urgent table has changes after the known versions."""
+        return any(
+            self.replicas[name].has_changes_after(version)
+            for name, version in known.items()
+            if name in self._urgent
+        )
+
     async def wait_for_change(self, timeout_s: float) -> None:
-        """Return once a row has changed or the time has passed."""
+        """Return once a row of an urgent table has changed or the time has passed."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._changed.wait()
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 from rhubarbwell_entry.direct.instance import DirectInstance
+from rhubarbwell_entry.direct.registrations import decode_instance
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from support.users_platform import (
     StoreStandIn,
@@ -355,8 +356,8 @@
         assert resp.status == 200
         assert resp.headers["Connection"] == "close"
         await stopping
-        row = fleet.store.value("instances", "i-1")
-        assert row["leaving"] is True
+        _, row = fleet.store.rows["instances", "i-1"]
+        assert decode_instance("i-1", row).leaving
 
 
 async def test_caller_that_leaves_frees_its_server():
