--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/estimates.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/estimates.py
@@ -28,48 +28,46 @@
 
     Work is short where the backend server holds the object and long where it does
     not. Both times are learned for each route, and the share of hits for each
-    service, region and position.
+    service and position. Regions have no shares of their own: after a cold start the
+    first region to be used would look worse than those that nothing is known of.
 
     >>> estimates = CacheEstimates()
-    >>> first = estimates.expected_ms("r", "s", "a", 0)
-    >>> first < estimates.expected_ms("r", "s", "a", 1)
+    >>> first = estimates.expected_ms("r", "s", 0)
+    >>> first < estimates.expected_ms("r", "s", 1)
     True
     >>> for _ in range(100):
-    ...     estimates.learn("r", "s", "a", 0, 300.0)
-    >>> estimates.expected_ms("r", "s", "a", 0) > first
+    ...     estimates.learn("r", "s", 0, 300.0)
+    >>> estimates.expected_ms("r", "s", 0) > first
     True
     """
 
     def __init__(self) -> None:
         self._work: dict[str, list[float]] = {}
-        self._hit_shares: dict[tuple[str, str], list[float]] = {}
+        self._hit_shares: dict[str, list[float]] = {}
         self._recent: OrderedDict[tuple[str, str, str], int] = OrderedDict()
 
     def expected_ms(
         self,
         route: str,
         service: str,
-        region: str,
         position: int,
         *,
         recent: bool = False,
     ) -> float:
         """Return the expected time of work on a request."""
         warm_ms, cold_ms = self._times(route)
-        share = self._shares(service, region)[_index(position)]
+        share = self._shares(service)[_index(position)]
         if recent:
             share = max(share, RECENT_HIT_SHARE)
         return cold_ms + share * (warm_ms - cold_ms)
 
-    def learn(
-        self, route: str, service: str, region: str, position: int, work_ms: float
-    ) -> None:
+    def learn(self, route: str, service: str, position: int, work_ms: float) -> None:
         """Learn from the time that a server took for a request."""
         times = self._times(route)
         is_hit = work_ms < sqrt(times[0] * times[1])
         kind = 0 if is_hit else 1
         times[kind] += WORK_RATE * (work_ms - times[kind])
-        shares = self._shares(service, region)
+        shares = self._shares(service)
         index = _index(position)
         shares[index] += HIT_RATE * ((1.0 if is_hit else 0.0) - shares[index])
 
@@ -91,8 +89,8 @@
     def _times(self, route: str) -> list[float]:
         return self._work.setdefault(route, [FIRST_WARM_MS, FIRST_COLD_MS])
 
-    def _shares(self, service: str, region: str) -> list[float]:
-        return self._hit_shares.setdefault((service, region), list(FIRST_HIT_SHARES))
+    def _shares(self, service: str) -> list[float]:
+        return self._hit_shares.setdefault(service, list(FIRST_HIT_SHARES))
 
 
 class ZoneDelays:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -222,7 +222,6 @@
                 self.cache.learn(
                     req.route.name,
                     req.service,
-                    state.region,
                     target.position,
                     work_ms / state.work_ratio,
                 )
@@ -301,7 +300,6 @@
         work_ms = self.cache.expected_ms(
             req.route.name,
             req.service,
-            state.region,
             placed.position,
             recent=self.cache.is_recent(
                 entry.backend_id, req.route.name, req.object_key, now_ms
