--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -57,7 +57,7 @@
 # A copy that grows older than stale_ms is read from the store at once; the sum of
 # both stays below the shortest times for a configuration (2 s) and a drain (2 s).
 OPERATOR_PLAN = {"wait_ms": 500, "pause_ms": 0, "stale_ms": 1_300}
-BACKEND_PLAN = {"wait_ms": 700, "pause_ms": 50, "stale_ms": 1_500}
+BACKEND_PLAN = {"wait_ms": 500, "pause_ms": 250, "stale_ms": 1_500}
 INSTANCE_PLAN = {"wait_ms": 1_500, "pause_ms": 700, "stale_ms": 4_000}
 
 
