--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/admission.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/admission.py
@@ -12,23 +12,27 @@
 
 
 class AdmissionRule(NamedTuple):
-    """Bound the queue at a backend server by the time that a request would take.
+    """Bound the queue at a backend server by the priority of a request.
 
     Servers that are never idle answer as many requests with a short queue as with a
     long one, but sooner. A request that would wait is sent if it is expected to end
-    within its objective times the factor of its priority; the last factor holds for
-    all lower priorities.
+    within its objective times a factor, and if the load of the server against its
+    slots leaves the rest of the queue to more urgent requests. The last entries hold
+    for all lower priorities.
     """
 
-    objective_factors: tuple[float, ...] = (2.0, 1.1, 1.0)
+    objective_factors: tuple[float, ...] = (4.0, 1.1, 1.0)
+    max_loads: tuple[float, ...] = (4.0, 3.0, 2.0)
     # Requests beyond the slots that keep a server busy while the next is on its way.
     always_queued: int = 1
 
     def longest_ms(self, route: Route) -> float:
         """Return the expected time up to which a request is sent to wait."""
-        factors = self.objective_factors
-        factor = factors[min(route.priority, len(factors) - 1)]
-        return factor * route.objective_ms
+        return _of(self.objective_factors, route.priority) * route.objective_ms
+
+    def max_load(self, route: Route) -> float:
+        """Return the load against slots up to which a request is sent to wait."""
+        return _of(self.max_loads, route.priority)
 
 
 def admits(
@@ -43,6 +47,8 @@
     """Tell whether a request is to be sent to the best backend server for it."""
     if load < slots + rule.always_queued:
         return remaining_ms > 0
+    if load >= slots * rule.max_load(route):
+        return False
     return finish_ms <= min(remaining_ms, rule.longest_ms(route))
 
 
@@ -54,3 +60,7 @@
     """
     excess = max(finish_ms - objective_ms, MIN_RETRY_AFTER_MS)
     return round(max(min(excess, MAX_RETRY_AFTER_SHARE * remaining_ms), 0.0))
+
+
+def _of(values: tuple[float, ...], priority: int) -> float:
+    return values[min(priority, len(values) - 1)]
--- a/tests/core/direct/test_steering.py
+++ b/tests/core/direct/test_steering.py
@@ -184,6 +184,8 @@
     for key in map(str, range(20)):
         req = steering.admit(f"r-{key}", route, key, 2_000, 0, body_bytes=60_000)
         target = steering.choose(req, 0)
+        if isinstance(target, Refusal):
+            break
         steering.started(req, target, 0)
         chosen.add(target.zone)
     assert chosen == {"a-1", "a-2"}
