--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -25,7 +25,6 @@
         "cold_until_ms",
         "ejected_until_ms",
         "entry",
-        "failing_since_ms",
         "failure_share",
         "failures_in_row",
         "in_flight",
@@ -50,7 +49,6 @@
         self.ejected_until_ms = 0
         self.failures_in_row = 0
         self.failure_share = 0.0
-        self.failing_since_ms: int | None = None
         self.work_ratio = 1.0
         self.last_answer_ms = now_ms
         self.removal_due_ms: int | None = None
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -57,12 +57,16 @@
 
 
 class AttemptReport(NamedTuple):
-    """Tell how an attempt ended."""
+    """Tell how an attempt ended.
+
+    connect_ms is the time that a connection opened for it took, None without one.
+    """
 
     result: AttemptResult
     latency_ms: int
     load: LoadReport | None = None
     cold_ms: int | None = None
+    connect_ms: float | None = None
 
 
 class DirectSteering:
@@ -210,13 +214,16 @@
             load = report.load
             running = max(0, load.running - 1)
             state.take_report(running, load.waiting, now_ms)
+        if report.connect_ms is not None:
+            self.delays.add(target.zone, report.connect_ms)
         if report.cold_ms is not None:
             state.cold_until_ms = now_ms + report.cold_ms
         result = report.result
         if result is AttemptResult.ANSWERED:
             self.cache.sent(target.backend_id, req.route.name, req.object_key, now_ms)
             round_trip_ms = self.delays.round_trip_ms(target.zone)
-            work_ms = max(report.latency_ms - round_trip_ms, 1.0)
+            elsewhere_ms = round_trip_ms + (report.connect_ms or 0.0)
+            work_ms = max(report.latency_ms - elsewhere_ms, 1.0)
             if target.load < state.entry.slots and not target.is_cold:
                 state.answered(now_ms, work_ms / max(target.work_ms, 1.0))
                 self.cache.learn(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -53,6 +53,8 @@
 BEAT_PERIOD_MS = 2_000
 # Two beats may be missing or late before an instance counts as gone.
 SILENCE_MS = 4_400
+# Registrations of instances that ended without one word are removed after this time.
+FORGET_MS = 60_000
 ADVANCE_PERIOD_MS = 250
 # A copy that grows older than stale_ms is read from the store at once; the sum of
 # both stays below the shortest times for a configuration (2 s) and a drain (2 s).
@@ -214,6 +216,8 @@
     async def _register(self) -> None:
         while True:
             await self.announce()
+            if self._upstream.reads_store:
+                await self._remove_lapsed()
             await asyncio.sleep(BEAT_PERIOD_MS / 1_000)
 
     async def announce(self) -> None:
@@ -237,6 +241,22 @@
                 error=str(exc),
             )
 
+    async def _remove_lapsed(self) -> None:
+        table = self.platform.names.instance_table
+        for instance_id in self.instances.lapsed(FORGET_MS):
+            try:
+                await self._store.write(RowWrite(table, instance_id, None))
+            except PlatformError as exc:
+                log_event(
+                    _log,
+                    logging.INFO,
+                    "registration_kept",
+                    "the row of an instance that is gone could not be removed",
+                    instance_id=instance_id,
+                    error=str(exc),
+                )
+                return
+
     async def _run_timers(self) -> None:
         while True:
             self._timers.advance(self._clock_ms())
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -134,7 +134,7 @@
                     "answer without a length was reset",
                     started_ms,
                 )
-            return self._judge(resp, payload, started_ms)
+            return self._judge(req.request_id, resp, payload, started_ms)
         finally:
             resp.close()
 
@@ -153,14 +153,20 @@
         return headers
 
     def _judge(
-        self, resp: aiohttp.ClientResponse, payload: bytes, started_ms: int
+        self,
+        request_id: str,
+        resp: aiohttp.ClientResponse,
+        payload: bytes,
+        started_ms: int,
     ) -> AttemptOutcome:
         names, headers = self._names, resp.headers
         latency_ms = self._clock_ms() - started_ms
         load = _read_load(headers.get(names.load, ""))
         cold_ms = _read_cold_ms(headers.get(names.cold_remaining))
         result, detail = self._classify(resp)
-        report = AttemptReport(result, latency_ms, load, cold_ms)
+        used = self._connector.connection_of(request_id)
+        connect_ms = used.connect_ms if used is not None and used.fresh else None
+        report = AttemptReport(result, latency_ms, load, cold_ms, connect_ms)
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
         kept = end_to_end_headers(headers)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -30,6 +30,7 @@
 KEEPALIVE_S = 15.0
 MAX_PROVEN_AGE_S = 2.0
 MAX_HEADER_BYTES = 16 << 10
+MS_PER_S = 1_000
 
 
 class AttemptError(RhubarbwellError):
@@ -37,11 +38,15 @@
 
 
 class AttemptConnection(NamedTuple):
-    """Tell which connection an attempt got; fresh means newly opened."""
+    """Tell which connection an attempt got; fresh means newly opened.
+
+    connect_ms is the time that it took to open or to find.
+    """
 
     protocol: ResponseHandler
     address: Address
     fresh: bool
+    connect_ms: float = 0.0
 
 
 class ProvenConnector(aiohttp.TCPConnector):
@@ -112,6 +117,7 @@
         spared: list[Connection] = []
         try:
             while True:
+                asked_s = time.monotonic()
                 conn = await super().connect(req, traces, timeout)
                 protocol = conn.protocol
                 assert protocol is not None
@@ -131,7 +137,10 @@
             closing.add_done_callback(_failure)
             self._closings[protocol] = closing
         address = Address(req.url.host or "", req.url.port or 0)
-        self._in_use[attempt_id] = AttemptConnection(protocol, address, fresh)
+        connect_ms = (time.monotonic() - asked_s) * MS_PER_S
+        self._in_use[attempt_id] = AttemptConnection(
+            protocol, address, fresh, connect_ms
+        )
         self._users[protocol] = attempt_id
         return conn
 
--- a/tests/core/direct/test_instances.py
+++ b/tests/core/direct/test_instances.py
@@ -49,3 +49,10 @@
 
 def test_own_instance_is_offered_only_when_ready():
     assert offered(make(), own_ready=False) == []
+
+
+def test_instances_silent_for_long_have_lapsed():
+    table = make(entry("i-2"))
+    table.put(entry("i-3"), 50_000)
+    table.heard(61_000)
+    assert table.lapsed(60_000) == ["i-2"]
--- a/tests/core/direct/test_steering.py
+++ b/tests/core/direct/test_steering.py
@@ -189,3 +189,15 @@
         steering.started(req, target, 0)
         chosen.add(target.zone)
     assert chosen == {"a-1", "a-2"}
+
+
+def test_delays_between_zones_are_learned_from_connections():
+    steering, route = make(backend("b-1", "b-1"))
+    before = steering.delays.round_trip_ms("b-1")
+    for number in range(20):
+        req = admit(steering, route, str(number))
+        target = steering.choose(req, 0)
+        steering.started(req, target, 0)
+        end(steering, req, target, AttemptResult.ANSWERED, connect_ms=12.0)
+    assert steering.delays.round_trip_ms("b-1") == pytest.approx(12.0, abs=1.0)
+    assert before > 20.0
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -9,7 +9,7 @@
 import pytest
 from aiohttp import web
 from rhubarbwell_entry.direct.instance import DirectInstance
-from rhubarbwell_entry.direct.registrations import decode_instance
+from rhubarbwell_entry.direct.registrations import decode_instance, encode_instance
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from support.users_platform import (
     StoreStandIn,
@@ -440,3 +440,14 @@
         await until(lambda: follower.steering.config.version == 9)
         cut._request = original
         await until(lambda: reader.steering.config.version == 9)
+
+
+async def test_reader_removes_the_rows_of_instances_long_gone():
+    async with running() as fleet:
+        instance = fleet.instance
+        gone = instance._own._replace(instance_id="i-9", beat=1)
+        await fleet.store.write("instances", "i-9", encode_instance(gone))
+        await until(lambda: "i-9" in instance.instances.live_ids())
+        instance.instances.heard(instance._clock_ms() + 120_000)
+        await instance._remove_lapsed()
+        assert fleet.store.rows["instances", "i-9"][1] is None
