--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -60,12 +60,17 @@
         A report counts the requests of all instances at its time; the own requests
         sent since then are added, and it counts less as it ages.
         """
-        age_ms = now_ms - self.reported_at_ms
-        if age_ms >= REPORT_AGE_MS:
+        age_ms = self.report_age_ms(now_ms)
+        if age_ms is None:
             return float(self.in_flight)
         others = max(0, self.reported_load - self.reported_in_flight)
         return self.in_flight + others * (1.0 - age_ms / REPORT_AGE_MS)
 
+    def report_age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the last report of load, None once it is too old."""
+        age_ms = now_ms - self.reported_at_ms
+        return age_ms if age_ms < REPORT_AGE_MS else None
+
     def take_report(self, running: int, waiting: int, now_ms: int) -> None:
         """Take in the load that an answer told, its own request excluded."""
         self.reported_load = running + waiting
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -30,7 +30,8 @@
     """Name the backend server that gets an attempt.
 
     expected_ms is the time from sending to answer; work_ms is the part of it that
-    the server works; load_age_ms is the age of the report behind load.
+    the server works; load_age_ms is the age of the report
+    behind load, None where it counts the own requests alone.
     """
 
     backend_id: str
@@ -41,7 +42,7 @@
     expected_ms: float
     work_ms: float
     load: float
-    load_age_ms: int
+    load_age_ms: int | None
     is_cold: bool
 
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/steering.py
@@ -331,7 +331,7 @@
             expected_ms,
             work_ms,
             load,
-            now_ms - state.reported_at_ms,
+            state.report_age_ms(now_ms),
             state.cold_until_ms > now_ms,
         )
         return cost, target
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -56,10 +56,7 @@
 # Registrations of instances that ended without one word are removed after this time.
 FORGET_MS = 60_000
 ADVANCE_PERIOD_MS = 250
-# A copy that grows older than stale_ms is read from the store at once; the sum of
-# both stays below the shortest times for a configuration (2 s) and a drain (2 s).
-OPERATOR_PLAN = {"wait_ms": 500, "pause_ms": 0, "stale_ms": 1_300}
-BACKEND_PLAN = {"wait_ms": 500, "pause_ms": 250, "stale_ms": 1_500}
+# Heartbeats come all the time; the pause gathers those of several instances.
 INSTANCE_PLAN = {"wait_ms": 1_500, "pause_ms": 700, "stale_ms": 4_000}
 
 
@@ -186,8 +183,8 @@
     def _follow(self) -> None:
         names = self.platform.names
         plans = (
-            FollowPlan(names.operator_table, **OPERATOR_PLAN),
-            FollowPlan(names.backend_table, **BACKEND_PLAN),
+            _plan(names.operator_table, self.settings.config_apply_ms, 0.25, 0.0, 0.65),
+            _plan(names.backend_table, self.settings.drain_ms, 0.25, 0.125, 0.75),
             FollowPlan(names.instance_table, **INSTANCE_PLAN),
         )
         for plan in plans:
@@ -302,3 +299,15 @@
 
     def _store_regained(self) -> None:
         self.steering.backends.store_regained(self._clock_ms())
+
+
+def _plan(
+    table: str, bound_ms: int, wait: float, pause: float, stale: float
+) -> FollowPlan:
+    """Return a plan whose times are parts of the bound on a change's way here.
+
+    A copy that is found stale is read from the store at once, in what is left.
+    """
+    return FollowPlan(
+        table, round(wait * bound_ms), round(pause * bound_ms), round(stale * bound_ms)
+    )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
@@ -19,9 +19,8 @@
     """Hold the checked settings of a process.
 
     regions maps each availability zone to its region; stop_max_ms is the time from
-    SIGTERM to SIGKILL; config_apply_ms and drain_ms bound how long a change may take
-    to be in force; silence_ms is the time after which an instance without heartbeats
-    counts as gone.
+    SIGTERM to SIGKILL; config_apply_ms and drain_ms bound how long a change of the
+    configuration and the leaving of a backend server may take to be in force.
     """
 
     instance_id: str
@@ -38,8 +37,6 @@
     stop_max_ms: int = 6_000
     config_apply_ms: int = 2_000
     drain_ms: int = 2_000
-    silence_ms: int = 3_000
-    memory_mb: int = 300
 
     @property
     def region(self) -> str:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -33,7 +33,6 @@
     load: str
     not_run: str
     cold_remaining: str
-    backend_id: str
     object_cookie: str
     operator_table: str
     backend_table: str
