--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -25,6 +25,8 @@
         "zones_evacuated",
     }
 )
+# Lines of answered requests are the first to be left out.
+_MISSING_END = "no line of its end"
 # A change of a server's state this long before an attempt is told with it.
 CONTEXT_S = 10.0
 
@@ -102,7 +104,7 @@
     refusals = [line for line in own if line.event == "request_refused"]
     failures = [line for line in own if line.event == "attempt_failed"]
     ends = [line for line in own if line.event == "request_ended"]
-    outcome = str(ends[-1].fields.get("outcome", "")) if ends else "still open"
+    outcome = str(ends[-1].fields.get("outcome", "")) if ends else _MISSING_END
     parts = [_failure(line, context) for line in failures]
     parts += [_refusal(line) for line in refusals]
     if not parts and ends:
--- /dev/null
+++ b/tests/ops/commands/test_explain.py
@@ -0,0 +1,73 @@
+"""Explanations from logs that were recorded on a heavy day of the users' bench."""
+
+import json
+from pathlib import Path
+
+import pytest
+from rhubarbwell_ops.commands.explain import explain
+from rhubarbwell_ops.exits import ExitCode
+
+RECORDED = str(Path(__file__).parents[1] / "recorded" / "heavy-day.log")
+
+CAUSES = {
+    "f1364ca1712d594d": "refused: no room at cuda76a: the best backend server had a "
+    "load of 10.73 and would have answered in 1069 ms, with 800 ms left",
+    "4b38f91070f7256f": "unknown: attempt 1 at i-4af2497918 ended after 3 ms as broken "
+    "([Errno 104] Connection reset by peer); attempt 2 at i-fd9b19a350 ended after 8 ms"
+    " as broken ([Errno 104] Connection reset by peer)",
+    "656fc15de99b008a": "no line of its end: attempt 1 at i-bbd88c7e0d ended after "
+    "167 ms as not_run (another backend server has the address)",
+    "59904100c93c397f": "timed_out: attempt 1 at i-80e8345970 ended after 799 ms as "
+    "timed_out (no answer in time)",
+}
+
+
+@pytest.mark.parametrize("request_id, cause", CAUSES.items())
+def test_cause(request_id, cause):
+    report = explain(request_id, [RECORDED])
+    assert report.exit_code is ExitCode.DONE
+    assert report.fields["cause"] == cause
+    assert report.text.endswith(f"cause: {cause}")
+
+
+def test_lines_come_in_order_and_belong_to_the_request_or_bear_on_it():
+    report = explain("f1364ca1712d594d", [RECORDED])
+    lines = report.fields["lines"]
+    times = [line["timestamp"] for line in lines]
+    assert times == sorted(times)
+    own = [line for line in lines if line.get("request_id")]
+    assert {line["request_id"] for line in own} == {"f1364ca1712d594d"}
+    assert json.dumps(report.fields)
+
+
+def test_state_of_a_leaving_server_is_told(tmp_path):
+    def line(second, **fields):
+        stamp = f"2026-07-29T03:36:0{second}.000000+00:00"
+        return json.dumps({"timestamp": stamp, **fields})
+
+    log = tmp_path / "i-1.log"
+    attempt = {"event": "attempt_failed", "message": "refused", "backend_id": "b-1"}
+    changed = {"event": "backend_changed", "backend_id": "b-1", "state": "draining"}
+    other = {"event": "backend_changed", "backend_id": "b-2", "state": "gone"}
+    ended = {"event": "request_ended", "outcome": "refused", "request_id": "r"}
+    log.write_text(
+        "\n".join(
+            [
+                line(1, **changed),
+                line(2, **other),
+                line(3, **attempt, request_id="r", attempt=1, result="not_run"),
+                "not JSON {",
+                line(4, **ended),
+            ]
+        )
+    )
+    report = explain("r", [str(log)])
+    assert "the server was draining" in report.fields["cause"]
+    assert "b-2" not in report.text
+    assert report.fields["lines"][0]["source"] == "i-1"
+
+
+def test_unknown_request_and_missing_files():
+    assert explain("nobody", [RECORDED]).exit_code is ExitCode.FINDINGS
+    assert explain("r", []).exit_code is ExitCode.USAGE
+    assert explain("r", ["/nowhere.log"]).exit_code is ExitCode.NOT_DONE
