--- /dev/null
+++ b/tests/core/direct/test_shifts.py
@@ -0,0 +1,48 @@
+"""Moves of a region's requests from one window to the next."""
+
+from collections import Counter, defaultdict
+
+import pytest
+
+from support.direct_fleet import DirectFleet, Load, Work
+
+REGIONS = {"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c", "c-2": "c"}
+# A third of the callers, a ninth of the servers.
+SMALL_REGION = {"a-1": 2, "a-2": 2, "b-1": 8, "b-2": 8, "c-1": 8, "c-2": 8}
+WINDOW_MS = 2_000
+MAX_SHIFT = 0.15
+
+
+def shifts_of(fleet, region):
+    """Return the share of a region's requests that moved from window to window."""
+    windows = defaultdict(Counter)
+    for row in fleet.ended:
+        if fleet.zones[row.zone] == region and row.region_run is not None:
+            windows[row.at_ms // WINDOW_MS][row.region_run] += 1
+    shares = [
+        {name: n / counts.total() for name, n in counts.items()}
+        for _, counts in sorted(windows.items())
+        if counts.total() > 50
+    ]
+    return [
+        sum(max(0.0, after.get(name, 0.0) - before.get(name, 0.0)) for name in "abc")
+        for before, after in zip(shares, shares[1:], strict=False)
+    ]
+
+
+def play(per_s):
+    work = Work(warm_ms=160.0, cold_ms=528.0, objects=140)
+    fleet = DirectFleet(REGIONS, SMALL_REGION, instances=12, work=work)
+    fleet.run([Load(zone, per_s / len(REGIONS), to_ms=16_000) for zone in REGIONS])
+    return fleet
+
+
+@pytest.mark.known_red
+def test_cold_start_moves_few_requests_between_regions():
+    fleet = play(240.0)
+    assert max(shifts_of(fleet, "a")) <= MAX_SHIFT
+
+
+def test_steady_load_moves_few_requests_between_regions():
+    fleet = play(240.0)
+    assert max(shifts_of(fleet, "a")[3:]) <= MAX_SHIFT
