--- a/tests/core/direct/test_shifts.py
+++ b/tests/core/direct/test_shifts.py
@@ -3,7 +3,6 @@
 from collections import Counter, defaultdict
 
 import pytest
-
 from support.direct_fleet import DirectFleet, Load, Work
 
 REGIONS = {"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c", "c-2": "c"}
