--- a/tests/core/direct/test_shifts.py
+++ b/tests/core/direct/test_shifts.py
@@ -1,6 +1,7 @@
 """Moves of a region's requests from one window to the next."""
 
 from collections import Counter, defaultdict
+from itertools import pairwise
 
 import pytest
 from support.direct_fleet import DirectFleet, Load, Work
@@ -25,7 +26,7 @@
     ]
     return [
         sum(max(0.0, after.get(name, 0.0) - before.get(name, 0.0)) for name in "abc")
-        for before, after in zip(shares, shares[1:], strict=False)
+        for before, after in pairwise(shares)
     ]
 
 
