Bound answers of backend servers and close connections on stray bytes

Cause: a server in trouble may send bytes without end. Heads are bounded by aiohttp field by field, but interim answers, bodies without a length and chunked bodies were read until the route's timeout, whole in memory; bytes that arrived on an idle connection stayed unread until its next use, and garbage in the same segment as the end of a complete answer made the parser drop the answer, so a request that had run was reported as unknown.

Change: the client protocol counts the bytes of an answer (256 KiB before the final head ends, a sixteenth of the machine's memory in all), parses up to the end of the answer alone, and closes an idle connection on the first byte.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -132,7 +132,11 @@
         self._session = aiohttp.ClientSession()
         self._store = self.platform.open_store(self._session, self.settings)
         self._health = StoreHealth(self._on_store_lost, self._on_store_regained)
-        self._sender = DirectSender(self.platform, self._clock_ms)
+        self._sender = DirectSender(
+            self.platform,
+            self._clock_ms,
+            max_answer_bytes=self.settings.max_answer_bytes,
+        )
         forwarder = Forwarder(self.balancer, self._sender, self.metrics, self._clock_ms)
         self.handler = DirectHandler(
             self.platform.names,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -59,11 +59,19 @@
 class DirectSender:
     """Send requests to backend servers and verify the origin of the answers."""
 
-    def __init__(self, platform: DirectPlatform, clock_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        platform: DirectPlatform,
+        clock_ms: Callable[[], int],
+        *,
+        max_answer_bytes: int,
+    ) -> None:
         self._platform = platform
         self._names = names = platform.names
         self._clock_ms = clock_ms
-        self._connector = VerifyingConnector(attempt_header=names.request_id)
+        self._connector = VerifyingConnector(
+            attempt_header=names.request_id, max_answer_bytes=max_answer_bytes
+        )
         self._session = make_client_session(
             self._connector, connect_timeout_s=CONNECT_TIMEOUT_S
         )
@@ -97,7 +105,7 @@
                 result, str(exc) or "connection failed", started_ms
             )
         except (aiohttp.ClientError, OSError) as exc:
-            detail = f"answer broke off: {type(exc).__name__}"
+            detail = f"answer broke off: {str(exc) or type(exc).__name__}"
             return self._failed_outcome(AttemptResult.BROKEN, detail, started_ms)
         finally:
             self._connector.forget(req.request_id)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
@@ -22,7 +22,8 @@
     SIGTERM to SIGKILL. config_apply_ms and drain_ms limit the time until a change of
     the configuration or the draining of a backend server is in force. max_shift is the
     largest fraction of a region's requests that may move to servers of another region
-    within two seconds.
+    within two seconds. max_answer_bytes limits the head and body of an answer, which
+    are held in memory.
     """
 
     instance_id: str
@@ -42,6 +43,7 @@
     max_shift: float = 0.15
     processor_cores: float = 1.0
     link_mbit_per_s: float = 1_000.0
+    max_answer_bytes: int = 16 << 20
 
     @property
     def region(self) -> str:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, NamedTuple
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple, cast
 from weakref import WeakKeyDictionary, WeakSet
 
 import aiohttp
@@ -18,6 +19,7 @@
     from aiohttp.tracing import Trace
 
 from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
+from rhubarbwell_entry.proxy.protocols import AnswerProtocol
 
 __all__ = [
     "AUTOMATIC_HEADERS",
@@ -64,12 +66,23 @@
 
     Connections that were not verified in this way, were verified longer ago than
     the attempt allows or have unread bytes are closed. A late or duplicate answer
-    therefore never reaches another request.
+    therefore never reaches another request. max_answer_bytes limits the size of an
+    answer; None is for answers that are not held in memory.
     """
 
-    def __init__(self, *, attempt_header: str = ATTEMPT_HEADER) -> None:
+    def __init__(
+        self,
+        *,
+        attempt_header: str = ATTEMPT_HEADER,
+        max_answer_bytes: int | None = None,
+    ) -> None:
         super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S)
+        # aiohttp has no parameter for the class of its client protocol.
+        self._factory = cast(
+            "partial[ResponseHandler]", partial(AnswerProtocol, loop=self._loop)
+        )
         self._attempt_header = attempt_header
+        self._max_answer_bytes = max_answer_bytes
         self._opened = WeakSet[ResponseHandler]()
         self._verifications = WeakKeyDictionary[ResponseHandler, _Verification]()
         self._last_attempt_ids = WeakKeyDictionary[ResponseHandler, str]()
@@ -167,6 +180,9 @@
             protocol, address, fresh, connect_ms
         )
         self._last_attempt_ids[protocol] = attempt_id
+        assert isinstance(protocol, AnswerProtocol)
+        protocol.expect_answer(self._max_answer_bytes)
+        conn.add_callback(protocol.mark_idle)
         return conn
 
     def _awaits_verification(self, protocol: ResponseHandler) -> bool:
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -0,0 +1,165 @@
+"""Client protocol that accepts one bounded answer for each request."""
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import hdrs
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+if TYPE_CHECKING:
+    from aiohttp.http import RawResponseMessage
+    from aiohttp.streams import StreamReader
+
+from rhubarbwell_entry.logs import log_event
+
+__all__ = ["AnswerLimitError", "AnswerProtocol"]
+
+_log = logging.getLogger(__name__)
+
+# Limits the head of an answer, including interim answers before it. aiohttp limits the
+# size and number of the header fields of each of them, but not the number of answers.
+MAX_HEAD_BYTES = 256 << 10
+HEAD_END = b"\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+# Longest part of HEAD_END or LAST_CHUNK that the previous data can end with.
+OVERLAP_BYTES = 4
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+
+
+class AnswerLimitError(aiohttp.ClientPayloadError):
+    """Report an answer that exceeds a size limit."""
+
+
+class AnswerProtocol(ResponseHandler):
+    """Receive the answer to one request at a time and reject all other bytes.
+
+    Bytes that arrive after a complete answer belong to no request. They are not
+    parsed, so that they neither spoil the answer nor fill the memory, and the
+    connection is closed: at once if it is idle, else after the answer.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._is_idle = True
+        self._max_bytes: int | None = None
+        self._received_bytes = 0
+        self._head_is_complete = False
+        self._answer_payload: StreamReader | None = None
+        self._body_bytes_left: int | None = None
+        self._is_chunked = False
+        self._previous_end = b""
+
+    def expect_answer(self, max_bytes: int | None) -> None:
+        """Accept one answer of at most max_bytes, None for any size of its body."""
+        self._is_idle = False
+        self._max_bytes = max_bytes
+        self._received_bytes = 0
+        self._head_is_complete = False
+        self._answer_payload = None
+        self._body_bytes_left = None
+        self._is_chunked = False
+        self._previous_end = b""
+
+    def mark_idle(self) -> None:
+        """Close the connection if bytes arrive before the next request."""
+        self._is_idle = True
+
+    def feed_data(
+        self, data: "tuple[RawResponseMessage, StreamReader]", size: int = 0
+    ) -> None:
+        """Queue the head of an answer and note how its body ends."""
+        message, payload = data
+        is_final = message.code >= FIRST_FINAL_STATUS
+        if is_final or message.code == SWITCHING_PROTOCOLS:
+            self._head_is_complete = True
+            self._answer_payload = payload
+            self._is_chunked = bool(message.chunked)
+            length = message.headers.get(hdrs.CONTENT_LENGTH, "")
+            if length.isdigit() and not self._is_chunked:
+                self._body_bytes_left = int(length)
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the bytes up to the end of the answer; reject those beyond it."""
+        if data and self._is_idle:
+            self._reject("bytes arrived on an idle connection", len(data))
+            return
+        self._received_bytes += len(data)
+        limit_bytes = self._exceeded_limit()
+        if limit_bytes is not None:
+            self._abort(AnswerLimitError(f"answer exceeds {limit_bytes} bytes"))
+            return
+        if not data:
+            super().data_received(data)
+        while data and not self._has_answer():
+            end = self._possible_end(data)
+            part, data = data[:end], data[end:]
+            had_head = self._head_is_complete
+            super().data_received(part)
+            if had_head and self._body_bytes_left is not None:
+                self._body_bytes_left -= len(part)
+            self._previous_end = (self._previous_end + part)[-OVERLAP_BYTES:]
+        if data and self.transport is not None:
+            self._reject("bytes arrived after a complete answer", len(data))
+
+    def _has_answer(self) -> bool:
+        payload = self._answer_payload
+        return payload is not None and payload.is_eof()
+
+    def _possible_end(self, data: bytes) -> int:
+        """Return the number of bytes after which the answer may be complete."""
+        if self._head_is_complete and self._body_bytes_left is not None:
+            return max(self._body_bytes_left, 1)
+        if self._head_is_complete and not self._is_chunked:
+            return len(data)
+        # Trailers end like a head.
+        before = len(self._previous_end)
+        joined = self._previous_end + data
+        ends = [
+            position + len(mark) - before
+            for mark in (HEAD_END, LAST_CHUNK)
+            if (position := joined.find(mark, max(before - len(mark) + 1, 0))) >= 0
+        ]
+        return min(ends, default=len(data))
+
+    def _exceeded_limit(self) -> int | None:
+        if not self._head_is_complete and self._received_bytes > MAX_HEAD_BYTES:
+            return MAX_HEAD_BYTES
+        if self._max_bytes is not None and self._received_bytes > self._max_bytes:
+            return self._max_bytes
+        return None
+
+    def _reject(self, message: str, size: int) -> None:
+        self.force_close()
+        if self._is_idle:
+            self._log_rejected(message, size)
+            self.abort()
+        elif not self._reading_paused:
+            self._log_rejected(message, size)
+            self.pause_reading()
+
+    def _abort(self, exc: AnswerLimitError) -> None:
+        payload = self._answer_payload
+        self._log_rejected(str(exc), self._received_bytes)
+        self.set_exception(exc)
+        if payload is not None:
+            set_exception(payload, exc)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _log_rejected(self, message: str, size: int) -> None:
+        peer = None
+        if self.transport is not None:
+            peer = self.transport.get_extra_info("peername")
+        log_event(
+            _log,
+            logging.WARNING,
+            "bytes_rejected",
+            message,
+            address=None if peer is None else f"{peer[0]}:{peer[1]}",
+            size=size,
+        )
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -3,105 +3,24 @@
 import asyncio
 import socket
 import struct
-from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
 from aiohttp import web
-from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.direct.registrations import decode_instance, encode_instance
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
-from support.users_platform import (
-    StoreStandIn,
-    TestPlatform,
-    UsersBackend,
-    config_body,
-    make_settings,
+from support.running_fleet import (
+    WAIT_S,
+    raw_request,
+    running_fleet,
+    second_instance,
+    wait_until,
 )
+from support.users_platform import config_body
 
-WAIT_S = 10.0
 HANG_S = 3.0
 
 
-class Fleet:
-    """Hold a simulated store, backend servers, one instance and a caller session."""
-
-    def __init__(self, store, backends, instance, session):
-        self.store = store
-        self.backends = backends
-        self.instance = instance
-        self.session = session
-        self._next_id = 0
-
-    def url(self, path):
-        cfg = self.instance.settings
-        return f"http://{cfg.callers.host}:{cfg.callers.port}{path}"
-
-    async def send_request(self, path="/read/x", method="GET", data=None, **headers):
-        self._next_id += 1
-        request_id = f"req-{self._next_id}"
-        sent = {
-            "Host": "h.example",
-            "X-Rhubarbwell-Request-Id": request_id,
-            "X-Rhubarbwell-Request-Deadline": "2000",
-            **headers,
-        }
-        async with self.session.request(
-            method, self.url(path), data=data, headers=sent
-        ) as resp:
-            body = await resp.read()
-            return resp, body
-
-    async def fetch_text(self, address, path):
-        url = f"http://{address.host}:{address.port}{path}"
-        async with self.session.get(url) as resp:
-            text = await resp.text()
-            return resp.status, text
-
-
-async def wait_until(condition):
-    async with asyncio.timeout(WAIT_S):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
-def free_ports(number):
-    socks = [socket.socket() for _ in range(number)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
-@asynccontextmanager
-async def running_fleet(backends=2, *, config=True):
-    store = StoreStandIn()
-    await store.start()
-    servers = [UsersBackend(f"b-{n}") for n in range(backends)]
-    for server in servers:
-        await server.start()
-        await store.write("servers", server.backend_id, server.registry_entry())
-    if config:
-        await store.write("op", "config", config_body())
-    settings = make_settings(store.address, free_ports(5))
-    instance = DirectInstance(TestPlatform(settings), settings)
-    await instance.start()
-    async with aiohttp.ClientSession() as session:
-        fleet = Fleet(store, servers, instance, session)
-        if config:
-            await wait_until(lambda: instance.is_ready)
-            await wait_until(lambda: len(instance.balancer.backends.rows) == backends)
-        try:
-            yield fleet
-        finally:
-            await instance.stop()
-            for server in servers:
-                await server.stop()
-            await store.stop()
-
-
 async def test_request_reaches_a_server_unchanged_and_its_answer_returns():
     async with running_fleet() as fleet:
         resp, body = await fleet.send_request("/pay/a%2Fb?q=%20", "POST", b"body")
@@ -410,17 +329,6 @@
         assert 'outcome="answered"' in text
 
 
-@asynccontextmanager
-async def second_instance(fleet):
-    settings = make_settings(fleet.store.address, free_ports(5), name="i-2", zone="b-1")
-    other = DirectInstance(TestPlatform(settings), settings)
-    await other.start()
-    try:
-        yield other
-    finally:
-        await other.stop()
-
-
 def reader_of(instance):
     return instance._upstream.reader
 
@@ -480,13 +388,6 @@
         assert fleet.store.rows["instances", "i-9"][1] is None
 
 
-async def raw_request(fleet, head, body=b""):
-    cfg = fleet.instance.settings
-    reader, writer = await asyncio.open_connection(*cfg.callers)
-    writer.write(head.encode() + body)
-    return reader, writer
-
-
 async def test_stalled_body_is_refused_at_the_deadline_and_not_forwarded():
     async with running_fleet() as fleet:
         head = (
--- a/tests/wire/test_settings.py
+++ b/tests/wire/test_settings.py
@@ -59,6 +59,14 @@
     assert cfg.max_shift == 0.15
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "max_bytes"), [(0, 1 << 20), (300, 19_660_800), (552, 36_175_872)]
+)
+def test_answers_are_limited_to_a_share_of_the_memory(tmp_path, memory_mb, max_bytes):
+    text = GOOD.replace("memoryMb = 300", f"memoryMb = {memory_mb}")
+    assert read_settings_text(tmp_path, text).max_answer_bytes == max_bytes
+
+
 def test_numbers_of_the_wrong_type_are_reported(tmp_path):
     text = GOOD.replace("retrySlack = 62", 'retrySlack = "many"\nmaxShift = -1')
     with pytest.raises(SettingsError) as caught:
