--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -45,7 +45,10 @@
     ) -> None:
         self.version = 0
         self._content_key = content_key
+        # Deletions up to this version may be missing: their tombstones were purged, or
+        # a listing took the place of the changes before it.
         self._purged_version = 0
+        self._listed_version = 0
         self._rows: dict[str, ReplicaRow] = {}
         # Version at which the content of each row last changed.
         self._changed_versions: dict[str, int] = {}
@@ -63,6 +66,9 @@
                 self._changed_versions[row.key] = row.version
             self._rows[row.key] = row
         self.version = max(self.version, update.version)
+        if update.complete:
+            self._listed_version = max(self._listed_version, update.version)
+            self._purged_version = max(self._purged_version, update.version)
         self._purge_tombstones()
         return changed
 
@@ -73,7 +79,7 @@
     def changes_after(self, version: int) -> ReplicaUpdate:
         """Return the rows changed after a version, including deleted ones.
 
-        If tombstones newer than the version were purged, return all existing rows.
+        If deletions after the version may be missing, return all existing rows.
         """
         rows = list(self._rows.values())
         if version < self._purged_version:
@@ -91,11 +97,13 @@
         for row in deleted[: -MAX_TOMBSTONES // 2]:
             del self._rows[row.key]
             del self._changed_versions[row.key]
-            self._purged_version = row.version
+            self._purged_version = max(self._purged_version, row.version)
 
     def _is_newer(self, row: ReplicaRow) -> bool:
         known = self._rows.get(row.key)
-        return known is None or row.version > known.version
+        # A listing without the row proves that it was deleted.
+        known_version = self._listed_version if known is None else known.version
+        return row.version > known_version
 
     def _has_same_content(self, row: ReplicaRow) -> bool:
         known = self._rows.get(row.key)
--- a/tests/core/direct/test_replica.py
+++ b/tests/core/direct/test_replica.py
@@ -44,6 +44,26 @@
     assert live_values(replica) == {"a": b"1"}
 
 
+def test_restarted_reader_tells_its_followers_what_was_deleted_before_its_listing():
+    follower = TableReplica()
+    follower.apply(
+        ReplicaUpdate([ReplicaRow("a", 1, b"1"), ReplicaRow("b", 2, b"2")], 5)
+    )
+    restarted = TableReplica()
+    restarted.apply(ReplicaUpdate([ReplicaRow("a", 1, b"1")], 10, complete=True))
+    follower.apply(restarted.changes_after(follower.version))
+    assert live_values(follower) == {"a": b"1"}
+
+
+def test_late_response_does_not_bring_back_what_a_listing_no_longer_names():
+    replica = TableReplica()
+    replica.apply(ReplicaUpdate([ReplicaRow("a", 1, b"1")], 10, complete=True))
+    late = ReplicaUpdate([ReplicaRow("a", 1, b"1"), ReplicaRow("b", 2, b"2")], 8)
+    assert replica.apply(late) == []
+    assert replica.apply(ReplicaUpdate([ReplicaRow("b", 11, b"3")], 11)) != []
+    assert live_values(replica) == {"a": b"1", "b": b"3"}
+
+
 def test_a_follower_far_behind_gets_a_listing():
     replica = TableReplica()
     replica.apply(ReplicaUpdate([ReplicaRow("a", 1, b"1")], 1))
