Start from a seed instance's tables instead of listing the store

Cause: each starting instance listed three tables of the store until it had chosen a reader (195 instances, 810 servers in two pages: some 800 calls), and an instance that started while the store was out had no configuration until it came back, as peers were known from the store alone.

Change: a starting instance probes the seeds that its settings name, takes the tables of the nearest one that is current and follows that one's reader; seeds read the store at once. Copies that are not current are taken only while the store does not answer. An instance that does not read the store names the one that does, and a follower goes there next. A follower that becomes the reader goes on from its version instead of listing the tables again.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
@@ -32,11 +32,17 @@
         self._excluded_until_ms: dict[str, int] = {}
 
     def choose(
-        self, others: Sequence[InstanceEntry], now_ms: int
+        self, others: Sequence[InstanceEntry], now_ms: int, *, hint: str | None = None
     ) -> InstanceEntry | None:
-        """Return the instance to poll, or None if this instance reads the store."""
+        """Return the instance to poll, or None if this instance reads the store.
+
+        hint is the id of an instance known to read the store, which goes first.
+        """
         entries = self._candidates(others)
-        for instance_id in self._preference_order(entries):
+        order = self._preference_order(entries)
+        if hint in entries and hint != self._own.instance_id:
+            order.insert(0, hint)
+        for instance_id in order:
             if self._excluded_until_ms.get(instance_id, 0) > now_ms:
                 continue
             if instance_id == self._own.instance_id:
--- /dev/null
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -0,0 +1,161 @@
+"""Exchange of table changes between entry instances over HTTP."""
+
+import base64
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import aiohttp
+from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
+from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.model import Address, host_port
+
+__all__ = [
+    "CHANGES_PATH",
+    "ChangesClient",
+    "ChangesError",
+    "ChangesQuery",
+    "ChangesResponse",
+]
+
+CHANGES_PATH = "/changes"
+# Query fields besides the table versions; no table has one of these names.
+FOLLOWER_FIELD = "-follower"
+BUSY_FIELD = "-busy"
+# Set by an instance that does not follow yet and needs an immediate response.
+FIRST_FIELD = "-first"
+MS_PER_S = 1_000
+
+
+class ChangesError(RhubarbwellError):
+    """Report that an instance gave no valid response."""
+
+
+class ChangesQuery(NamedTuple):
+    """Hold what an instance tells with a query for changes.
+
+    known_versions are the versions of its tables. follower is its id if it counts as
+    a follower; is_first asks for an immediate response.
+    """
+
+    known_versions: Mapping[str, int]
+    follower: str = ""
+    is_busy: bool = False
+    is_first: bool = False
+
+    def encode(self) -> dict[str, str]:
+        """Return the query's fields."""
+        fields = {name: str(version) for name, version in self.known_versions.items()}
+        fields[FOLLOWER_FIELD] = self.follower
+        fields[BUSY_FIELD] = str(int(self.is_busy))
+        fields[FIRST_FIELD] = str(int(self.is_first))
+        return fields
+
+    @classmethod
+    def decode(cls, fields: Mapping[str, str]) -> "ChangesQuery":
+        """Return the query in the fields; raise ValueError for an invalid version.
+
+        >>> query = ChangesQuery({"t": 3}, "i-1", is_busy=True)
+        >>> ChangesQuery.decode(query.encode()) == query
+        True
+        """
+        versions = dict(fields)
+        return cls(
+            follower=versions.pop(FOLLOWER_FIELD, ""),
+            is_busy=versions.pop(BUSY_FIELD, "") == "1",
+            is_first=versions.pop(FIRST_FIELD, "") == "1",
+            known_versions={name: int(version) for name, version in versions.items()},
+        )
+
+
+class ChangesResponse(NamedTuple):
+    """Hold an instance's table changes and how it gets them.
+
+    ages_ms maps each table to the time since the instance's copy matched the store.
+    reader is the id of the instance that reads the store for it, its own if it does so
+    itself, None if it has not chosen one.
+    """
+
+    tables: Mapping[str, ReplicaUpdate]
+    ages_ms: Mapping[str, int]
+    reads_store: bool
+    store_is_out: bool
+    reader: str | None = None
+
+    def encode(self) -> dict[str, Any]:
+        """Return the response's JSON body."""
+        return {
+            "store_is_out": self.store_is_out,
+            "reads_store": self.reads_store,
+            "reader": self.reader,
+            "tables": {
+                name: _encode_update(update) | {"age_ms": self.ages_ms[name]}
+                for name, update in self.tables.items()
+            },
+        }
+
+    @classmethod
+    def decode(cls, body: Mapping[str, Any]) -> "ChangesResponse":
+        """Return the response in a body; raise KeyError, TypeError or ValueError."""
+        tables = body["tables"]
+        reader = body.get("reader")
+        return cls(
+            tables={name: _decode_update(table) for name, table in tables.items()},
+            ages_ms={name: int(table["age_ms"]) for name, table in tables.items()},
+            reads_store=bool(body["reads_store"]),
+            store_is_out=bool(body["store_is_out"]),
+            reader=None if reader is None else str(reader),
+        )
+
+
+class ChangesClient:
+    """Fetch table changes from other entry instances."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def fetch(
+        self, address: Address, query: ChangesQuery, timeout_ms: int
+    ) -> ChangesResponse:
+        """Return the changes of the instance at an address; raise ChangesError."""
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / MS_PER_S)
+        url = f"http://{host_port(address)}{CHANGES_PATH}"
+        try:
+            async with self._session.get(
+                url, params=query.encode(), timeout=timeout
+            ) as resp:
+                resp.raise_for_status()
+                return ChangesResponse.decode(await resp.json())
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            raise ChangesError(repr(exc)) from exc
+
+
+def _encode_update(update: ReplicaUpdate) -> dict[str, Any]:
+    rows = [
+        [row.key, row.version, None if row.value is None else _base64_text(row.value)]
+        for row in update.rows
+    ]
+    return {"rows": rows, "version": update.version, "complete": update.complete}
+
+
+def _decode_update(table: Mapping[str, Any]) -> ReplicaUpdate:
+    rows = [
+        ReplicaRow(
+            str(key), int(version), None if text is None else _base64_bytes(text)
+        )
+        for key, version, text in table["rows"]
+    ]
+    return ReplicaUpdate(rows, int(table["version"]), bool(table["complete"]))
+
+
+def _base64_text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _base64_bytes(text: str) -> bytes:
+    return base64.b64decode(text)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -47,16 +47,18 @@
     """Store the id of the instance that this instance polls, None for the store.
 
     rank is the number of instances that are preferred over this one as store reader.
+    awaits_seeds is True while a starting instance asks seed instances first.
     """
 
     def __init__(self) -> None:
         self.reader: str | None = None
         self.rank = 0
+        self.awaits_seeds = False
 
     @property
     def reads_store(self) -> bool:
         """Return True if this instance reads the store itself."""
-        return self.reader is None
+        return self.reader is None and not self.awaits_seeds
 
 
 class StoreHealth:
@@ -116,7 +118,7 @@
         self._upstream = upstream
         self._rng = rng
         self._clock_ms = clock_ms
-        self._needs_listing = True
+        self._needs_listing = False
         self._failures = 0
         self._next_read_ms = 0
 
@@ -146,6 +148,8 @@
         """
         if self._upstream.reads_store:
             return True
+        if self._upstream.awaits_seeds:
+            return False
         age_ms = self._clock_ms() - self._state.synced_until_ms[self._schedule.table]
         is_stale = age_ms > self._schedule.stale_ms
         if is_stale:
@@ -162,8 +166,8 @@
 
     async def _read_update(self) -> ReplicaUpdate:
         table = self._schedule.table
-        if not self._needs_listing:
-            version = self._state.replicas[table].version
+        version = self._state.replicas[table].version
+        if version and not self._needs_listing:
             try:
                 return await self._store.read_changes(
                     table, version, self._schedule.wait_ms
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -24,6 +24,7 @@
 
 from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.direct.callers import CallerServer, Handler
+from rhubarbwell_entry.direct.changes import ChangesClient
 from rhubarbwell_entry.direct.follower import (
     PollSchedule,
     StoreHealth,
@@ -37,6 +38,7 @@
 from rhubarbwell_entry.direct.operators import OperatorHandler
 from rhubarbwell_entry.direct.registrar import Registrar
 from rhubarbwell_entry.direct.relay import ChangeRelay, PeerFollower
+from rhubarbwell_entry.direct.seeds import SeedLoader
 from rhubarbwell_entry.direct.sending import DirectSender
 from rhubarbwell_entry.direct.settings import DirectSettings
 from rhubarbwell_entry.direct.state import FleetState
@@ -202,6 +204,7 @@
             self.instances,
             self.metrics,
             ChangeRelay(
+                cfg.instance_id,
                 self.state,
                 self._health,
                 self._upstream,
@@ -245,6 +248,20 @@
             ),
             PollSchedule(names.instance_table, **INSTANCE_POLL_TIMES),
         )
+        client = ChangesClient(self._session)
+        seeds = SeedLoader(
+            self.settings.seeds,
+            self.settings.control,
+            is_first_start=self.settings.is_first_start,
+            state=self.state,
+            health=self._health,
+            upstream=self._upstream,
+            schedules=schedules,
+            client=client,
+            rng=self._rng,
+            clock_ms=self._clock_ms,
+        )
+        self._tasks.spawn(seeds.load_during_outage())
         for schedule in schedules:
             follower = TableFollower(
                 schedule,
@@ -263,7 +280,8 @@
             self._health,
             self._upstream,
             schedules,
-            self._session,
+            client,
+            seeds,
             self._clock_ms,
         )
         self._tasks.spawn(peers.run())
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/operators.py
@@ -7,8 +7,9 @@
 from rhubarbwell_core.direct import InstanceTable
 from rhubarbwell_core.model import host_port
 
+from rhubarbwell_entry.direct.changes import CHANGES_PATH
 from rhubarbwell_entry.direct.metrics import DirectMetrics
-from rhubarbwell_entry.direct.relay import CHANGES_PATH, ChangeRelay
+from rhubarbwell_entry.direct.relay import ChangeRelay
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -1,37 +1,32 @@
 """Propagation of the store's table changes among entry instances."""
 
 import asyncio
-import base64
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
 
-import aiohttp
 from aiohttp import web
 from rhubarbwell_core.direct import (
     FollowerTracker,
     InstanceEntry,
     InstanceTable,
     ReaderSelector,
-    ReplicaRow,
-    ReplicaUpdate,
 )
-from rhubarbwell_core.model import host_port
 
+from rhubarbwell_entry.direct.changes import (
+    ChangesClient,
+    ChangesError,
+    ChangesQuery,
+    ChangesResponse,
+)
 from rhubarbwell_entry.direct.follower import PollSchedule, StoreHealth, Upstream
+from rhubarbwell_entry.direct.seeds import SeedLoader
 from rhubarbwell_entry.direct.state import FleetState
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["CHANGES_PATH", "ChangeRelay", "PeerFollower"]
+__all__ = ["ChangeRelay", "PeerFollower"]
 
 _log = logging.getLogger(__name__)
 
-CHANGES_PATH = "/changes"
-# Query fields besides the table versions; no table has one of these names.
-FOLLOWER_FIELD = "-follower"
-BUSY_FIELD = "-busy"
-# Set by an instance that does not follow yet and needs an immediate response.
-FIRST_FIELD = "-first"
 # An unreachable reader is detected after POLL_WAIT_MS + RESPONSE_SLACK_MS.
 POLL_WAIT_MS = 300
 RESPONSE_SLACK_MS = 500
@@ -47,12 +42,14 @@
 
     def __init__(
         self,
+        own_id: str,
         state: FleetState,
         health: StoreHealth,
         upstream: Upstream,
         followers: FollowerTracker,
         clock_ms: Callable[[], int],
     ) -> None:
+        self._own_id = own_id
         self._state = state
         self._health = health
         self._upstream = upstream
@@ -65,33 +62,34 @@
         A store reader waits up to POLL_WAIT_MS for a change, except for a first query.
         Status 400 reports a version that is not an integer.
         """
-        query = dict(request.query)
-        follower = query.pop(FOLLOWER_FIELD, "")
-        is_busy = query.pop(BUSY_FIELD, "") == "1"
-        is_first = query.pop(FIRST_FIELD, "") == "1"
         try:
-            known_versions = {name: int(v) for name, v in query.items()}
+            query = ChangesQuery.decode(request.query)
         except ValueError:
             return web.Response(status=400)
-        if follower and self._upstream.reads_store:
-            self._followers.record_poll(follower, is_busy, self._clock_ms())
-        may_wait = self._upstream.reads_store and not is_first
-        if may_wait and not self._state.has_urgent_changes_after(known_versions):
+        reads_store = self._upstream.reads_store
+        if query.follower and reads_store:
+            self._followers.record_poll(query.follower, query.is_busy, self._clock_ms())
+        may_wait = reads_store and not query.is_first
+        if may_wait and not self._state.has_urgent_changes_after(query.known_versions):
             await self._state.wait_for_change(POLL_WAIT_MS / MS_PER_S)
-        return web.json_response(self._changes_body(known_versions))
+        return web.json_response(self._make_response(query.known_versions).encode())
 
-    def _changes_body(self, known_versions: Mapping[str, int]) -> dict[str, Any]:
+    def _make_response(self, known_versions: Mapping[str, int]) -> ChangesResponse:
         now_ms = self._clock_ms()
-        tables = {
-            name: _encode_update(replica.changes_after(known_versions.get(name, 0)))
-            | {"age_ms": now_ms - self._state.synced_until_ms[name]}
-            for name, replica in self._state.replicas.items()
-        }
-        return {
-            "store_is_out": self._health.is_out,
-            "reads_store": self._upstream.reads_store,
-            "tables": tables,
-        }
+        reads_store = self._upstream.reads_store
+        return ChangesResponse(
+            tables={
+                name: replica.changes_after(known_versions.get(name, 0))
+                for name, replica in self._state.replicas.items()
+            },
+            ages_ms={
+                name: now_ms - synced_ms
+                for name, synced_ms in self._state.synced_until_ms.items()
+            },
+            reads_store=reads_store,
+            store_is_out=self._health.is_out,
+            reader=self._own_id if reads_store else self._upstream.reader,
+        )
 
 
 class PeerFollower:
@@ -105,7 +103,8 @@
         health: StoreHealth,
         upstream: Upstream,
         schedules: Sequence[PollSchedule],
-        session: aiohttp.ClientSession,
+        client: ChangesClient,
+        seeds: SeedLoader,
         clock_ms: Callable[[], int],
     ) -> None:
         self._own_entry = own
@@ -114,20 +113,26 @@
         self._health = health
         self._upstream = upstream
         self._schedules = schedules
-        self._session = session
+        self._client = client
+        self._seeds = seeds
         self._clock_ms = clock_ms
         self._selector = ReaderSelector(own)
+        # Reader that another instance named in place of itself.
+        self._hint: str | None = None
 
     async def run(self) -> None:
         """Choose and poll a reader until cancelled."""
-        await asyncio.sleep(STARTUP_DELAY_MS / MS_PER_S)
+        if await self._seeds.load_current():
+            self._hint = self._upstream.reader
+        else:
+            await asyncio.sleep(STARTUP_DELAY_MS / MS_PER_S)
         while True:
             now_ms = self._clock_ms()
             if self._upstream.reads_store and self._has_stale_table(now_ms):
                 self._selector.exclude(self._own_entry.instance_id, now_ms)
             others = self._instances.live()
             self._upstream.rank = self._selector.own_rank(others)
-            reader = self._selector.choose(others, now_ms)
+            reader = self._selector.choose(others, now_ms, hint=self._hint)
             if reader is None:
                 self._set_reader(None)
                 await asyncio.sleep(READER_RECHECK_MS / MS_PER_S)
@@ -137,50 +142,35 @@
     async def _poll_reader(self, reader: InstanceEntry) -> bool:
         """Apply a reader's changes; return True if the reader can be followed."""
         try:
-            body = await self._fetch_changes(reader)
-            self._apply_tables(body)
-            reads_store = bool(body["reads_store"])
-            store_is_out = bool(body["store_is_out"])
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as exc:
-            self._exclude_reader(reader, repr(exc))
+            resp = await self._fetch_changes(reader)
+        except ChangesError as exc:
+            self._exclude_reader(reader, str(exc))
             return False
+        now_ms = self._clock_ms()
+        for name, update in resp.tables.items():
+            self._state.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
         # Chained followers could form a cycle in which no instance reads the store.
-        if not reads_store:
+        if not resp.reads_store:
             self._exclude_reader(reader, "the instance does not read the store")
+            self._hint = resp.reader
             return False
-        if self._has_stale_table(self._clock_ms()):
+        if self._has_stale_table(now_ms):
             self._exclude_reader(reader, "the tables of the instance are stale")
             return False
         self._set_reader(reader.instance_id)
-        if not store_is_out:
+        if not resp.store_is_out:
             self._health.record_success()
         return True
 
-    async def _fetch_changes(self, reader: InstanceEntry) -> Mapping[str, Any]:
-        query = {name: str(r.version) for name, r in self._state.replicas.items()}
-        query[FOLLOWER_FIELD] = self._own_entry.instance_id
-        query[BUSY_FIELD] = str(int(self._instances.own_is_busy))
-        query[FIRST_FIELD] = str(int(self._upstream.reads_store))
-        timeout = aiohttp.ClientTimeout(
-            total=(POLL_WAIT_MS + RESPONSE_SLACK_MS) / MS_PER_S
+    async def _fetch_changes(self, reader: InstanceEntry) -> ChangesResponse:
+        query = ChangesQuery(
+            {name: r.version for name, r in self._state.replicas.items()},
+            follower=self._own_entry.instance_id,
+            is_busy=self._instances.own_is_busy,
+            is_first=self._upstream.reads_store,
         )
-        url = f"http://{host_port(reader.control)}{CHANGES_PATH}"
-        async with self._session.get(url, params=query, timeout=timeout) as resp:
-            resp.raise_for_status()
-            body: Mapping[str, Any] = await resp.json()
-            return body
-
-    def _apply_tables(self, body: Mapping[str, Any]) -> None:
-        now_ms = self._clock_ms()
-        for name, table in body["tables"].items():
-            update = _decode_update(table)
-            self._state.apply(name, update, now_ms, age_ms=int(table["age_ms"]))
+        timeout_ms = POLL_WAIT_MS + RESPONSE_SLACK_MS
+        return await self._client.fetch(reader.control, query, timeout_ms)
 
     def _has_stale_table(self, now_ms: int) -> bool:
         return any(
@@ -212,29 +202,3 @@
             else "table changes are read from another instance",
             reader=reader,
         )
-
-
-def _encode_update(update: ReplicaUpdate) -> dict[str, Any]:
-    rows = [
-        [row.key, row.version, None if row.value is None else _base64_text(row.value)]
-        for row in update.rows
-    ]
-    return {"rows": rows, "version": update.version, "complete": update.complete}
-
-
-def _decode_update(table: Mapping[str, Any]) -> ReplicaUpdate:
-    rows = [
-        ReplicaRow(
-            str(key), int(version), None if text is None else _base64_bytes(text)
-        )
-        for key, version, text in table["rows"]
-    ]
-    return ReplicaUpdate(rows, int(table["version"]), bool(table["complete"]))
-
-
-def _base64_text(value: bytes) -> str:
-    return base64.b64encode(value).decode()
-
-
-def _base64_bytes(text: str) -> bytes:
-    return base64.b64decode(text)
--- a/tests/core/direct/test_readers.py
+++ b/tests/core/direct/test_readers.py
@@ -64,3 +64,17 @@
     }
     assert sorted(ranks.values()) == list(range(6))
     assert ranks[reader_of(fleet[0], fleet)] == 0
+
+
+def test_hint_goes_first_until_it_fails():
+    fleet = [entry(f"i-{n}") for n in range(6)]
+    own = fleet[0]
+    others = fleet[1:]
+    selector = ReaderSelector(own)
+    for other in others:
+        assert selector.choose(others, 0, hint=other.instance_id) == other
+    selector.exclude("i-3", 0)
+    usual = selector.choose(others, 1_000)
+    assert selector.choose(others, 1_000, hint="i-3") == usual
+    assert selector.choose(others, 1_000, hint="i-9") == usual
+    assert selector.choose(others, 1_000, hint="i-0") == usual
--- a/tests/entry/direct/test_follower.py
+++ b/tests/entry/direct/test_follower.py
@@ -2,8 +2,14 @@
 
 from random import Random
 
-from rhubarbwell_core.direct import InstanceEntry, InstanceTable, ReplicaUpdate
+from rhubarbwell_core.direct import (
+    InstanceEntry,
+    InstanceTable,
+    ReplicaUpdate,
+    TableReplica,
+)
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.changes import ChangesResponse
 from rhubarbwell_entry.direct.follower import (
     PollSchedule,
     StoreHealth,
@@ -31,7 +37,7 @@
 
     def __init__(self):
         self.synced_until_ms = {"op": 0}
-        self.replicas = {}
+        self.replicas = {"op": TableReplica()}
         self.applied_updates = []
 
     def apply(self, table, update, now_ms, *, age_ms=0):
@@ -83,17 +89,13 @@
     return InstanceEntry(name, "x", "a-1", "a", HERE, HERE)
 
 
-def changes_body(*, reads_store, age_ms=0):
-    table = {"rows": [], "version": 1, "complete": False, "age_ms": age_ms}
-    return {
-        "store_is_out": False,
-        "reads_store": reads_store,
-        "tables": {"op": table},
-    }
+def make_response(*, reads_store, age_ms=0, reader=None):
+    tables = {"op": ReplicaUpdate([], 1)}
+    return ChangesResponse(tables, {"op": age_ms}, reads_store, False, reader)
 
 
-async def poll_peer(body):
-    """Return True if an instance follows a peer that responds with this body."""
+async def poll_peer(resp):
+    """Return True if an instance follows a peer that gives this response."""
     state, upstream = StubFleetState(), Upstream()
     instances = InstanceTable(instance_entry("i-1"), liveness_timeout_ms=4_400)
     peers = PeerFollower(
@@ -104,11 +106,12 @@
         upstream,
         [SCHEDULE],
         None,
+        None,
         lambda: 50_000,
     )
 
     async def fetch_changes(reader):
-        return body
+        return resp
 
     peers._fetch_changes = fetch_changes
     followed = await peers._poll_reader(instance_entry("i-2"))
@@ -117,13 +120,13 @@
 
 
 async def test_store_reader_is_followed():
-    assert await poll_peer(changes_body(reads_store=True))
+    assert await poll_peer(make_response(reads_store=True))
 
 
 async def test_follower_is_not_followed():
     """Otherwise instances could form a cycle in which none reads the store."""
-    assert not await poll_peer(changes_body(reads_store=False))
+    assert not await poll_peer(make_response(reads_store=False))
 
 
 async def test_instance_with_stale_tables_is_not_followed():
-    assert not await poll_peer(changes_body(reads_store=True, age_ms=5_000))
+    assert not await poll_peer(make_response(reads_store=True, age_ms=5_000))
--- a/tests/support/running_fleet.py
+++ b/tests/support/running_fleet.py
@@ -107,8 +107,9 @@
 
 
 @asynccontextmanager
-async def second_instance(fleet):
+async def second_instance(fleet, **changes):
     settings = make_settings(fleet.store.address, free_ports(5), name="i-2", zone="b-1")
+    settings = settings._replace(**changes)
     other = DirectInstance(TestPlatform(settings), settings)
     await other.start()
     try:
--- a/tests/wire/test_settings.py
+++ b/tests/wire/test_settings.py
@@ -67,6 +67,15 @@
     assert read_settings_text(tmp_path, text).max_answer_bytes == max_bytes
 
 
+def test_seeds(tmp_path):
+    text = 'seeds = ["10.1.0.15:8649", "10.2.0.42:8649"]\nbootstrap = true\n' + GOOD
+    cfg = read_settings_text(tmp_path, text)
+    assert cfg.seeds == (Address("10.1.0.15", 8649), Address("10.2.0.42", 8649))
+    assert cfg.is_first_start
+    with pytest.raises(SettingsError, match=r"seeds\[1\]\.seeds"):
+        read_settings_text(tmp_path, text.replace("10.2.0.42:8649", "nowhere"))
+
+
 def test_numbers_of_the_wrong_type_are_reported(tmp_path):
     text = GOOD.replace("retrySlack = 62", 'retrySlack = "many"\nmaxShift = -1')
     with pytest.raises(SettingsError) as caught:
