Answer requests that were accepted just before the end of a planned stop

A request stopped counting as open before its response was written. aiohttp's default backlog of 128 also replaced the backlog of the listening sockets.

Change: after the time for new connections the instance accepts what is established, closes the listening socket, answers what still arrives and closes connections that are idle for 0.3 s. It stops once no connection is left. A request is open until its response is written.

Tests: tests/entry/direct/test_stop_under_load.py.

Ruled out: an answer to a slow reader was not cut off before either, as aiohttp waits without limit with a timeout of 0; the test stays as a guard.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -1,24 +1,52 @@
-"""HTTP server whose idle timeout follows the configuration."""
+"""HTTP server for callers, which stops without cutting off requests."""
 
+import asyncio
+import contextlib
+import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
+from rhubarbwell_entry.listeners import LISTEN_BACKLOG
+
 __all__ = ["CallerServer", "Handler"]
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 # Limits the request line and each header field.
 MAX_HEADER_BYTES = 64 << 10
+# A caller sends its request within some round trips after it has connected.
+MIN_IDLE_S = 0.3
+
+
+class CallerConnection(web.RequestHandler):
+    """Record when a caller last sent data."""
+
+    last_data_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the start of the connection."""
+        self.last_data_s = self._loop.time()
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Record the time and pass on the data."""
+        self.last_data_s = self._loop.time()
+        super().data_received(data)
 
 
 class CallerServer(web.Server):
     """Serve HTTP; a connection keeps the idle timeout in force when it was opened."""
 
     def __init__(self, handle: Handler, idle_timeout_s: Callable[[], float]) -> None:
-        super().__init__(handle, handler_cancellation=True)
+        super().__init__(self._serve, handler_cancellation=True)
+        self._handle = handle
         self._idle_timeout_s = idle_timeout_s
+        self._open_requests = Counter[web.RequestHandler]()
+        self._sock: socket.socket | None = None
+        self._site: web.SockSite | None = None
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol handler of a new connection."""
@@ -29,4 +57,62 @@
             "max_field_size": MAX_HEADER_BYTES,
             "lingering_time": 0.0,
         }
-        return web.RequestHandler(self, loop=self._loop, **options)
+        return CallerConnection(self, loop=self._loop, **options)
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests whose response is not yet written."""
+        return self._open_requests.total()
+
+    async def listen(self, runner: web.ServerRunner, sock: socket.socket) -> None:
+        """Accept connections on a listening socket of this server's runner."""
+        self._sock = sock
+        self._site = web.SockSite(runner, sock, backlog=LISTEN_BACKLOG)
+        await self._site.start()
+
+    async def stop_listening(self) -> None:
+        """Accept the connections that are already established and no others."""
+        if self._site is None or self._sock is None:
+            return
+        # Closing the socket resets connections that are not accepted yet.
+        accepted = _accept_all(self._sock)
+        await self._site.stop()
+        self._site = None
+        for sock in accepted:
+            await self._loop.connect_accepted_socket(self, sock)
+
+    def close_idle_connections(self) -> int:
+        """Close idle connections and return the number of the remaining ones."""
+        oldest_s = self._loop.time() - MIN_IDLE_S
+        for conn in self.connections:
+            is_idle = not self._open_requests[conn]
+            assert isinstance(conn, CallerConnection)
+            if is_idle and conn.last_data_s <= oldest_s:
+                conn.force_close()
+        return len(self.connections)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        conn = request.protocol
+        self._open_requests[conn] += 1
+        try:
+            resp = await self._handle(request)
+            # Otherwise aiohttp writes the response when the request no longer counts
+            # as open; it also handles a lost connection then.
+            with contextlib.suppress(ConnectionError):
+                await resp.prepare(request)
+                await resp.write_eof()
+            return resp
+        finally:
+            self._open_requests[conn] -= 1
+            if not self._open_requests[conn]:
+                del self._open_requests[conn]
+
+
+def _accept_all(sock: socket.socket) -> list[socket.socket]:
+    accepted: list[socket.socket] = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            conn, _ = sock.accept()
+            conn.setblocking(False)
+            accepted.append(conn)
+    return accepted
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -42,7 +42,6 @@
     ) -> None:
         self.leaving = False
         self.refuses_new = False
-        self.open_requests = 0
         self._names = names
         self._balancer = balancer
         self._forwarder = forwarder
@@ -51,7 +50,6 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to a request."""
-        self.open_requests += 1
         arrived_ms = self._clock_ms()
         result = RequestResult(RequestOutcome.UNKNOWN, 500, "handler failed")
         try:
@@ -60,7 +58,6 @@
             result = RequestResult(RequestOutcome.CALLER_GONE, 0, "caller left")
             raise
         finally:
-            self.open_requests -= 1
             self._log_result(request, result, arrived_ms)
         return self._make_response(request, result)
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -198,7 +198,7 @@
 
     async def _start_listeners(self) -> None:
         cfg = self.settings
-        await self._listen_at(cfg.callers, self.handler.handle)
+        self.callers = await self._listen_at(cfg.callers, self.handler.handle)
         operators = OperatorHandler(
             self.platform,
             self.instances,
@@ -217,12 +217,13 @@
         for address in sorted(addresses):
             await self._listen_at(address, operators.handle)
 
-    async def _listen_at(self, address: Address, handle: Handler) -> None:
+    async def _listen_at(self, address: Address, handle: Handler) -> CallerServer:
         server = CallerServer(handle, self._idle_timeout_s)
         runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await runner.setup()
-        await web.SockSite(runner, open_listening_socket(address)).start()
+        await server.listen(runner, open_listening_socket(address))
         self._runners.append(runner)
+        return server
 
     def _idle_timeout_s(self) -> float:
         config = self.balancer.config
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -10,7 +10,7 @@
 
 _log = logging.getLogger(__name__)
 
-# Fractions of the time from SIGTERM to SIGKILL: new requests are accepted until the
+# Fractions of the time from SIGTERM to SIGKILL: new connections are accepted until the
 # first; at the second the instance stops even if requests are still open.
 ACCEPT_SHARE = 0.6
 STOP_SHARE = 0.93
@@ -26,6 +26,7 @@
     async def run(self) -> None:
         """Shut down and return once the instance may stop."""
         instance, handler = self._instance, self._instance.handler
+        callers = instance.callers
         loop = asyncio.get_running_loop()
         stop_max_s = instance.settings.stop_max_ms / 1_000
         started_s = loop.time()
@@ -36,20 +37,21 @@
             logging.INFO,
             "instance_leaving",
             "entry instance is shutting down",
-            open_requests=handler.open_requests,
+            open_requests=callers.open_requests,
         )
         await instance.registrar.write_heartbeat()
         await asyncio.sleep(started_s + ACCEPT_SHARE * stop_max_s - loop.time())
         handler.refuses_new = True
+        await callers.stop_listening()
         while loop.time() < started_s + STOP_SHARE * stop_max_s:
-            if not handler.open_requests:
+            if not callers.close_idle_connections():
                 break
             await asyncio.sleep(POLL_PERIOD_MS / 1_000)
         log_event(
             _log,
             logging.INFO,
             "requests_finished",
-            "entry instance no longer waits for open requests",
-            open_requests=handler.open_requests,
+            "entry instance no longer waits for callers",
+            open_requests=callers.open_requests,
             elapsed_ms=round((loop.time() - started_s) * 1_000),
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -9,6 +9,7 @@
 from rhubarbwell_entry.settings import TlsSettings
 
 __all__ = [
+    "LISTEN_BACKLOG",
     "Listener",
     "bound_address",
     "open_listening_socket",
@@ -94,7 +95,9 @@
     async def start(self) -> None:
         """Start accepting connections."""
         await self._runner.setup()
-        self._site = web.SockSite(self._runner, self._sock, ssl_context=self._tls)
+        self._site = web.SockSite(
+            self._runner, self._sock, ssl_context=self._tls, backlog=LISTEN_BACKLOG
+        )
         await self._site.start()
 
     async def stop_accepting(self) -> None:
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -399,7 +399,7 @@
         line = await asyncio.wait_for(reader.readline(), WAIT_S)
         assert b" 408 " in line
         writer.close()
-        await wait_until(lambda: fleet.instance.handler.open_requests == 0)
+        await wait_until(lambda: fleet.instance.callers.open_requests == 0)
         assert [seen for server in fleet.backends for seen in server.received] == []
 
 
--- /dev/null
+++ b/tests/entry/direct/test_stop_under_load.py
@@ -0,0 +1,129 @@
+"""Tests of a planned stop while callers keep sending requests."""
+
+import asyncio
+import contextlib
+import itertools
+from typing import NamedTuple
+
+from rhubarbwell_entry.direct.shutdown import DirectShutdown
+from support.running_fleet import WAIT_S, raw_request, running_fleet, wait_until
+
+CALLERS = 24
+LARGE_BODY = b"x" * (6 << 20)
+READ_SIZE = 64 << 10
+
+
+def request_head(request_id, connection="keep-alive"):
+    return (
+        f"POST /pay/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
+        f"Connection: {connection}\r\n"
+        f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
+        "X-Rhubarbwell-Request-Deadline: 900\r\n\r\n"
+    ).encode()
+
+
+class CallerLog(NamedTuple):
+    answered: list
+    refused: list
+    cut_off: list
+
+
+async def read_answer(reader):
+    """Return the status line and whether the connection stays open."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = int(head.partition("content-length: ")[2].partition("\r\n")[0])
+    await reader.readexactly(length)
+    return head.partition("\r\n")[0], "connection: close" not in head
+
+
+async def call_until_refused(fleet, log, ids, pause_s):
+    """Send requests on one connection after the other until none is accepted."""
+    while True:
+        try:
+            reader, writer = await raw_request(fleet, "")
+        except OSError:
+            return
+        keeps_connection = True
+        with contextlib.suppress(OSError):
+            while keeps_connection:
+                request_id = f"r-{next(ids)}"
+                writer.write(request_head(request_id))
+                try:
+                    status, keeps_connection = await read_answer(reader)
+                except (OSError, asyncio.IncompleteReadError) as exc:
+                    log.cut_off.append((request_id, repr(exc)))
+                    break
+                (log.answered if " 200 " in status else log.refused).append(request_id)
+                await asyncio.sleep(pause_s)
+        writer.close()
+
+
+async def stop(instance):
+    await DirectShutdown(instance).run()
+    await instance.stop()
+
+
+async def test_no_accepted_request_is_cut_off_by_a_stop():
+    async with running_fleet(4) as fleet:
+
+        async def work(request):
+            await asyncio.sleep(0.03)
+            server = next(s for s in fleet.backends if s.custom_handler is work)
+            return server.signed_response(request)
+
+        for server in fleet.backends:
+            server.custom_handler = work
+        log, ids = CallerLog([], [], []), itertools.count()
+        callers = [
+            asyncio.create_task(call_until_refused(fleet, log, ids, n % 4 * 0.005))
+            for n in range(CALLERS)
+        ]
+        await wait_until(lambda: len(log.answered) >= 2 * CALLERS)
+        async with asyncio.timeout(WAIT_S):
+            await stop(fleet.instance)
+            await asyncio.gather(*callers)
+        assert len(log.answered) > 4 * CALLERS
+        assert log.cut_off == []
+
+
+async def test_answer_to_a_slow_reader_is_completed_before_the_stop():
+    async with running_fleet(1, max_answer_bytes=16 << 20) as fleet:
+
+        async def answer(request):
+            return fleet.backends[0].signed_response(request, body=LARGE_BODY)
+
+        fleet.backends[0].custom_handler = answer
+        reader, writer = await raw_request(fleet, request_head("slow").decode())
+        await wait_until(lambda: fleet.backends[0].received)
+        stopping = asyncio.create_task(stop(fleet.instance))
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        assert f"content-length: {len(LARGE_BODY)}" in head
+        received = 0
+        # 96 reads take somewhat less than the time in which the instance may stop.
+        while received < len(LARGE_BODY):
+            received += len(await reader.readexactly(READ_SIZE))
+            await asyncio.sleep(0.007)
+        assert received == len(LARGE_BODY)
+        writer.close()
+        await stopping
+
+
+async def test_request_on_a_connection_accepted_just_before_the_end_is_answered():
+    async with running_fleet(1) as fleet:
+        stopping = asyncio.create_task(stop(fleet.instance))
+        await wait_until(lambda: fleet.instance.handler.leaving)
+        handler = fleet.instance.handler
+        reader = writer = None
+        while not handler.refuses_new:
+            if writer is not None:
+                writer.close()
+            reader, writer = await raw_request(fleet, "")
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+        writer.write(request_head("late"))
+        status, keeps_connection = await asyncio.wait_for(read_answer(reader), WAIT_S)
+        assert " 503 " in status
+        assert not keeps_connection
+        writer.close()
+        await stopping
+        assert fleet.backends[0].received == []
