Register once ready, and follow a named reader for a while only

Cause: of a starting fleet each instance wrote its row twice, before and after the first configuration, and a reader that another instance named went first for good, so the instances of a region kept several readers.

Change: an instance that does not read the store registers once it is ready, or after 4 s. A named reader goes first for 3 s. A seed is asked for longer until its tables list the reader as ready.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
@@ -23,6 +23,10 @@
 # Half a heartbeat period, so that a failed write is retried before the next heartbeat
 # is due.
 WRITE_RETRY_MS = 1_000
+# An instance that does not read the store registers once it is ready, or after this
+# time, because nobody needs to find it before. The configuration of a fleet that starts
+# for the first time is published meanwhile.
+REGISTRATION_DELAY_MS = 4_000
 # A follower that no reader has listed for this time writes its own heartbeat. The
 # reader's heartbeats, every 2 s, reach its followers within about 1 s.
 CONFIRMATION_TIMEOUT_MS = 3_300
@@ -61,6 +65,8 @@
         self._clock_ms = clock_ms
         self._written_entry: InstanceEntry | None = None
         self._last_attempt_ms = -HEARTBEAT_PERIOD_MS
+        self._started_ms = clock_ms()
+        self._has_registered = False
 
     async def run(self) -> None:
         """Write due changes and heartbeats until cancelled."""
@@ -79,6 +85,7 @@
     async def write_heartbeat(self) -> None:
         """Write the row with an incremented heartbeat; log a failed write."""
         self._last_attempt_ms = self._clock_ms()
+        self._has_registered = True
         self._own_entry = self._own_entry._replace(beat=self._own_entry.beat + 1)
         entry = self._current_entry(self._last_attempt_ms)
         self._written_entry = None
@@ -114,6 +121,9 @@
 
     def _is_due(self, now_ms: int) -> bool:
         elapsed_ms = now_ms - self._last_attempt_ms
+        if not self._has_registered and not self._upstream.reads_store:
+            waited_ms = now_ms - self._started_ms
+            return self._is_ready() or waited_ms >= REGISTRATION_DELAY_MS
         if self._written_entry is None:
             return elapsed_ms >= WRITE_RETRY_MS
         if self._current_entry(now_ms) != self._written_entry:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -34,6 +34,9 @@
 READER_RECHECK_MS = 500
 # Instances that start together have read each other's registrations by then.
 STARTUP_DELAY_MS = 800
+# A reader that another instance named goes first for this time. Then the instances of
+# a region agree on the one that they prefer.
+HINT_MS = 3_000
 MS_PER_S = 1_000
 
 
@@ -119,11 +122,12 @@
         self._selector = ReaderSelector(own)
         # Reader that another instance named in place of itself.
         self._hint: str | None = None
+        self._hint_end_ms = 0
 
     async def run(self) -> None:
         """Choose and poll a reader until cancelled."""
         if await self._seeds.load_current():
-            self._hint = self._upstream.reader
+            self._set_hint(self._upstream.reader)
         else:
             await asyncio.sleep(STARTUP_DELAY_MS / MS_PER_S)
         while True:
@@ -132,7 +136,8 @@
                 self._selector.exclude(self._own_entry.instance_id, now_ms)
             others = self._instances.live()
             self._upstream.rank = self._selector.own_rank(others)
-            reader = self._selector.choose(others, now_ms, hint=self._hint)
+            hint = self._hint if now_ms < self._hint_end_ms else None
+            reader = self._selector.choose(others, now_ms, hint=hint)
             if reader is None:
                 self._set_reader(None)
                 await asyncio.sleep(READER_RECHECK_MS / MS_PER_S)
@@ -152,7 +157,7 @@
         # Chained followers could form a cycle in which no instance reads the store.
         if not resp.reads_store:
             self._exclude_reader(reader, "the instance does not read the store")
-            self._hint = resp.reader
+            self._set_hint(resp.reader)
             return False
         if self._has_stale_table(now_ms):
             self._exclude_reader(reader, "the tables of the instance are stale")
@@ -178,6 +183,10 @@
             for schedule in self._schedules
         )
 
+    def _set_hint(self, reader: str | None) -> None:
+        self._hint = reader
+        self._hint_end_ms = self._clock_ms() + HINT_MS
+
     def _exclude_reader(self, reader: InstanceEntry, reason: str) -> None:
         self._selector.exclude(reader.instance_id, self._clock_ms())
         log_event(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
@@ -33,8 +33,9 @@
 # Random, so that a fleet that starts together does not ask the seeds all at once.
 MIN_PAUSE_MS = 100
 MAX_PAUSE_MS = 800
-# A reader registers within a second of its start.
-MAX_READER_QUERIES = 6
+# The operators publish the first configuration, after which a reader is ready, within
+# some seconds of the start of the fleet.
+MAX_READER_QUERIES = 10
 # Known versions that exclude all rows from a response.
 NO_ROWS_VERSION = 1 << 62
 MS_PER_S = 1_000
@@ -169,10 +170,12 @@
     async def _wait_for_reader(self, probe: _Probe) -> None:
         """Ask the seed again until its tables list the instance that reads the store.
 
-        An instance that has just started may not have registered yet.
+        An instance that has just started may not have registered as ready yet.
         """
         for _ in range(MAX_READER_QUERIES):
-            if self._upstream.reader in self._state.instances.live_ids():
+            live = self._state.instances.live()
+            ready_ids = {entry.instance_id for entry in live if not entry.leaving}
+            if self._upstream.reader in ready_ids:
                 return
             await self._pause()
             await self._load_from(probe)
--- a/tests/entry/direct/test_registrar.py
+++ b/tests/entry/direct/test_registrar.py
@@ -124,3 +124,29 @@
     harness.store.is_out = False
     await harness.advance(2_000)
     assert harness.store.written
+
+
+async def test_starting_follower_registers_once_when_it_is_ready():
+    harness = RegistrarHarness()
+    harness.ready = False
+    harness.upstream.reader = "i-2"
+    await harness.advance(1_200)
+    assert harness.store.written == []
+    harness.ready = True
+    await harness.advance(800)
+    assert [entry.leaving for entry in harness.store.written] == [False]
+
+
+async def test_starting_reader_registers_at_once():
+    harness = RegistrarHarness()
+    harness.ready = False
+    await harness.advance(TICK_MS)
+    assert len(harness.store.written) == 1
+
+
+async def test_starting_follower_that_stays_unready_registers_after_a_while():
+    harness = RegistrarHarness()
+    harness.ready = False
+    harness.upstream.reader = "i-2"
+    await harness.advance(4_400)
+    assert [entry.leaving for entry in harness.store.written] == [True]
--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -240,7 +240,7 @@
             request_id,
             route,
             key,
-            now_ms + 2_000,
+            now_ms + getattr(self, "deadline_ms", 2_000),
             now_ms,
             body_bytes=load.body_bytes,
         )
