Tell late, old and concurrent writes of registrations apart

Cause, found while looking for servers that come back and for two processes that act at once: - A write without a response may be performed seconds later, also after the write by which its instance left: the instance was offered to callers again. - A restarted instance took each row of its first listing for a sign of life and offered instances that had crashed up to a minute ago for 4.4 s. - A reader removed the row of an instance that had been silent for a minute even if that instance, which was only suspended, had just written it.

Change: an older beat of the same incarnation is ignored. Rows of a first listing count as live for 2.5 s unless a reader confirms them. A row is removed only at the version that was read (RowWrite.expected_version).

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -1,7 +1,7 @@
 """Track the live entry instances and choose those offered to callers."""
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from rhubarbwell_core.direct.model import InstanceEntry
 from rhubarbwell_core.engine import Table
@@ -14,6 +14,9 @@
 MIN_OFFERED = 2
 # A follower that its reader no longer lists may have just switched readers.
 DROPPED_GRACE_MS = 2_000
+# A listing holds the rows of crashed instances too. Live ones are confirmed by the next
+# heartbeat of a reader, which follows within 2.4 s.
+LISTED_GRACE_MS = 2_500
 # Instances with at least this share of the maximum capacity are offered first: callers
 # spread evenly over the offered addresses, which would overload smaller instances.
 MIN_CAPACITY_SHARE = 0.5
@@ -46,11 +49,15 @@
         self._own_confirmed_ms = -liveness_timeout_ms
 
     def put(self, entry: InstanceEntry, now_ms: int) -> None:
-        """Add or update an instance from its registration or heartbeat."""
+        """Add or update an instance from its registration or heartbeat.
+
+        Ignores an entry that is older than the known one: the store may perform a
+        write that got no response after later writes.
+        """
         if entry.instance_id == self.own.instance_id:
             return
         known = self._rows.get(entry.instance_id)
-        if known is not None and known.entry == entry:
+        if known is not None and not _is_newer(entry, known.entry):
             return
         self._synced_ms = now_ms
         if known is not None:
@@ -60,6 +67,20 @@
         self._rows.put(entry.instance_id, state)
         self._confirm_followers(entry, now_ms)
 
+    def put_listed(self, entries: Iterable[InstanceEntry], now_ms: int) -> None:
+        """Add the instances of the first listing, whose ages are unknown.
+
+        They count as live for LISTED_GRACE_MS unless they are confirmed.
+        """
+        entries = list(entries)
+        for entry in entries:
+            self.put(entry, now_ms)
+        grace_end_ms = now_ms - self._liveness_timeout_ms + LISTED_GRACE_MS
+        for entry in entries:
+            state = self._rows.get(entry.instance_id)
+            if state is not None and not state.confirmed_by:
+                state.last_seen_ms = min(state.last_seen_ms, grace_end_ms)
+
     def remove(self, instance_id: str) -> None:
         """Remove an instance whose registration was deleted."""
         self._rows.remove(instance_id)
@@ -168,6 +189,12 @@
                 state.confirmed_by = entry.instance_id
 
 
+def _is_newer(entry: InstanceEntry, known: InstanceEntry) -> bool:
+    if entry.incarnation == known.incarnation:
+        return entry.beat > known.beat
+    return True
+
+
 def _high_capacity_entries(entries: Sequence[InstanceEntry]) -> list[InstanceEntry]:
     max_capacity = max((entry.capacity for entry in entries), default=0.0)
     return [e for e in entries if e.capacity >= MIN_CAPACITY_SHARE * max_capacity]
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -72,6 +72,11 @@
         self._purge_tombstones()
         return changed
 
+    def row_version(self, key: str) -> int:
+        """Return the version of a row, 0 if it is unknown."""
+        row = self._rows.get(key)
+        return row.version if row is not None else 0
+
     def has_changes_after(self, version: int) -> bool:
         """Return True if a row has changed after a version."""
         return any(changed > version for changed in self._changed_versions.values())
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -158,6 +158,7 @@
             self.instances,
             self._followers,
             self._upstream,
+            self.state.instance_row_version,
             lambda: self.is_ready,
             self._clock_ms,
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
@@ -52,6 +52,7 @@
         instances: InstanceTable,
         followers: FollowerTracker,
         upstream: Upstream,
+        row_version: Callable[[str], int],
         is_ready: Callable[[], bool],
         clock_ms: Callable[[], int],
     ) -> None:
@@ -61,6 +62,7 @@
         self._instances = instances
         self._followers = followers
         self._upstream = upstream
+        self._row_version = row_version
         self._is_ready = is_ready
         self._clock_ms = clock_ms
         self._written_entry: InstanceEntry | None = None
@@ -90,7 +92,9 @@
         entry = self._current_entry(self._last_attempt_ms)
         self._written_entry = None
         try:
-            await self._write_row(entry.instance_id, encode_instance(entry))
+            await self._store.write(
+                RowWrite(self._table, entry.instance_id, encode_instance(entry))
+            )
         except PlatformError as exc:
             log_event(
                 _log,
@@ -104,10 +108,17 @@
         self._written_entry = entry
 
     async def remove_expired(self) -> None:
-        """Remove the rows of instances without a sign of life for EXPIRY_MS."""
+        """Remove the rows of instances without a sign of life for EXPIRY_MS.
+
+        A row stays if its instance, which was only suspended, has written it since it
+        was read.
+        """
         for instance_id in self._instances.expired_ids(EXPIRY_MS):
+            version = self._row_version(instance_id)
             try:
-                await self._write_row(instance_id, None)
+                await self._store.write(
+                    RowWrite(self._table, instance_id, None, expected_version=version)
+                )
             except PlatformError as exc:
                 log_event(
                     _log,
@@ -144,6 +155,3 @@
         if self._instances.own_is_busy:
             busy = (*busy, self._own_entry.instance_id)
         return entry._replace(followers=self._followers.ids(now_ms), busy=busy)
-
-    async def _write_row(self, instance_id: str, value: bytes | None) -> None:
-        await self._store.write(RowWrite(self._table, instance_id, value))
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 
 from rhubarbwell_core.direct import (
+    InstanceEntry,
     InstanceTable,
     LoadBalancer,
     ReplicaRow,
@@ -56,9 +57,13 @@
         self, table: str, update: ReplicaUpdate, now_ms: int, *, age_ms: int = 0
     ) -> None:
         """Apply an update of a table that was read from the store age_ms ago."""
+        is_first_listing = self.replicas[table].version == 0
         changed = self.replicas[table].apply(update)
         self.synced_until_ms[table] = max(self.synced_until_ms[table], now_ms - age_ms)
-        self._row_appliers[table](changed, now_ms)
+        if is_first_listing and table == self._platform.names.instance_table:
+            self._apply_first_instance_rows(changed, now_ms)
+        else:
+            self._row_appliers[table](changed, now_ms)
         if table == self._platform.names.instance_table:
             self.instances.mark_synced(self.synced_until_ms[table])
         if changed and table in self._urgent_tables:
@@ -152,15 +157,30 @@
                 self._log_backend("backend_changed", row, state)
             backends.put(entry, now_ms)
 
+    def instance_row_version(self, instance_id: str) -> int:
+        """Return the version of an instance's row, 0 if it is unknown."""
+        replica = self.replicas[self._platform.names.instance_table]
+        return replica.row_version(instance_id)
+
+    def _apply_first_instance_rows(
+        self, rows: Sequence[ReplicaRow], now_ms: int
+    ) -> None:
+        entries = [_decode_instance_row(row) for row in rows if row.value is not None]
+        self.instances.put_listed(filter(None, entries), now_ms)
+        self._share_limits()
+
     def _apply_instance_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
         for row in rows:
             if row.value is None:
                 self.instances.remove(row.key)
                 continue
-            try:
-                self.instances.put(decode_instance(row.key, row.value), now_ms)
-            except RowDecodingError as exc:
-                _log_unreadable_row("entry instance", row, exc)
+            entry = _decode_instance_row(row)
+            if entry is not None:
+                self.instances.put(entry, now_ms)
+        self._share_limits()
+
+    def _share_limits(self) -> None:
+        """Divide the limits that apply to all instances among the live ones."""
         instances = self.instances
         live = len(instances.live_ids())
         self.balancer.set_instances(live, instances.budget_instance_ids())
@@ -178,6 +198,16 @@
         )
 
 
+def _decode_instance_row(row: ReplicaRow) -> InstanceEntry | None:
+    """Return the entry in a row; log a row that cannot be decoded and return None."""
+    assert row.value is not None
+    try:
+        return decode_instance(row.key, row.value)
+    except RowDecodingError as exc:
+        _log_unreadable_row("entry instance", row, exc)
+        return None
+
+
 def _log_unreadable_row(row_kind: str, row: ReplicaRow, exc: Exception) -> None:
     log_event(
         _log,
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/services/metadata.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/services/metadata.py
@@ -9,11 +9,15 @@
 
 
 class RowWrite(NamedTuple):
-    """Represent the write of a row, or its deletion if the value is None."""
+    """Represent the write of a row, or its deletion if the value is None.
+
+    With expected_version, the write takes effect only if the row has that version.
+    """
 
     table: str
     key: str
     value: bytes | None
+    expected_version: int | None = None
 
 
 class MetadataStore(ABC):
@@ -33,4 +37,7 @@
 
     @abstractmethod
     async def write(self, row: RowWrite) -> None:
-        """Write or delete a row; raise UnavailableError or AnswerLostError."""
+        """Write or delete a row.
+
+        Raises UnavailableError, AnswerLostError and ConflictError.
+        """
--- a/tests/core/direct/test_instances.py
+++ b/tests/core/direct/test_instances.py
@@ -130,3 +130,35 @@
         entry("i-5", "b-2", "b", capacity=50.0),
     )
     assert table.budget_instance_ids() == ["i-2", "i-4", "i-5"]
+
+
+def test_write_that_reached_the_store_late_does_not_undo_a_leave():
+    """A write without a response may be performed after the writes that followed it."""
+    table = make_table(entry("i-2", beat=4), entry("i-3"))
+    table.put(entry("i-2", beat=5, leaving=True), 100)
+    table.put(entry("i-2", beat=4), 200)
+    assert offered_hosts(table) == ["10.0.0.3", "10.0.0.1"]
+
+
+def test_restarted_instance_counts_its_beats_anew():
+    table = make_table(entry("i-2", beat=9, leaving=True))
+    table.put(entry("i-2", beat=1, incarnation="y"), 100)
+    assert offered_hosts(table) == ["10.0.0.2", "10.0.0.1"]
+
+
+def test_row_of_a_crashed_instance_expires_soon_after_it_was_listed():
+    """A listing does not tell how old its rows are; live instances are confirmed."""
+    table = InstanceTable(entry("i-1"), liveness_timeout_ms=4_400)
+    reader = entry("i-2", beat=7, followers=("i-3",))
+    table.put_listed([entry("i-4"), entry("i-3"), reader], 1_000)
+    assert len(table.live()) == 3
+    table.put(reader._replace(beat=8), 2_500)
+    table.mark_synced(3_600)
+    assert [e.instance_id for e in table.live()] == ["i-3", "i-2"]
+
+
+def test_listed_reader_stays_live_until_its_next_heartbeat_is_due():
+    table = InstanceTable(entry("i-1"), liveness_timeout_ms=4_400)
+    table.put_listed([entry("i-2", beat=7)], 1_000)
+    table.mark_synced(3_000)
+    assert [e.instance_id for e in table.live()] == ["i-2"]
--- a/tests/entry/direct/test_registrar.py
+++ b/tests/entry/direct/test_registrar.py
@@ -5,7 +5,7 @@
 from rhubarbwell_entry.direct.follower import Upstream
 from rhubarbwell_entry.direct.registrar import Registrar
 from rhubarbwell_entry.direct.registrations import decode_instance
-from rhubarbwell_platform.errors import UnavailableError
+from rhubarbwell_platform.errors import ConflictError, UnavailableError
 
 HERE = Address("127.0.0.1", 1)
 TABLE = "instances"
@@ -17,11 +17,15 @@
         self.written = []
         self.is_out = False
         self.write_attempts = 0
+        self.versions = {}
 
     async def write(self, row):
         self.write_attempts += 1
         if self.is_out:
             raise UnavailableError("out")
+        version = self.versions.get(row.key, 0)
+        if row.expected_version not in (None, version):
+            raise ConflictError(row.key)
         self.written.append(decode_instance(row.key, row.value) if row.value else row)
 
 
@@ -34,6 +38,7 @@
         self.ready = True
         self.store = RecordingStore()
         self.upstream = Upstream()
+        self.known_versions = {}
         self.followers = FollowerTracker()
         self.instances = InstanceTable(own, liveness_timeout_ms=4_400)
         self.registrar = Registrar(
@@ -43,6 +48,7 @@
             self.instances,
             self.followers,
             self.upstream,
+            lambda instance_id: self.known_versions.get(instance_id, 0),
             lambda: self.ready,
             lambda: self.now_ms,
         )
@@ -150,3 +156,18 @@
     harness.upstream.reader = "i-2"
     await harness.advance(4_400)
     assert [entry.leaving for entry in harness.store.written] == [True]
+
+
+async def test_row_of_an_instance_that_woke_up_is_not_removed():
+    """A suspended instance writes its row while a reader is about to remove it."""
+    harness = RegistrarHarness()
+    silent = InstanceEntry("i-2", "y", "a-1", "a", HERE, HERE, 1)
+    harness.instances.put(silent, 0)
+    harness.instances.mark_synced(61_000)
+    harness.known_versions["i-2"] = 7
+    harness.store.versions["i-2"] = 8
+    await harness.registrar.remove_expired()
+    assert harness.store.written == []
+    harness.store.versions["i-2"] = 7
+    await harness.registrar.remove_expired()
+    assert [row.key for row in harness.store.written] == ["i-2"]
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -107,7 +107,11 @@
         return sorted(rows, key=lambda row: row["rowVersion"])
 
     async def transact(self, body: dict[str, Any]) -> web.Response:
-        """Apply the writes and removals of a transaction; return its response."""
+        """Apply a transaction if the expected versions hold; return its response."""
+        for item in body["expect"]:
+            version, value = self.rows.get((item["table"], item["key"]), (0, None))
+            if item["rowVersion"] != (0 if value is None else version):
+                return web.json_response({"rows": []}, status=412)
         for item in body["writes"]:
             value = base64.b64decode(item["value"])
             await self.write(item["table"], item["key"], value)
