Assign objects to regions and tell queues from slow servers

Change: weighted rendezvous hashing assigns each object to a region by the planned shares; leaving it costs 0.3 of the objective, less the more its server fails. The expected shares follow the assigned regions of a window's requests, by 1 - 1/sqrt(n) for n instances that share the callers. A timeout is held against a cold cache and the known queue; an answer that reports a queue says nothing about speed.

Tests, failing before: test_loads (region whose caches cannot hold the objects), test_balancer (timeout behind a queue, answer that reports a queue), test_regions (few requests are not limited by chance; leaving assigned regions stays gradual).

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -24,6 +24,7 @@
 )
 from rhubarbwell_core.direct.routes import RouteTable, WeightedSplits
 from rhubarbwell_core.direct.verdicts import AttemptResult, Verdict, attempt_verdict
+from rhubarbwell_core.hashing import weighted_rendezvous
 
 __all__ = ["AttemptReport", "LoadBalancer", "LoadReport", "LoadBalancerRules"]
 
@@ -32,6 +33,12 @@
 LARGE_BODY_BYTES = 8 << 10
 # Cost of sending one KiB over a link between zones, as an equivalent delay.
 LINK_COST_MS_PER_KIB = 3.0
+# Cost of a region other than the one that an object is assigned to, as a share of the
+# objective. It is below the time that a cache miss costs, so that servers of the other
+# region are still used while those of the assigned one are overloaded.
+OTHER_REGION_COST_SHARE = 0.3
+# Share of failed requests from which a server counts as no better than those elsewhere.
+UNRELIABLE_FAILURE_SHARE = 0.4
 # Maximum random cost as a share of the processing time, so that instances with equal
 # views choose differently.
 COST_NOISE_SHARE = 0.1
@@ -111,12 +118,14 @@
         self._splits = WeightedSplits()
         self._object_counters: dict[str, ObjectCounter] = {}
         self._orders = AffinityOrders(self.backends)
+        self._regions = regions
         self._rules = rules
         self._rng = rng
         self._instance_id = instance_id
         self._live_instances = 1
         self._slack_share = 1.0
         self._capacity_by_region: dict[str, float] = {}
+        self._planned_shares: dict[str, float] = {}
 
     def configure(self, config: RoutingConfig) -> bool:
         """Return True and apply a configuration if its version is newer."""
@@ -136,6 +145,9 @@
         is_sharing = self._instance_id in budget_instance_ids
         self._slack_share = 1.0 / len(budget_instance_ids) if is_sharing else 0.0
         self.cold_starts.configure(budget_instance_ids)
+        self.region_shares.set_instances(
+            len(budget_instance_ids) // len(set(self._regions.values()))
+        )
 
     def set_capacity_by_region(self, capacity_by_region: Mapping[str, float]) -> None:
         """Set the entry instances' total capacity in requests per second by region."""
@@ -147,9 +159,10 @@
             self.cold_starts.forget(backend_id)
         usable_slots = self.backends.usable_slots(now_ms)
         self.region_shares.set_usable_slots(usable_slots)
-        self.region_shares.set_planned(
-            planned_shares(self.region, usable_slots, self._capacity_by_region)
+        self._planned_shares = planned_shares(
+            self.region, usable_slots, self._capacity_by_region
         )
+        self.region_shares.set_planned(self._planned_shares)
 
     def set_evacuated_zones(self, zones: Collection[str], now_ms: int) -> None:
         """Set the zones whose backend servers get no requests."""
@@ -191,7 +204,11 @@
             candidates = self._candidates_in_allowed_regions(
                 req.route, candidates, now_ms
             )
-        scored = [self._scored_target(req, ranked, now_ms) for ranked in candidates]
+        region_costs = self._region_costs(req, candidates)
+        scored = [
+            self._scored_target(req, ranked, region_costs[ranked.state.region], now_ms)
+            for ranked in candidates
+        ]
         best = min(scored, key=lambda pair: pair[0])[1]
         state = self.backends.rows[best.backend_id]
         slots = state.entry.slots
@@ -216,7 +233,9 @@
         state.acquire_connection()
         state.sent_at_ms[req.request_id] = now_ms
         if not req.attempts:
-            self.region_shares.count_request(state.region, now_ms)
+            self.region_shares.count_request(
+                state.region, now_ms, assigned=self._assigned_region(req.object_key)
+            )
         req.attempts += 1
         req.tried_backends.add(target.backend_id)
         if target.is_cold:
@@ -280,9 +299,11 @@
         else:
             state.record_connection_failure(now_ms)
         if result is AttemptResult.TIMED_OUT:
-            state.record_timeout(
-                report.latency_ms / max(target.processing_ms, 1.0), now_ms
-            )
+            # A cold cache and the queue explain a part of the time.
+            cold_ms = self.cache_estimates.processing_times(req.route).cold_ms
+            slots = state.entry.slots
+            turns = 1.0 + max(0.0, target.load + 1.0 - slots) / slots
+            state.record_timeout(report.latency_ms / (turns * cold_ms), now_ms)
         elif result is AttemptResult.NOT_SENT:
             cold_ms = self._cold_start_ms(target.service)
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
@@ -297,6 +318,9 @@
         )
         if target.load >= state.entry.slots or target.is_cold:
             return
+        # The request may have waited in a queue of which the instance did not know.
+        if report.load is not None and report.load.waiting > 0:
+            return
         round_trip_ms = self.zone_delays.round_trip_ms(target.zone)
         network_ms = round_trip_ms + (report.connect_ms or 0.0)
         processing_ms = max(report.latency_ms - network_ms, 1.0)
@@ -411,8 +435,44 @@
         regions = self.region_shares.allowed_regions(round_trips.keys(), now_ms)
         return [p for p in candidates if p.state.region in regions]
 
+    def _assigned_region(self, object_key: str) -> str | None:
+        """Return the region whose caches hold an object for this region's callers.
+
+        Returns None before the instances and servers of the regions are known.
+
+        A region with fewer servers than its callers need caches its share of the
+        objects. Otherwise each object would be cached there and in the other regions.
+        """
+        if not self._planned_shares:
+            return None
+        return weighted_rendezvous(object_key, self._planned_shares)
+
+    def _region_costs(
+        self, req: ActiveRequest, candidates: Sequence[RankedBackend]
+    ) -> Mapping[str, float]:
+        """Return the cost in ms of leaving the assigned region, by region.
+
+        The cost decreases with the failures of the servers in the assigned region.
+        """
+        costs = {ranked.state.region: 0.0 for ranked in candidates}
+        assigned = self._assigned_region(req.object_key)
+        if assigned is None or assigned not in costs:
+            return costs
+        failure_share = min(
+            ranked.state.failure_share
+            for ranked in candidates
+            if ranked.state.region == assigned
+        )
+        reliability = max(0.0, 1.0 - failure_share / UNRELIABLE_FAILURE_SHARE)
+        cost_ms = OTHER_REGION_COST_SHARE * req.route.objective_ms * reliability
+        return {region: 0.0 if region == assigned else cost_ms for region in costs}
+
     def _scored_target(
-        self, req: ActiveRequest, ranked: RankedBackend, now_ms: int
+        self,
+        req: ActiveRequest,
+        ranked: RankedBackend,
+        region_cost_ms: float,
+        now_ms: int,
     ) -> tuple[float, Target]:
         """Return the cost in ms of sending a request to a server, and the target."""
         state, route = ranked.state, req.route
@@ -439,6 +499,7 @@
             network_ms *= 2
         expected_ms = network_ms + queue_ms + server_ms
         cost = expected_ms + FAILURE_COST * state.failure_share * route.objective_ms
+        cost += region_cost_ms
         if entry.zone != self.zone:
             cost += LINK_COST_MS_PER_KIB * req.body_bytes / BYTES_PER_KIB
         cost += self._rng.uniform(0.0, COST_NOISE_SHARE * processing_ms)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/regions.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/regions.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Collection, Mapping
+from math import sqrt
 
 __all__ = ["RegionShares", "planned_shares"]
 
@@ -20,12 +21,13 @@
 
 
 class _Bucket:
-    __slots__ = ("counts", "started_ms", "usable_slots")
+    __slots__ = ("assigned", "counts", "started_ms", "usable_slots")
 
     def __init__(self, started_ms: int, usable_slots: Mapping[str, float]) -> None:
         self.started_ms = started_ms
         self.usable_slots = usable_slots
         self.counts = Counter[str]()
+        self.assigned = Counter[str]()
 
 
 class RegionShares:
@@ -37,6 +39,11 @@
     history, initially from the planned shares. The expected share of a region that
     has lost usable slots is reduced, so its requests may shift at once.
 
+    Each request may name the region that its object is assigned to. Expected shares
+    follow the assigned regions of the requests that arrive, the more the more
+    instances share the callers: each of them sees few requests, whose shares vary by
+    chance although those of all instances together do not.
+
     >>> shares = RegionShares(0.15)
     >>> shares.set_planned({"a": 0.5, "b": 0.5})
     >>> for _ in range(12):
@@ -47,10 +54,14 @@
 
     def __init__(self, max_shift: float) -> None:
         self._max_shift = SHIFT_SHARE_USED * max_shift
+        self._chance_share = 0.0
         self._history: dict[str, float] = {}
         self._usable_slots: Mapping[str, float] = {}
         self._current = Counter[str]()
         self._previous = Counter[str]()
+        self._assigned_history: dict[str, float] = {}
+        self._current_assigned = Counter[str]()
+        self._previous_assigned = Counter[str]()
         self._buckets = deque[_Bucket]()
         self._expected: dict[str, float] = {}
 
@@ -60,17 +71,28 @@
             self._history = {
                 n: HISTORY_WEIGHT_REQUESTS * share for n, share in shares.items()
             }
+            self._assigned_history = dict(self._history)
             self._update_expected_shares()
 
+    def set_instances(self, instances: int) -> None:
+        """Set how many instances, including this one, share the region's callers."""
+        # Independent variations of n instances average out to 1 / sqrt(n) of one.
+        self._chance_share = 1.0 - 1.0 / sqrt(max(instances, 1))
+
     def set_usable_slots(self, usable_slots: Mapping[str, float]) -> None:
         """Set the number of concurrent requests that each region can process."""
         self._usable_slots = dict(usable_slots)
 
-    def count_request(self, region: str, now_ms: int) -> None:
+    def count_request(
+        self, region: str, now_ms: int, *, assigned: str | None = None
+    ) -> None:
         """Count a request sent to a server of a region."""
         self._advance_window(now_ms)
         self._buckets[-1].counts[region] += 1
         self._current[region] += 1
+        if assigned is not None:
+            self._buckets[-1].assigned[assigned] += 1
+            self._current_assigned[assigned] += 1
 
     def allowed_regions(self, usable: Collection[str], now_ms: int) -> Collection[str]:
         """Return the regions with usable servers that may get a request.
@@ -79,25 +101,42 @@
         their expected share, or else the one that exceeds its share the least.
         """
         self._advance_window(now_ms)
-        expected = self._expected
-        expected_total = sum(expected.values())
-        if expected_total <= 0.0 or len(usable) <= 1:
+        expected = self._expected_in_window()
+        prior_total = sum(self._expected.values())
+        if prior_total <= 0.0 or len(usable) <= 1:
             return usable
         total = self._current.total() + PRIOR_WEIGHT_REQUESTS
         names = {*expected, *self._current, *usable}
         excess = dict.fromkeys(names, 0.0)
         for name in names:
-            share = expected.get(name, 0.0)
-            counted = (
-                self._current[name] + PRIOR_WEIGHT_REQUESTS * share / expected_total
-            )
-            excess[name] = counted / total - share
+            prior = PRIOR_WEIGHT_REQUESTS * self._expected.get(name, 0.0) / prior_total
+            counted = self._current[name] + prior
+            excess[name] = counted / total - expected.get(name, 0.0)
         moved = sum(x for x in excess.values() if x > 0.0)
-        if moved < self._max_shift + 1.0 - expected_total:
+        if moved < self._max_shift + 1.0 - sum(expected.values()):
             return usable
         below = [name for name in usable if excess[name] < 0.0]
         return below or [min(usable, key=excess.__getitem__)]
 
+    def _expected_in_window(self) -> dict[str, float]:
+        """Return the expected shares for the assigned regions of the current window."""
+        reference = {
+            name: self._previous_assigned[name] + self._assigned_history.get(name, 0.0)
+            for name in {*self._previous_assigned, *self._assigned_history}
+        }
+        total, counted = sum(reference.values()), self._current_assigned.total()
+        if not counted or total <= 0.0:
+            return self._expected
+        expected: dict[str, float] = {}
+        for name in {*self._expected, *reference, *self._current_assigned}:
+            share = reference.get(name, 0.0) / total
+            change = (self._current_assigned[name] - counted * share) / (
+                counted + PRIOR_WEIGHT_REQUESTS
+            )
+            change *= self._chance_share * self._remaining_slot_share(name)
+            expected[name] = max(self._expected.get(name, 0.0) + change, 0.0)
+        return expected
+
     def _advance_window(self, now_ms: int) -> None:
         if self._buckets and now_ms < self._buckets[-1].started_ms + BUCKET_MS:
             return
@@ -108,17 +147,23 @@
             self._merge_into_history(self._buckets.popleft())
         window_start_ms = started_ms - (BUCKETS - 1) * BUCKET_MS
         self._current, self._previous = Counter[str](), Counter[str]()
+        self._current_assigned = Counter[str]()
+        self._previous_assigned = Counter[str]()
         for bucket in self._buckets:
-            is_old = bucket.started_ms < window_start_ms
-            (self._previous if is_old else self._current).update(bucket.counts)
+            if bucket.started_ms < window_start_ms:
+                self._previous.update(bucket.counts)
+                self._previous_assigned.update(bucket.assigned)
+            else:
+                self._current.update(bucket.counts)
+                self._current_assigned.update(bucket.assigned)
         self._update_expected_shares()
 
     def _merge_into_history(self, bucket: _Bucket) -> None:
         """Merge an expired bucket into the history, whose weight stays bounded."""
-        names = {*self._history, *bucket.counts}
-        history = {n: self._history.get(n, 0.0) + bucket.counts[n] for n in names}
-        factor = min(1.0, HISTORY_WEIGHT_REQUESTS / max(sum(history.values()), 1.0))
-        self._history = {name: factor * n for name, n in history.items()}
+        self._history = _merged_history(self._history, bucket.counts)
+        self._assigned_history = _merged_history(
+            self._assigned_history, bucket.assigned
+        )
 
     def _update_expected_shares(self) -> None:
         """Recompute the shares that the current window is compared with."""
@@ -141,6 +186,14 @@
         return min(self._usable_slots.get(region, 0.0) / max_slots, 1.0)
 
 
+def _merged_history(
+    history: Mapping[str, float], counts: Counter[str]
+) -> dict[str, float]:
+    merged = {n: history.get(n, 0.0) + counts[n] for n in {*history, *counts}}
+    factor = min(1.0, HISTORY_WEIGHT_REQUESTS / max(sum(merged.values()), 1.0))
+    return {name: factor * n for name, n in merged.items()}
+
+
 def planned_shares(
     region: str, usable_slots: Mapping[str, float], demand: Mapping[str, float]
 ) -> dict[str, float]:
--- a/tests/core/direct/test_balancer.py
+++ b/tests/core/direct/test_balancer.py
@@ -23,6 +23,8 @@
 from support.direct_fleet import read_route
 
 REGIONS = {"a-1": "a", "a-2": "a", "b-1": "b"}
+# Processing ratio from which slots count as slow.
+MIN_SLOWNESS = 2.0
 
 
 def backend(name, zone="a-1", **fields):
@@ -218,3 +220,38 @@
     choice = balancer.choose_backend(start_request(balancer, route), 0)
     assert isinstance(choice, Refusal)
     assert choice.reason is RefusalReason.COLD_START
+
+
+def test_timeout_behind_a_queue_with_a_cold_cache_is_not_slowness():
+    """A cold cache takes 360 ms and three requests wait, which explains 800 ms."""
+    balancer, route = make_balancer(backend("b-1"))
+    balancer.backends.rows["b-1"].record_load_report(3, 3, 0)
+    req = start_request(balancer, route)
+    target = balancer.choose_backend(req, 0)
+    balancer.start_attempt(req, target, 0)
+    report = AttemptReport(AttemptResult.TIMED_OUT, 800)
+    balancer.end_attempt(req, target, report, 800)
+    state = balancer.backends.rows["b-1"]
+    assert state.processing_ratio(800) < MIN_SLOWNESS
+
+
+def test_timeout_of_a_server_without_a_queue_is_slowness():
+    balancer, route = make_balancer(backend("b-1"))
+    req = start_request(balancer, route)
+    target = balancer.choose_backend(req, 0)
+    balancer.start_attempt(req, target, 0)
+    balancer.end_attempt(req, target, AttemptReport(AttemptResult.TIMED_OUT, 800), 800)
+    state = balancer.backends.rows["b-1"]
+    assert state.processing_ratio(800) >= MIN_SLOWNESS
+
+
+def test_late_answer_of_a_server_that_reports_a_queue_is_not_slowness():
+    """An instance that sees a server rarely does not know its queue in advance."""
+    balancer, route = make_balancer(backend("b-1"))
+    req = start_request(balancer, route)
+    target = balancer.choose_backend(req, 0)
+    balancer.start_attempt(req, target, 0)
+    load = LoadReport(3, 4, 3)
+    report = AttemptReport(AttemptResult.ANSWERED, 700, load)
+    balancer.end_attempt(req, target, report, 700)
+    assert balancer.backends.rows["b-1"].processing_ratio(700) == 1.0
--- a/tests/core/direct/test_loads.py
+++ b/tests/core/direct/test_loads.py
@@ -31,6 +31,30 @@
     assert len(answered) > 0.95 * len(fleet.ended_requests)
 
 
+def test_region_whose_caches_cannot_hold_the_objects_of_its_callers():
+    """27 instances and 226 servers; a server of the small region caches 12 objects.
+
+    Its 21 servers would have to cache 299 objects, a tenth of the capacity of all
+    servers serves a third of the callers.
+    """
+    zones = {f"{region}-{n}": region for region in "abc" for n in (1, 2, 3)}
+    servers = {zone: {"a": 7, "b": 31, "c": 37}[zones[zone]] for zone in zones}
+    profile = ServiceProfile(
+        warm_ms=300.0, cold_ms=1_200.0, object_count=299, cache_capacity=12
+    )
+    route = read_route(objective_ms=800, timeout_ms=2_000)
+    fleet = DirectFleet(zones, servers, instances=27, profile=profile, routes=(route,))
+    fleet.run(
+        [OfferedLoad(z, 50.0, to_ms=20_000, deadline_ms=5_000) for z in sorted(zones)]
+    )
+    in_time = {
+        zone: fleet.answered_share(zone=zone, from_ms=10_000, within_ms=800.0)
+        for zone in ("a-1", "a-2", "a-3", "b-1", "c-1")
+    }
+    # Callers of the small region are served almost as well as the others.
+    assert min(in_time.values()) > max(in_time.values()) - 0.05
+
+
 def test_hot_object_is_spread_over_more_than_one_server():
     """Guard against overloading one server: a hot object needs the slots of several."""
     fleet = DirectFleet(REGIONS, SMALL_REGION, profile=ServiceProfile(object_count=1))
--- a/tests/core/direct/test_regions.py
+++ b/tests/core/direct/test_regions.py
@@ -93,3 +93,35 @@
 def test_region_without_servers_anywhere_else_keeps_its_requests():
     assert planned_shares("a", {"a": 3.0, "b": 0.0}, {"a": 1.0, "b": 1.0}) == {"a": 1.0}
     assert planned_shares("a", {}, {}) == {}
+
+
+def test_an_instance_with_few_requests_is_not_limited_by_chance():
+    """Twenty requests per window vary by more than the limit from window to window."""
+    rng = Random(3)
+    shares = RegionShares(MAX_SHIFT)
+    shares.set_instances(100)
+    shares.set_planned(HALVES)
+    for now_ms in range(0, 60_000, 100):
+        assigned = rng.choice(["a", "b"])
+        assert set(shares.allowed_regions({"a", "b"}, now_ms)) == {"a", "b"}
+        shares.count_request(assigned, now_ms, assigned=assigned)
+
+
+def test_requests_leave_their_assigned_regions_gradually():
+    rng = Random(4)
+    shares = RegionShares(MAX_SHIFT)
+    shares.set_instances(9)
+    shares.set_planned(HALVES)
+    windows = []
+    for start_ms in range(0, 12_000, 2_000):
+        counts = Counter()
+        for now_ms in range(start_ms, start_ms + 2_000, 5):
+            assigned = rng.choice(["a", "b"])
+            allowed = shares.allowed_regions({"a", "b"}, now_ms)
+            region = "b" if "b" in allowed else "a"
+            shares.count_request(region, now_ms, assigned=assigned)
+            counts[region] += 1
+        windows.append({n: count / counts.total() for n, count in counts.items()})
+    for before, after in zip([HALVES, *windows], windows, strict=False):
+        assert moved_share(before, after) <= MAX_SHIFT
+    assert windows[-1]["b"] > 0.8
