--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 # make demo: create the environment and run the demo.
 # make test: create the environment and run every check.
+# make regressions BENCH=FILE SITES="FILE ...": play the users' deployments, one by one.
 VENV ?= .venv
 BIN := $(VENV)/bin
 ROOT := $(CURDIR)
 export PYTHONPATH := $(ROOT)/packages/rhubarbwell-core/src:$(ROOT)/packages/rhubarbwell-platform/src:$(ROOT)/packages/rhubarbwell-entry/src:$(ROOT)/packages/rhubarbwell-ops/src
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test check format proto
+.PHONY: demo test check format proto regressions
 
 demo: $(VENV)/.ready
 	$(BIN)/rhubarbwell demo
@@ -27,6 +28,15 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# Without --quick, for example with SCORE=score, all standard days are played.
+SCORE ?= score --quick
+JOBS ?= 1
+
+regressions:
+	for site in $(SITES); do \
+		$(BENCH) $(SCORE) $$site --jobs $(JOBS) --why "regressions of $$(git rev-parse --short HEAD)" || exit 1; \
+	done
+
 proto:
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I packages/rhubarbwell-entry/proto \
 		--python_out=packages/rhubarbwell-entry/src --pyi_out=packages/rhubarbwell-entry/src \
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -204,12 +204,14 @@
             candidates = self._candidates_in_allowed_regions(
                 req.route, candidates, now_ms
             )
-        region_costs = self._region_costs(req, candidates)
+        assigned_region = self._assigned_region(req.object_key)
+        region_costs = self._region_costs(req.route, candidates, assigned_region)
         scored = [
             self._scored_target(req, ranked, region_costs[ranked.state.region], now_ms)
             for ranked in candidates
         ]
         best = min(scored, key=lambda pair: pair[0])[1]
+        best = best._replace(assigned_region=assigned_region)
         state = self.backends.rows[best.backend_id]
         slots = state.entry.slots
         if admits(
@@ -234,7 +236,7 @@
         state.sent_at_ms[req.request_id] = now_ms
         if not req.attempts:
             self.region_shares.count_request(
-                state.region, now_ms, assigned=self._assigned_region(req.object_key)
+                state.region, now_ms, assigned=target.assigned_region
             )
         req.attempts += 1
         req.tried_backends.add(target.backend_id)
@@ -448,14 +450,16 @@
         return weighted_rendezvous(object_key, self._planned_shares)
 
     def _region_costs(
-        self, req: ActiveRequest, candidates: Sequence[RankedBackend]
+        self,
+        route: Route,
+        candidates: Sequence[RankedBackend],
+        assigned: str | None,
     ) -> Mapping[str, float]:
         """Return the cost in ms of leaving the assigned region, by region.
 
         The cost decreases with the failures of the servers in the assigned region.
         """
         costs = {ranked.state.region: 0.0 for ranked in candidates}
-        assigned = self._assigned_region(req.object_key)
         if assigned is None or assigned not in costs:
             return costs
         failure_share = min(
@@ -464,7 +468,7 @@
             if ranked.state.region == assigned
         )
         reliability = max(0.0, 1.0 - failure_share / UNRELIABLE_FAILURE_SHARE)
-        cost_ms = OTHER_REGION_COST_SHARE * req.route.objective_ms * reliability
+        cost_ms = OTHER_REGION_COST_SHARE * route.objective_ms * reliability
         return {region: 0.0 if region == assigned else cost_ms for region in costs}
 
     def _scored_target(
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -35,7 +35,8 @@
     expected_ms is the estimated time from sending to the answer, of which
     processing_ms is the normal processing time at the server. load_age_ms is the age
     of the last load report, None if it has expired. holds_object is True if the
-    server recently answered this instance for the object.
+    server recently answered this instance for the object. assigned_region is the
+    region that the object was assigned to, which may differ from the server's.
     """
 
     backend_id: str
@@ -49,6 +50,7 @@
     load_age_ms: int | None
     is_cold: bool
     holds_object: bool = False
+    assigned_region: str | None = None
 
 
 class ActiveRequest:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -139,6 +139,7 @@
             backend_id=target.backend_id,
             service=target.service,
             zone=target.zone,
+            assigned_region=target.assigned_region,
             attempt=req.attempts,
             position=target.position,
             load=round(target.load, 2),
