Start again without waiting for seeds that have no power

Configurations were in force 1.0 to 1.9 s after the start, 1,384 requests were refused with "no configuration yet", and their callers, who return once, came back after 200 ms.

Change: connections to instances are given up after 300 ms, the waiting time ends while calls are open, pauses are short unless the fleet starts for the first time. A starting instance asks callers to return once it expects its configuration, 1 s after its start.

Ruled out: a slow store (a seed was configured 0.2 s after its start).

Tests, failing before: test_seeds.py (calls to seeds without a response), test_instance.py (callers of a starting instance, three times of its start).

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -23,6 +23,9 @@
 BUSY_FIELD = "-busy"
 # Set by an instance that does not follow yet and needs an immediate response.
 FIRST_FIELD = "-first"
+# Several round trips between regions. A machine without power does not answer, and an
+# unanswered packet is sent again after a second only.
+CONNECT_TIMEOUT_MS = 300
 MS_PER_S = 1_000
 
 
@@ -117,7 +120,9 @@
         self, address: Address, query: ChangesQuery, timeout_ms: int
     ) -> ChangesResponse:
         """Return the changes of the instance at an address; raise ChangesError."""
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / MS_PER_S)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / MS_PER_S, sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
+        )
         url = f"http://{host_port(address)}{CHANGES_PATH}"
         try:
             async with self._session.get(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -18,8 +18,10 @@
 
 # Time left for a request whose deadline header is missing or malformed.
 DEFAULT_DEADLINE_MS = 2_000
-# An instance reads its configuration within this time after its start.
-NO_CONFIG_RETRY_AFTER_MS = 200
+# An instance reads its configuration within this time after its start. If the whole
+# fleet starts again, a caller that returns earlier finds no other instance ready.
+STARTUP_MS = 1_000
+MIN_NO_CONFIG_RETRY_AFTER_MS = 200
 # Another instance can serve the retry at once.
 STOPPING_RETRY_AFTER_MS = 20
 MS_PER_S = 1_000
@@ -47,6 +49,7 @@
         self._forwarder = forwarder
         self._metrics = metrics
         self._clock_ms = clock_ms
+        self._started_ms = clock_ms()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to a request."""
@@ -70,7 +73,10 @@
                 RequestOutcome.REFUSED,
                 503,
                 "no configuration yet",
-                NO_CONFIG_RETRY_AFTER_MS,
+                max(
+                    self._started_ms + STARTUP_MS - arrived_ms,
+                    MIN_NO_CONFIG_RETRY_AFTER_MS,
+                ),
             )
         if self.refuses_new:
             return RequestResult(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
@@ -1,8 +1,9 @@
 """First tables of a starting entry instance, from instances that already run."""
 
 import asyncio
+import contextlib
 import logging
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -30,9 +31,11 @@
 # the longer time.
 SEEDS_WAIT_MS = 600
 FIRST_START_SEEDS_WAIT_MS = 3_000
-# Random, so that a fleet that starts together does not ask the seeds all at once.
+# Random, so that a fleet that starts together does not ask the seeds all at once. Of a
+# fleet that starts again, callers already wait for each instance.
 MIN_PAUSE_MS = 100
-MAX_PAUSE_MS = 800
+MAX_PAUSE_MS = 300
+FIRST_START_MAX_PAUSE_MS = 800
 # The operators publish the first configuration, after which a reader is ready, within
 # some seconds of the start of the fleet.
 MAX_READER_QUERIES = 10
@@ -80,6 +83,9 @@
     ) -> None:
         self._seeds = [address for address in seeds if address != own_control]
         self._wait_ms = FIRST_START_SEEDS_WAIT_MS if is_first_start else SEEDS_WAIT_MS
+        self._max_pause_ms = (
+            FIRST_START_MAX_PAUSE_MS if is_first_start else MAX_PAUSE_MS
+        )
         self._state = state
         self._health = health
         self._upstream = upstream
@@ -93,16 +99,15 @@
     async def load_current(self) -> bool:
         """Return True once a seed's current tables are applied.
 
-        Returns False after the waiting time and lets the store be read.
+        Returns False after the waiting time, also while calls to seeds are open, and
+        lets the store be read.
         """
         deadline_ms = self._clock_ms() + self._wait_ms
         while self._upstream.awaits_seeds and self._clock_ms() < deadline_ms:
-            async for probe in self._probe_seeds():
-                # The first response is from the nearest seed.
-                if self._is_current(probe) and await self._load_from(probe):
-                    await self._wait_for_reader(probe)
-                    break
-            if self._upstream.awaits_seeds:
+            probe = await self._find_current(deadline_ms - self._clock_ms())
+            if probe is not None and await self._load_from(probe):
+                await self._wait_for_reader(probe)
+            elif self._clock_ms() < deadline_ms:
                 await self._pause()
         self._upstream.awaits_seeds = False
         return self._upstream.reader is not None
@@ -119,7 +124,19 @@
                     await self._load_from(min(probes, key=lambda p: p.max_age_ms))
             await self._pause()
 
-    async def _probe_seeds(self) -> AsyncIterator[_Probe]:
+    async def _find_current(self, max_wait_ms: int) -> _Probe | None:
+        """Return the first seed that answers with current tables, the nearest one."""
+        with contextlib.suppress(TimeoutError):
+            async with (
+                asyncio.timeout(max_wait_ms / MS_PER_S),
+                contextlib.aclosing(self._probe_seeds()) as probes,
+            ):
+                async for probe in probes:
+                    if self._is_current(probe):
+                        return probe
+        return None
+
+    async def _probe_seeds(self) -> AsyncGenerator[_Probe, None]:
         """Yield the seeds' responses without rows in the order of their arrival."""
         versions = dict.fromkeys(self._state.replicas, NO_ROWS_VERSION)
         calls = [
@@ -209,5 +226,5 @@
         )
 
     async def _pause(self) -> None:
-        pause_ms = self._rng.uniform(MIN_PAUSE_MS, MAX_PAUSE_MS)
+        pause_ms = self._rng.uniform(MIN_PAUSE_MS, self._max_pause_ms)
         await asyncio.sleep(pause_ms / MS_PER_S)
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -46,6 +46,19 @@
         assert float(resp.headers["Retry-After"]) > 0
 
 
+@pytest.mark.parametrize(("uptime_ms", "retry_s"), [(0, 1.0), (400, 0.6), (9_000, 0.2)])
+async def test_callers_of_a_starting_instance_return_once_it_is_configured(
+    uptime_ms, retry_s
+):
+    """Callers retry once: after the end of all instances none is ready earlier."""
+    async with running_fleet(config=False) as fleet:
+        handler = fleet.instance.handler
+        handler._clock_ms = lambda: handler._started_ms + uptime_ms
+        resp, _ = await fleet.send_request()
+        assert resp.status == 503
+        assert float(resp.headers["Retry-After"]) == retry_s
+
+
 async def test_look_up_and_readiness():
     async with running_fleet() as fleet:
         cfg = fleet.instance.settings
--- a/tests/entry/direct/test_seeds.py
+++ b/tests/entry/direct/test_seeds.py
@@ -1,7 +1,10 @@
 """Tests of an instance that takes its first tables from a seed instance."""
 
+import asyncio
+
 from aiohttp import web
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.changes import ChangesClient
 from support.running_fleet import (
     free_ports,
     running_fleet,
@@ -46,6 +49,22 @@
             await wait_until(lambda: other.is_ready)
 
 
+async def test_store_is_read_while_calls_to_seeds_get_no_response(monkeypatch):
+    """Packets to a machine without power are lost, so a call to it hangs."""
+    hangs = asyncio.Event()
+
+    async def hang(*args):
+        hangs.set()
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(ChangesClient, "fetch", hang)
+    async with running_fleet() as fleet:
+        seeds = tuple(Address("127.0.0.1", port) for port in free_ports(2))
+        async with second_instance(fleet, seeds=seeds) as other:
+            await wait_until(hangs.is_set)
+            await wait_until(lambda: other.is_ready)
+
+
 async def test_server_that_has_left_is_not_taken_from_a_seed_that_is_cut_off():
     async with running_fleet() as fleet:
         instance = fleet.instance
