--- a/tests/entry/direct/test_cut_answers.py
+++ b/tests/entry/direct/test_cut_answers.py
@@ -1,12 +1,11 @@
 """Tests with backend servers whose answers break off and with silent servers."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
 import pytest
-from rhubarbwell_core.model import Address
+from support.raw_servers import RawServer, fleet_with_server
 from support.running_fleet import running_fleet, wait_until
-from support.users_platform import UsersBackend, config_body
+from support.users_platform import config_body
 
 SIGNED = (
     b"HTTP/1.1 200 OK\r\nX-Rhubarbwell-Request-Id: req-1\r\n"
@@ -29,7 +28,7 @@
 }
 
 
-class CuttingServer:
+class CuttingServer(RawServer):
     """Send the start of an answer and end the connection by a close or a reset."""
 
     def __init__(self, start, *, resets):
@@ -37,16 +36,7 @@
         self.resets = resets
         self.requests = 0
 
-    @asynccontextmanager
-    async def running(self):
-        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
-        self.address = Address(*server.sockets[0].getsockname()[:2])
-        try:
-            yield self
-        finally:
-            server.close()
-
-    async def _handle(self, reader, writer):
+    async def handle(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
         writer.write(self.start_of_answer)
@@ -62,11 +52,7 @@
 @pytest.mark.parametrize("place", CUT_ANSWERS)
 async def test_answer_that_breaks_off_never_looks_complete(place, resets):
     server = CuttingServer(CUT_ANSWERS[place], resets=resets)
-    async with server.running(), running_fleet(0) as fleet:
-        entry = UsersBackend("b-0")
-        entry.address = server.address
-        await fleet.store.write("servers", "b-0", entry.registry_entry())
-        await wait_until(lambda: "b-0" in fleet.instance.balancer.backends.rows)
+    async with fleet_with_server(server) as fleet:
         resp, body = await fleet.send_request("/pay/x", "POST")
         assert resp.status == 502
         assert "X-Rhubarbwell-Server-Stamp" not in resp.headers
--- a/tests/entry/direct/test_endless_answers.py
+++ b/tests/entry/direct/test_endless_answers.py
@@ -1,12 +1,10 @@
 """Tests with backend servers that send bytes without end."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
 import pytest
-from rhubarbwell_core.model import Address
+from support.raw_servers import RawServer, fleet_with_server
 from support.running_fleet import WAIT_S, running_fleet, wait_until
-from support.users_platform import UsersBackend
 
 MAX_ANSWER_BYTES = 1 << 20
 # What the kernel and the event loop hold beyond what the instance has read.
@@ -14,7 +12,7 @@
 FILLER = b"a" * (16 << 10)
 
 
-class EndlessServer:
+class EndlessServer(RawServer):
     """Send a start after each request and then a filler until the caller closes."""
 
     def __init__(self, start, filler, pause_s=0.0):
@@ -25,16 +23,7 @@
         self.connections = 0
         self.closed_by_caller = 0
 
-    @asynccontextmanager
-    async def running(self):
-        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
-        self.address = Address(*server.sockets[0].getsockname()[:2])
-        try:
-            yield self
-        finally:
-            server.close()
-
-    async def _handle(self, reader, writer):
+    async def handle(self, reader, writer):
         self.connections += 1
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -76,23 +65,10 @@
 }
 
 
-@asynccontextmanager
-async def fleet_with_server(server):
-    async with (
-        server.running(),
-        running_fleet(0, max_answer_bytes=MAX_ANSWER_BYTES) as fleet,
-    ):
-        entry = UsersBackend("b-0")
-        entry.address = server.address
-        await fleet.store.write("servers", "b-0", entry.registry_entry())
-        await wait_until(lambda: "b-0" in fleet.instance.balancer.backends.rows)
-        yield fleet
-
-
 @pytest.mark.parametrize("variant", ENDLESS_ANSWERS)
 async def test_endless_answer_ends_early_as_unknown(variant):
     server = EndlessServer(*ENDLESS_ANSWERS[variant])
-    async with fleet_with_server(server) as fleet:
+    async with fleet_with_server(server, max_answer_bytes=MAX_ANSWER_BYTES) as fleet:
         resp, _ = await fleet.send_request("/pay/x", "POST")
         # Not 504: an answer that cannot be valid ends before the route's timeout.
         assert resp.status == 502
@@ -110,7 +86,7 @@
 @pytest.mark.parametrize("pause_s", [0.0, 0.1])
 async def test_bytes_after_a_complete_answer_close_the_connection(filler, pause_s):
     server = EndlessServer(COMPLETE, filler, pause_s)
-    async with fleet_with_server(server) as fleet:
+    async with fleet_with_server(server, max_answer_bytes=MAX_ANSWER_BYTES) as fleet:
         resp, body = await fleet.send_request("/pay/x", "POST")
         assert (resp.status, body) == (200, b"ok")
         await wait_until(lambda: server.closed_by_caller == 1)
@@ -119,7 +95,7 @@
 
 async def test_late_copy_closes_the_idle_connection_before_it_is_used_again():
     server = EndlessServer(COMPLETE, COMPLETE, 0.1)
-    async with fleet_with_server(server) as fleet:
+    async with fleet_with_server(server, max_answer_bytes=MAX_ANSWER_BYTES) as fleet:
         await fleet.send_request("/pay/x", "POST")
         async with asyncio.timeout(WAIT_S):
             while not server.closed_by_caller:
--- /dev/null
+++ b/tests/support/raw_servers.py
@@ -0,0 +1,37 @@
+"""Backend servers that write the bytes of their answers themselves."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from rhubarbwell_core.model import Address
+from support.running_fleet import running_fleet, wait_until
+from support.users_platform import UsersBackend
+
+__all__ = ["RawServer", "fleet_with_server"]
+
+
+class RawServer:
+    """Accept connections on a loopback port and pass them to `handle`."""
+
+    @asynccontextmanager
+    async def running(self):
+        server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
+        self.address = Address(*server.sockets[0].getsockname()[:2])
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def handle(self, reader, writer):
+        raise NotImplementedError
+
+
+@asynccontextmanager
+async def fleet_with_server(server, **changes):
+    """Run an instance whose only backend server is `server`."""
+    async with server.running(), running_fleet(0, **changes) as fleet:
+        entry = UsersBackend("b-0")
+        entry.address = server.address
+        await fleet.store.write("servers", "b-0", entry.registry_entry())
+        await wait_until(lambda: "b-0" in fleet.instance.balancer.backends.rows)
+        yield fleet
