Read a request's own answer behind answers that name another request

Change: AnswerProtocol compares the echoed id. An answer that names another request is discarded, at most four of them and within the limits of an answer, and the connection is closed after the own answer. An answer that names no request still ends the attempt at once. If only answers to others arrive, the request ends as unknown (502) at the end of its time, not at once as before: the server still owes the answer.

Test, failing before (12 of 14 cases): tests/entry/direct/test_other_answers.py; copies by length, chunks and trailers, split at every byte, too many, and a copy alone. 358 tests of tests/entry pass; the case answer_another_request of test_invalid_answer_is_unknown_and_request_is_sent_once passes unchanged.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -93,10 +93,12 @@
             async with asyncio.timeout(max(remaining_ms, 0) / 1_000):
                 return await self._exchange(req, target, request, body, started_ms)
         except TimeoutError:
-            result = AttemptResult.TIMED_OUT
+            result, detail = AttemptResult.TIMED_OUT, "no answer in time"
             if self._connector.connection_of(req.request_id) is None:
                 result = AttemptResult.NOT_SENT
-            return self._failed_outcome(result, "no answer in time", started_ms)
+            elif self._connector.skipped_answers(req.request_id):
+                result, detail = AttemptResult.BROKEN, "answers to other requests only"
+            return self._failed_outcome(result, detail, started_ms)
         except AttemptError as exc:
             result = AttemptResult.BROKEN
             if self._connector.connection_of(req.request_id) is None:
@@ -131,7 +133,7 @@
         try:
             if resp.headers.get(self._names.request_id) != req.request_id:
                 return self._failed_outcome(
-                    AttemptResult.BROKEN, "answer to another request", started_ms
+                    AttemptResult.BROKEN, "answer does not name the request", started_ms
                 )
             self._connector.mark_verified(req.request_id)
             payload = await resp.read()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -19,7 +19,7 @@
     from aiohttp.tracing import Trace
 
 from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
-from rhubarbwell_entry.proxy.protocols import AnswerProtocol
+from rhubarbwell_entry.proxy.protocols import AnswerProtocol, ExpectedAnswer
 
 __all__ = [
     "AUTOMATIC_HEADERS",
@@ -130,6 +130,14 @@
             and _closing_error(closed_future) is not None
         )
 
+    def skipped_answers(self, attempt_id: str) -> int:
+        """Return how many answers to other requests the attempt has received."""
+        used = self._attempt_connections.get(attempt_id)
+        if used is None:
+            return 0
+        assert isinstance(used.protocol, AnswerProtocol)
+        return used.protocol.skipped_answers
+
     def forget(self, attempt_id: str) -> None:
         """Remove the records of an attempt that has ended."""
         self._max_ages_s.pop(attempt_id, None)
@@ -181,7 +189,9 @@
         )
         self._last_attempt_ids[protocol] = attempt_id
         assert isinstance(protocol, AnswerProtocol)
-        protocol.expect_answer(self._max_answer_bytes)
+        protocol.expect_answer(
+            ExpectedAnswer(self._attempt_header, attempt_id, self._max_answer_bytes)
+        )
         conn.add_callback(protocol.mark_idle)
         return conn
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
 from aiohttp import hdrs
@@ -15,7 +15,7 @@
 
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["AnswerLimitError", "AnswerProtocol"]
+__all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer"]
 
 _log = logging.getLogger(__name__)
 
@@ -28,6 +28,21 @@
 OVERLAP_BYTES = 4
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+# Answers to other requests that are skipped; servers that repeat answers send one or
+# two, one that sends more would occupy the instance instead of answering.
+MAX_SKIPPED_ANSWERS = 4
+
+
+class ExpectedAnswer(NamedTuple):
+    """Identify the answer to a request by a header that the server echoes.
+
+    max_bytes limits the size of all that is received for it, None for any size of its
+    body.
+    """
+
+    id_header: str
+    request_id: str
+    max_bytes: int | None = None
 
 
 class AnswerLimitError(aiohttp.ClientPayloadError):
@@ -40,27 +55,40 @@
     Bytes that arrive after a complete answer belong to no request. They are not
     parsed, so that they neither spoil the answer nor fill the memory, and the
     connection is closed: at once if it is idle, else after the answer.
+
+    A late copy of an answer may arrive where the next answer is expected. Answers that
+    name another request are discarded, the own answer is read behind them, and the
+    connection is closed after it.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._is_idle = True
-        self._max_bytes: int | None = None
+        self._expected: ExpectedAnswer | None = None
         self._received_bytes = 0
-        self._head_is_complete = False
-        self._answer_payload: StreamReader | None = None
-        self._body_bytes_left: int | None = None
-        self._is_chunked = False
-        self._previous_end = b""
+        self._skipped_answers = 0
+        self._start_answer()
 
-    def expect_answer(self, max_bytes: int | None) -> None:
-        """Accept one answer of at most max_bytes, None for any size of its body."""
+    def expect_answer(self, expected: ExpectedAnswer) -> None:
+        """Accept one answer, which names the expected request or none."""
         self._is_idle = False
-        self._max_bytes = max_bytes
+        self._expected = expected
         self._received_bytes = 0
+        self._skipped_answers = 0
+        self._start_answer()
+
+    @property
+    def skipped_answers(self) -> int:
+        """Return how many answers to other requests arrived before the expected one."""
+        return self._skipped_answers
+
+    def _start_answer(self, *, skipped_bytes: int = 0) -> None:
+        """Set the state for the head of an answer behind skipped_bytes."""
+        self._skipped_bytes = skipped_bytes
         self._head_is_complete = False
-        self._answer_payload = None
-        self._body_bytes_left = None
+        self._is_other_answer = False
+        self._answer_payload: StreamReader | None = None
+        self._body_bytes_left: int | None = None
         self._is_chunked = False
         self._previous_end = b""
 
@@ -81,7 +109,9 @@
             length = message.headers.get(hdrs.CONTENT_LENGTH, "")
             if length.isdigit() and not self._is_chunked:
                 self._body_bytes_left = int(length)
-        super().feed_data(data, size)
+            self._is_other_answer = self._names_other_request(message)
+        if not self._is_other_answer:
+            super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes up to the end of the answer; reject those beyond it."""
@@ -103,9 +133,38 @@
             if had_head and self._body_bytes_left is not None:
                 self._body_bytes_left -= len(part)
             self._previous_end = (self._previous_end + part)[-OVERLAP_BYTES:]
+            if self._is_other_answer:
+                self._skip_answer(unread_bytes=len(data))
         if data and self.transport is not None:
             self._reject("bytes arrived after a complete answer", len(data))
 
+    def _names_other_request(self, message: "RawResponseMessage") -> bool:
+        if self._expected is None:
+            return False
+        request_id = message.headers.get(self._expected.id_header)
+        return request_id is not None and request_id != self._expected.request_id
+
+    def _skip_answer(self, *, unread_bytes: int) -> None:
+        """Discard what has arrived of another request's answer; expect the next."""
+        payload = self._answer_payload
+        assert payload is not None
+        self.force_close()
+        if payload.exception() is None:
+            payload.read_nowait()
+        if not payload.is_eof():
+            return
+        skipped_bytes = self._received_bytes - unread_bytes
+        self._skipped_answers += 1
+        if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+            self._abort(
+                AnswerLimitError(
+                    f"more than {MAX_SKIPPED_ANSWERS} answers to other requests"
+                )
+            )
+            return
+        self._log_rejected("answer to another request", skipped_bytes)
+        self._start_answer(skipped_bytes=skipped_bytes)
+
     def _has_answer(self) -> bool:
         payload = self._answer_payload
         return payload is not None and payload.is_eof()
@@ -127,10 +186,12 @@
         return min(ends, default=len(data))
 
     def _exceeded_limit(self) -> int | None:
-        if not self._head_is_complete and self._received_bytes > MAX_HEAD_BYTES:
+        head_bytes = self._received_bytes - self._skipped_bytes
+        if not self._head_is_complete and head_bytes > MAX_HEAD_BYTES:
             return MAX_HEAD_BYTES
-        if self._max_bytes is not None and self._received_bytes > self._max_bytes:
-            return self._max_bytes
+        max_bytes = None if self._expected is None else self._expected.max_bytes
+        if max_bytes is not None and self._received_bytes > max_bytes:
+            return max_bytes
         return None
 
     def _reject(self, message: str, size: int) -> None:
