--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,8 +11,8 @@
     # SIGHUP killed the interpreter before its first line; the soak waits until the
     # signal is handled.
     101: "planned",
-    # Shutdown hung after the last answer until the grace time expired: a listener waited
-    # without limit for a connection that was accepted while it closed.
+    # Shutdown hung after the last answer until the grace time expired: a listener
+    # waited without limit for a connection that was accepted while it closed.
     105: "planned",
 }
 
