Wait for the head of the log before a restarted instance uses a peer's version

A backend server that had been removed in between got requests again until the rows from the store, or another peer's version, had arrived: some round trips, up to seconds while the store is slow.

Change: the first version comes into force once the head of the log says that none is newer, when a read fails, or after 1 s. Later versions do not wait.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/part.py
@@ -46,6 +46,9 @@
 PEER_TIMEOUT_MS = 800
 ROWS_PER_READ = 512
 READS_BEHIND_UNTIL_RESTORE = 5
+# A version from a peer waits this long for the first read of the log. The store usually
+# answers within tens of milliseconds.
+FIRST_READ_WAIT_MS = 1_000
 
 ConfigListener = Callable[[ConfigReceived, int], Sequence[Action]]
 
@@ -56,6 +59,10 @@
     is_poller returns True if this instance polls the store for its zone.
     on_configuration puts a parsed configuration into force. on_advanced is called
     after the position has advanced. The position never goes back.
+
+    A restarted instance may hear first from a peer that lags behind its previous
+    incarnation. It therefore waits for the head of the log before its first version
+    comes into force, unless the store fails or does not answer in time.
     """
 
     def __init__(
@@ -72,6 +79,8 @@
         self.alarms = AlarmFilter()
         self._rng = rng
         self._is_following = False
+        self._first_wait_end_ms = 0
+        self._parsed_version = 0
         self._is_poller = is_poller
         self._on_configuration = on_configuration
         self._on_advanced = on_advanced
@@ -106,20 +115,22 @@
     def poll(self, now_ms: int) -> list[Action]:
         """Return a read of the head if a poll is due and no call is pending.
 
-        Only pollers read it, and instances that have not adopted any version.
+        Only pollers read it, and instances that have not adopted any version. A first
+        version that has waited for the log long enough is parsed.
         """
         if not self._is_following:
             return []
+        actions = self._parse_if_confirmed(now_ms)
         if self._pending_calls and now_ms < self._calls_expire_ms:
-            return []
+            return actions
         self._pending_calls.clear()
         self._candidate = None
         is_fresh = self.position.version == 0
         if now_ms < self._poll_due_ms or not (is_fresh or self._is_poller()):
-            return []
+            return actions
         jitter = self._rng.uniform(0.8, 1.2)
         self._poll_due_ms = now_ms + round(POLL_PERIOD_MS * jitter)
-        return [ReadHead(self._open_call(now_ms))]
+        return [*actions, ReadHead(self._open_call(now_ms))]
 
     def observe_peer_version(
         self, address: Address, version: int, now_ms: int
@@ -134,6 +145,7 @@
 
     def _on_follow(self, event: FollowLog, now_ms: int) -> list[Action]:
         self._is_following = True
+        self._first_wait_end_ms = now_ms + FIRST_READ_WAIT_MS
         return self.poll(now_ms)
 
     def _on_head(self, event: HeadRead, now_ms: int) -> list[Action]:
@@ -145,10 +157,10 @@
         self._failures = 0
         head, position = event.head, self.position
         if head.version < position.version:
-            return self._on_head_behind(head)
+            return [*self._parse_if_confirmed(now_ms), *self._on_head_behind(head)]
         self._reads_behind = 0
         if head.version == position.version:
-            return self._on_same_version(head)
+            return [*self._parse_if_confirmed(now_ms), *self._on_same_version(head)]
         self._head = head
         call_id = self._open_call(now_ms)
         if position.version == 0 and head.snapshot_version > 0:
@@ -271,8 +283,21 @@
         position = self.position
         if position.version < self._head.version:
             self._poll_due_ms = now_ms
-        parse = ParseConfiguration(position.version, position.chain, position.texts())
-        return [parse, *self._on_advanced(now_ms)]
+        return [*self._parse_if_confirmed(now_ms), *self._on_advanced(now_ms)]
+
+    def _parse_if_confirmed(self, now_ms: int) -> list[Action]:
+        """Return the parsing of the adopted version unless it waits for the log."""
+        position = self.position
+        if position.version <= self._parsed_version or self._awaits_log(now_ms):
+            return []
+        self._parsed_version = position.version
+        return [ParseConfiguration(position.version, position.chain, position.texts())]
+
+    def _awaits_log(self, now_ms: int) -> bool:
+        if self._parsed_version or now_ms >= self._first_wait_end_ms:
+            return False
+        is_head_unknown = self.store_answered_ms is None
+        return is_head_unknown or self.position.version < self._head.version
 
     def _on_parsed(self, event: ConfigurationParsed, now_ms: int) -> list[Action]:
         cfg = event.configuration
@@ -286,14 +311,16 @@
         return self.alarms.alarm_if_new(kind, event.version, "; ".join(event.findings))
 
     def _schedule_retry(self, now_ms: int) -> list[Action]:
-        """Schedule the next poll with exponential backoff and return no actions.
+        """Schedule the next poll with exponential backoff.
 
-        The backoff is at most POLL_PERIOD_MS before its jitter.
+        The backoff is at most POLL_PERIOD_MS before its jitter. A first version that
+        waits for the log is parsed.
         """
         wait_ms = min(FIRST_RETRY_MS << min(self._failures, 8), POLL_PERIOD_MS)
         self._failures += 1
         self._poll_due_ms = now_ms + round(wait_ms * self._rng.uniform(0.8, 1.2))
-        return []
+        self._first_wait_end_ms = now_ms
+        return self._parse_if_confirmed(now_ms)
 
     def _open_call(self, now_ms: int) -> int:
         self._call_id += 1
--- a/tests/core/adoption/test_part.py
+++ b/tests/core/adoption/test_part.py
@@ -233,7 +233,7 @@
     def accept_lower_head(self, event, now_ms):
         if event.head is not None and event.head.version < self.position.version:
             self.position = LogPosition()
-            self.in_force_version = 0
+            self.in_force_version = self._parsed_version = 0
         return original_on_head(self, event, now_ms)
 
     monkeypatch.setattr(AdoptionPart, "_on_head", accept_lower_head)
