Reset connections whose request is given up

Two requests that had been answered 504 at 8.1 s reached a draining server at 15.3 s. A partition held up their bytes from 6.9 s on; the instance closed the connection when the time was over, but a close delivers what the kernel still holds. A request that must not run twice could so run seconds after its caller had been told that it was over.

Change: AnswerProtocol sets SO_LINGER to 0 before it closes a connection whose answer is not complete (time over, caller gone, bytes that are no answer), which resets it.

Ruled out: news of the drain arrived in time, 0.03 to 0.3 s after the store had it; the instance had sent nothing to the server since.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -26,6 +28,8 @@
 LAST_CHUNK = b"0\r\n\r\n"
 # Longest part of HEAD_END or LAST_CHUNK that the previous data can end with.
 OVERLAP_BYTES = 4
+# Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 # Answers to other requests that are skipped; servers that repeat answers send one or
@@ -96,6 +100,16 @@
         """Close the connection if bytes arrive before the next request."""
         self._is_idle = True
 
+    def close(self) -> None:
+        """Close the connection; reset it if the answer is not complete."""
+        self._prepare_reset()
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection at once; reset it if the answer is not complete."""
+        self._prepare_reset()
+        super().abort()
+
     def feed_data(
         self, data: "tuple[RawResponseMessage, StreamReader]", size: int = 0
     ) -> None:
@@ -138,6 +152,17 @@
         if data and self.transport is not None:
             self._reject("bytes arrived after a complete answer", len(data))
 
+    def _prepare_reset(self) -> None:
+        """Let the kernel discard unsent bytes of a request that is given up.
+
+        A partition may hold them up; the server would get the request seconds later.
+        """
+        if self.transport is None or self._expected is None or self._has_answer():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def _names_other_request(self, message: "RawResponseMessage") -> bool:
         if self._expected is None:
             return False
@@ -209,6 +234,7 @@
         self.set_exception(exc)
         if payload is not None:
             set_exception(payload, exc)
+        self._prepare_reset()
         if self.transport is not None:
             self.transport.abort()
 
