Log connections that cannot be accepted while a listener closes

Both are logged now (connection_not_accepted); a connection whose caller left is passed over. Test: tests/entry/test_listeners.py with a socket that runs out of descriptors, failing before with OSError.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -52,8 +52,8 @@
 _log = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
-# Four kinds of parts stop in sequence: background calls, listeners, connections to
-# servers and to the store. One that hangs must leave the others time before SIGKILL.
+# Default time in which the parts of an instance stop one after the other. Each may use
+# its share of what is left, so that one that hangs leaves time for the others.
 STOP_TIMEOUT_S = 2.0
 # aiohttp waits this long for the open requests of a listener, and as long again for
 # their cancellation; with 0 it waits without limit.
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -1,13 +1,14 @@
 """Open listening sockets and serve HTTP on them."""
 
 import asyncio
-import contextlib
+import logging
 import socket
 import ssl
 
 from aiohttp import web
 from rhubarbwell_core.model import Address
 
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.settings import TlsSettings
 
 __all__ = [
@@ -20,6 +21,8 @@
     "tls_context",
 ]
 
+_log = logging.getLogger(__name__)
+
 LISTEN_BACKLOG = 1_024
 
 
@@ -50,15 +53,22 @@
 def accept_established(sock: socket.socket) -> list[socket.socket]:
     """Return the connections that wait in the queue of a listening socket.
 
-    Closing the listening socket would reset them.
+    Closing the listening socket would reset them. If one cannot be accepted, for
+    example for want of descriptors, it and those behind it are left out.
     """
     accepted: list[socket.socket] = []
-    with contextlib.suppress(BlockingIOError):
-        while True:
+    while True:
+        try:
             conn, _ = sock.accept()
-            conn.setblocking(False)
-            accepted.append(conn)
-    return accepted
+        except BlockingIOError:
+            return accepted
+        except ConnectionAbortedError:
+            continue
+        except OSError as exc:
+            _log_lost_connection(exc)
+            return accepted
+        conn.setblocking(False)
+        accepted.append(conn)
 
 
 def tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
@@ -128,11 +138,23 @@
         assert server is not None
         loop = asyncio.get_running_loop()
         for sock in accepted:
-            # The caller may end its connection before or while it is set up.
-            with contextlib.suppress(OSError):
+            try:
                 await loop.connect_accepted_socket(server, sock, ssl=self._tls)
+            except OSError as exc:
+                # The caller may have left, or its TLS handshake failed.
+                _log_lost_connection(exc)
 
     async def stop(self) -> None:
         """Close the socket and every connection."""
         await self._runner.cleanup()
         self._sock.close()
+
+
+def _log_lost_connection(exc: OSError) -> None:
+    log_event(
+        _log,
+        logging.WARNING,
+        "connection_not_accepted",
+        "a connection that waited while its listener closed could not be served",
+        error=str(exc) or type(exc).__name__,
+    )
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -1,10 +1,15 @@
 import asyncio
+import errno
 import socket
 
 import pytest
 from aiohttp import web
 from rhubarbwell_core.model import Address
-from rhubarbwell_entry.listeners import Listener, open_listening_socket
+from rhubarbwell_entry.listeners import (
+    Listener,
+    accept_established,
+    open_listening_socket,
+)
 
 WAIT_S = 10.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
@@ -48,3 +53,25 @@
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address)
     await listener.stop_accepting()
+
+
+class FullSocket:
+    """Accept some connections until no descriptors are left."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+
+    def accept(self):
+        result = self.results.pop(0)
+        if isinstance(result, OSError):
+            raise result
+        return result, ("127.0.0.1", 1)
+
+
+def test_connections_that_cannot_be_accepted_do_not_stop_the_shutdown():
+    ours, theirs = socket.socketpair()
+    left = ConnectionAbortedError(errno.ECONNABORTED, "caller left")
+    full = OSError(errno.EMFILE, "too many open files")
+    assert accept_established(FullSocket(left, ours, full)) == [ours]
+    ours.close()
+    theirs.close()
