--- a/tests/entry/direct/test_abandoned_requests.py
+++ b/tests/entry/direct/test_abandoned_requests.py
@@ -7,7 +7,7 @@
 import asyncio
 
 import pytest
-from support.raw_servers import RawServer, fleet_with_server
+from support.raw_servers import RawServer, fleet_with_server, read_request
 from support.running_fleet import WAIT_S, raw_request, wait_until
 
 CALLER_HEAD = (
@@ -29,10 +29,8 @@
         self.ends = []
 
     async def handle(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        names = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
-        request_id = names["X-Rhubarbwell-Request-Id"]
-        writer.write(self.start_of_answer.replace("{id}", request_id).encode())
+        req = await read_request(reader)
+        writer.write(self.start_of_answer.replace("{id}", req.request_id).encode())
         self.requests += 1
         try:
             await reader.read()
--- a/tests/entry/direct/test_endless_answers.py
+++ b/tests/entry/direct/test_endless_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from support.raw_servers import RawServer, fleet_with_server
+from support.raw_servers import RawServer, fleet_with_server, read_request
 from support.running_fleet import WAIT_S, running_fleet, wait_until
 
 MAX_ANSWER_BYTES = 1 << 20
@@ -26,9 +26,7 @@
     async def handle(self, reader, writer):
         self.connections += 1
         try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            names = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
-            request_id = names["X-Rhubarbwell-Request-Id"].encode()
+            request_id = (await read_request(reader)).request_id.encode()
             writer.write(self.start_of_answer.replace(b"{id}", request_id))
             await writer.drain()
             await asyncio.sleep(self.pause_s)
--- a/tests/entry/direct/test_other_answers.py
+++ b/tests/entry/direct/test_other_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from support.raw_servers import RawServer, fleet_with_server
+from support.raw_servers import RawServer, fleet_with_server, read_request
 from support.running_fleet import wait_until
 
 HEAD = (
@@ -39,11 +39,9 @@
         self.connections += 1
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                path, request_id = await read_request(reader)
                 self.requests += 1
-                names = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
-                request_id = names["X-Rhubarbwell-Request-Id"]
-                body = head.split(" ")[1].rsplit("/", 1)[1]
+                body = path.rsplit("/", 1)[1]
                 own = f"{HEAD}Content-Length: {len(body)}\r\n\r\n{body}"
                 data = self.other.replace("{id}", self.other_id)
                 data = (data + own.replace("{id}", request_id)).encode()
--- a/tests/support/raw_servers.py
+++ b/tests/support/raw_servers.py
@@ -2,12 +2,27 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 from rhubarbwell_core.model import Address
 from support.running_fleet import running_fleet, wait_until
 from support.users_platform import UsersBackend
 
-__all__ = ["RawServer", "fleet_with_server"]
+__all__ = ["RawRequest", "RawServer", "fleet_with_server", "read_request"]
+
+
+class RawRequest(NamedTuple):
+    """Hold the path and the id of a request."""
+
+    path: str
+    request_id: str
+
+
+async def read_request(reader):
+    """Read the head of a request; raise IncompleteReadError at the end."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    names = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
+    return RawRequest(head.split(" ")[1], names["X-Rhubarbwell-Request-Id"])
 
 
 class RawServer:
