Log whether attempts go to cold servers and how many instances share limits

Part of the incident of flooded cold servers: the logs could not tell whether an instance did not know that a server was cold or divided the rate among too few instances. Attempts tell is_cold, backend_changed the cold time and a restart under the same id, limits_shared the instances. No decision changes.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -144,6 +144,7 @@
             position=target.position,
             load=round(target.load, 2),
             load_age_ms=target.load_age_ms,
+            is_cold=target.is_cold,
             expected_ms=round(target.expected_ms),
             latency_ms=outcome.report.latency_ms,
             result=outcome.report.result.value,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -47,6 +47,8 @@
         self._urgent_tables = frozenset({names.operator_table, names.backend_table})
         self._urgent_change = asyncio.Event()
         self._evacuated_zones: set[str] = set()
+        # Numbers of live and of sharing instances that were logged last.
+        self._shared_among = (0, 0)
         self._row_appliers = {
             names.operator_table: self._apply_operator_rows,
             names.backend_table: self._apply_backend_rows,
@@ -152,9 +154,16 @@
                 backends.remove(row.key, now_ms)
                 continue
             known = backends.rows.get(row.key)
-            if known is None or known.entry.draining != entry.draining:
+            has_restarted = known is not None and known.entry.born_ms != entry.born_ms
+            if known is None or has_restarted or known.entry.draining != entry.draining:
                 state = "draining" if entry.draining else "ready"
-                self._log_backend("backend_changed", row, state)
+                self._log_backend(
+                    "backend_changed",
+                    row,
+                    state,
+                    cold_ms=entry.cold_ms,
+                    has_restarted=has_restarted,
+                )
             backends.put(entry, now_ms)
 
     def instance_row_version(self, instance_id: str) -> int:
@@ -183,10 +192,23 @@
         """Divide the limits that apply to all instances among the live ones."""
         instances = self.instances
         live = len(instances.live_ids())
-        self.balancer.set_instances(live, instances.budget_instance_ids())
+        sharing = instances.budget_instance_ids()
+        self.balancer.set_instances(live, sharing)
         self.balancer.set_capacity_by_region(instances.capacity_by_region())
+        if (live, len(sharing)) != self._shared_among:
+            self._shared_among = (live, len(sharing))
+            log_event(
+                _log,
+                logging.INFO,
+                "limits_shared",
+                "the number of instances that share the limits has changed",
+                live=live,
+                sharing=len(sharing),
+            )
 
-    def _log_backend(self, event: str, row: ReplicaRow, state: str) -> None:
+    def _log_backend(
+        self, event: str, row: ReplicaRow, state: str, **fields: object
+    ) -> None:
         log_event(
             _log,
             logging.INFO,
@@ -195,6 +217,7 @@
             backend_id=row.key,
             state=state,
             row_version=row.version,
+            **fields,
         )
 
 
