Keep the share of a silent instance as long as it is registered

What callers saw: cold servers flooded (FAILBACK) while heartbeats were late or lost: instances that only fell silent were taken out of the number among which the rate of cold servers, the slack of retries and the connections are divided, and went on to use their shares.

Change: all registered instances share; only those that announced that they leave and then fell silent do not. Look-ups and readers still go by live instances.

The price is that the share of a crashed instance stays unused until its row is removed.

The class: a limit on a sum that is divided by a view of membership, where missing someone raises everybody's share.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -122,7 +122,7 @@
         self._rules = rules
         self._rng = rng
         self._instance_id = instance_id
-        self._live_instances = 1
+        self._senders = 1
         self._slack_share = 1.0
         self._capacity_by_region: dict[str, float] = {}
         self._planned_shares: dict[str, float] = {}
@@ -136,12 +136,12 @@
         self._splits.configure(config)
         return True
 
-    def set_instances(self, live: int, budget_instance_ids: Sequence[str]) -> None:
-        """Set the number of live entry instances, including this one.
+    def set_instances(self, senders: int, budget_instance_ids: Sequence[str]) -> None:
+        """Set the number of instances that may send requests, including this one.
 
         budget_instance_ids lists the instances that share the fleet's budgets.
         """
-        self._live_instances = max(live, 1)
+        self._senders = max(senders, 1)
         is_sharing = self._instance_id in budget_instance_ids
         self._slack_share = 1.0 / len(budget_instance_ids) if is_sharing else 0.0
         self.cold_starts.configure(budget_instance_ids)
@@ -536,9 +536,7 @@
         rule = self.config.services.get(service)
         if rule is None:
             return 1
-        return max(
-            1, int(CONNECTION_SHARE_USED * rule.max_connections / self._live_instances)
-        )
+        return max(1, int(CONNECTION_SHARE_USED * rule.max_connections / self._senders))
 
     def _cold_rate(self, service: str) -> float:
         assert self.config is not None
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -113,14 +113,24 @@
         """Return the ids of all live instances, including this one."""
         return sorted([self.own.instance_id, *(e.instance_id for e in self.live())])
 
+    def sender_ids(self) -> list[str]:
+        """Return the ids of the instances that may send requests, including this one.
+
+        These are all registered instances: one that is silent may only be slow or cut
+        off from the store. Only those that announced that they leave and then fell
+        silent are excluded.
+        """
+        return sorted(entry.instance_id for entry in self._sender_entries())
+
     def budget_instance_ids(self) -> list[str]:
         """Return the ids of the instances that share the fleet's budgets.
 
         These are the high-capacity instances of each region, because callers are
-        offered those.
+        offered those. As long as it is registered, a silent instance keeps its share,
+        so that the shares add up to the budget although views of the fleet differ.
         """
         by_region = defaultdict[str, list[InstanceEntry]](list)
-        for entry in [self.own, *self.live()]:
+        for entry in self._sender_entries():
             by_region[entry.region].append(entry)
         high_capacity = [
             _high_capacity_entries(entries) for entries in by_region.values()
@@ -172,8 +182,18 @@
         return [state.entry.callers for state in chosen[:MAX_OFFERED]]
 
     def _live_states(self) -> list[_InstanceState]:
-        oldest_ms = self._synced_ms - self._liveness_timeout_ms
-        return [state for state in self._rows.rows() if state.last_seen_ms >= oldest_ms]
+        return [state for state in self._rows.rows() if self._is_live(state)]
+
+    def _is_live(self, state: _InstanceState) -> bool:
+        return state.last_seen_ms >= self._synced_ms - self._liveness_timeout_ms
+
+    def _sender_entries(self) -> list[InstanceEntry]:
+        others = [
+            state.entry
+            for state in self._rows.rows()
+            if self._is_live(state) or not state.entry.leaving
+        ]
+        return [self.own, *others]
 
     def _expire_dropped_followers(
         self, entry: InstanceEntry, before: InstanceEntry, now_ms: int
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -189,11 +189,11 @@
         self._share_limits()
 
     def _share_limits(self) -> None:
-        """Divide the limits that apply to all instances among the live ones."""
+        """Divide the limits that apply to all instances among those that may send."""
         instances = self.instances
         live = len(instances.live_ids())
         sharing = instances.budget_instance_ids()
-        self.balancer.set_instances(live, sharing)
+        self.balancer.set_instances(len(instances.sender_ids()), sharing)
         self.balancer.set_capacity_by_region(instances.capacity_by_region())
         if (live, len(sharing)) != self._shared_among:
             self._shared_among = (live, len(sharing))
--- a/tests/core/direct/test_shared_limits.py
+++ b/tests/core/direct/test_shared_limits.py
@@ -144,3 +144,47 @@
 # These guard against the flood of cold servers (FAILBACK).
 def test_shares_add_up_to_the_rate_in_a_calm_fleet(membership):
     membership.run(20_000, make_check(RATE_PER_S))
+
+
+@pytest.mark.parametrize("write_delay_ms", [None, 3_000, 6_000])
+def test_shares_keep_to_the_limit_while_the_store_takes_no_heartbeats(
+    membership, write_delay_ms
+):
+    membership.write_delay_ms = write_delay_ms
+    membership.run(30_000, make_check(MAX_REQUESTS_PER_S))
+    membership.write_delay_ms = 10
+    membership.run(20_000, make_check(MAX_REQUESTS_PER_S))
+
+
+def test_shares_keep_to_the_limit_while_the_reader_is_frozen(membership):
+    membership.reader.is_frozen = True
+    membership.run(10_000, make_check(MAX_REQUESTS_PER_S))
+    membership.reader.is_frozen = False
+    membership.run(10_000, make_check(MAX_REQUESTS_PER_S))
+
+
+def test_shares_keep_to_the_limit_while_readers_take_turns(membership):
+    for number in range(1, 6):
+        membership.reader = membership.instances[number]
+        membership.run(5_000, make_check(MAX_REQUESTS_PER_S))
+
+
+def test_shares_keep_to_the_limit_when_all_instances_restart(membership):
+    membership.write_delay_ms = None
+    for number in range(INSTANCES):
+        membership.restart(number)
+        membership.run(TICK_MS, make_check(MAX_REQUESTS_PER_S))
+    membership.run(10_000, make_check(MAX_REQUESTS_PER_S))
+    membership.write_delay_ms = 10
+    membership.run(10_000, make_check(MAX_REQUESTS_PER_S))
+
+
+def test_a_stopped_instance_leaves_its_share_to_the_others(membership):
+    stopped = membership.instances.pop()
+    name = stopped.entry.instance_id
+    membership.rows[name] = stopped.entry._replace(
+        beat=stopped.entry.beat + 1, leaving=True
+    )
+    membership.run(10_000)
+    for instance in membership.instances:
+        assert name not in instance.table.budget_instance_ids()
