Give an instance no share of limits before it knows the registrations

What callers could see: a cold server flooded (FAILBACK) by instances that have just started: until the table of instances was read, each took the whole rate of cold servers and the whole slack of retries, as if it were alone. The tables are read one by one; servers may be known before instances.

Change: no share until the registrations are known. Retries up to the ratio of an instance's own requests are still allowed.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -123,7 +123,8 @@
         self._rng = rng
         self._instance_id = instance_id
         self._senders = 1
-        self._slack_share = 1.0
+        # Share of the retry budget's slack, 0 until the registrations are known.
+        self._slack_share = 0.0
         self._capacity_by_region: dict[str, float] = {}
         self._planned_shares: dict[str, float] = {}
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/coldstart.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/coldstart.py
@@ -28,7 +28,8 @@
 
     def __init__(self, instance_id: str) -> None:
         self._instance_id = instance_id
-        self._instances: Sequence[str] = (instance_id,)
+        # Until the registrations are known, this instance has no share.
+        self._instances: Sequence[str] = ()
         self._sent: dict[str, SlidingWindowCounter] = {}
         self._is_chosen: dict[tuple[str, int], bool] = {}
 
--- a/tests/core/direct/test_balancer.py
+++ b/tests/core/direct/test_balancer.py
@@ -34,6 +34,7 @@
 def make_balancer(*entries, route=None, version=1, now_ms=0):
     rules = LoadBalancerRules(RetryBudgetRule(0.2, 60, 10_000))
     balancer = LoadBalancer("i-1", "a-1", REGIONS, rules, Random(1))
+    balancer.set_instances(1, ["i-1"])
     route = route or read_route()
     rule = ServiceRule("svc", cold_start_ms=3_000, cold_rate_per_s=2.0)
     balancer.configure(RoutingConfig(version, (route,), {"svc": rule}))
--- a/tests/core/direct/test_shared_limits.py
+++ b/tests/core/direct/test_shared_limits.py
@@ -188,3 +188,8 @@
     membership.run(10_000)
     for instance in membership.instances:
         assert name not in instance.table.budget_instance_ids()
+
+
+def test_an_instance_without_registrations_has_no_share():
+    limiter = ColdStartLimiter("i-3")
+    assert not limiter.may_send("b-1", RATE_PER_S, 0)
