Keep a server cold when a late row of its earlier incarnation arrives

What callers could see: a server that starts again under its id, flooded while its caches are cold (FAILBACK): a heartbeat of the earlier incarnation that the store performs late replaced the row, and the server counted as warm.

Evidence: the new test fails before (8,500 instead of 11,000 ms).

Change: the known end of a cold start survives a change of incarnation, whichever of the two is the older.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -235,7 +235,11 @@
         """Add a server or update its entry; reset the state if it has restarted."""
         state = self.rows.get(entry.backend_id)
         if state is None or _has_restarted(state.entry, entry):
+            cold_until_ms = state.cold_until_ms if state is not None else 0
             state = BackendState(entry, self._regions.get(entry.zone, ""), now_ms)
+            # A row of an earlier incarnation may be written late, and tells nothing
+            # about the caches of the current one.
+            state.cold_until_ms = max(state.cold_until_ms, cold_until_ms)
             self.rows.put(entry.backend_id, state)
             self._rebuild()
             return
--- a/tests/core/direct/test_backends.py
+++ b/tests/core/direct/test_backends.py
@@ -87,3 +87,13 @@
     state.record_processing_ratio(1.0, 6_000)
     assert state.processing_ratio(6_000) == pytest.approx(4.0)
     assert state.usable_slots(6_000) == pytest.approx(0.75)
+
+
+# Guards against the flood of cold servers (FAILBACK): a heartbeat of the time before
+# the restart, written late, hid that the server was cold.
+def test_late_row_of_an_earlier_incarnation_does_not_end_a_cold_start():
+    table = make_table()
+    table.put(entry(born_ms=1_000), 0)
+    table.put(entry(born_ms=9_000, cold_ms=3_000), 8_000)
+    table.put(entry(born_ms=1_000), 8_500)
+    assert table.rows["b-1"].cold_until_ms == 11_000
