Read and log the rate limits that backend servers name

Lines of attempts tell the limit that the answer named (rate_limit_per_s); values that are no finite number >= 0 are logged (header_unreadable) and name no limit. No decision changes.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -85,6 +85,8 @@
 
     connect_ms is the time to open a new connection, None if one was reused. cold_ms
     is the remaining time during which the server's caches are cold, None if unknown.
+    rate_limit_per_s is the limit on requests from all instances together that the
+    server named with its answer, None if it named none.
     """
 
     result: AttemptResult
@@ -92,6 +94,7 @@
     load: LoadReport | None = None
     cold_ms: int | None = None
     connect_ms: float | None = None
+    rate_limit_per_s: float | None = None
 
 
 class LoadBalancer:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -145,6 +145,7 @@
             load=round(target.load, 2),
             load_age_ms=target.load_age_ms,
             is_cold=target.is_cold,
+            rate_limit_per_s=outcome.report.rate_limit_per_s,
             expected_ms=round(target.expected_ms),
             latency_ms=outcome.report.latency_ms,
             result=outcome.report.result.value,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -179,7 +179,12 @@
             else None
         )
         report = AttemptReport(
-            result, latency_ms, backend_report.load, backend_report.cold_ms, connect_ms
+            result,
+            latency_ms,
+            backend_report.load,
+            backend_report.cold_ms,
+            connect_ms,
+            backend_report.rate_limit_per_s,
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -47,11 +47,13 @@
 class BackendReport(NamedTuple):
     """Hold the state that a backend server reports in the headers of an answer.
 
-    cold_ms is the time until its caches are warm. A value that is missing is None.
+    cold_ms is the time until its caches are warm; rate_limit_per_s is the number of
+    requests that it takes from all instances together. A value that is missing is None.
     """
 
     load: LoadReport | None = None
     cold_ms: int | None = None
+    rate_limit_per_s: float | None = None
 
 
 class DirectPlatform(ABC):
--- a/tests/wire/test_records.py
+++ b/tests/wire/test_records.py
@@ -8,6 +8,7 @@
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.direct.wire import BackendReport, RowDecodingError
 from rhubarbwell_wire.adapter import UsersPlatform
+from rhubarbwell_wire.records import decode_rate_limit
 from support.users_platform import config_body
 
 ENTRY = {
@@ -110,3 +111,13 @@
 
 def test_answer_without_report_headers():
     assert UsersPlatform().decode_backend_report({}) == BackendReport()
+
+
+@pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e999", "four", "3 4"])
+def test_unreadable_rate_limit_is_logged_and_names_none(value, caplog):
+    assert decode_rate_limit(value) is None
+    assert [record.event for record in caplog.records] == ["header_unreadable"]
+
+
+def test_rate_limit_of_zero_is_a_limit():
+    assert decode_rate_limit("0") == 0.0
