Keep to the rate limits that backend servers name

What callers saw: servers in need got more requests than they had said they take (LIMIT), from all instances together.

Cause: the limit was not read; and a limit on a sum needs shares.

Change: ColdStartLimiter becomes SharedRateLimiter and divides both rates. For a limit, the chosen instances send 0.9 of it and the others probe with 0.1. Servers whose share is used up are passed over; without another the caller is refused at once with the time of the first return. A cold server's rate below one a second now allows a request now and then instead of none.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
@@ -5,11 +5,11 @@
 from rhubarbwell_core.direct.backends import *
 from rhubarbwell_core.direct.balancer import *
 from rhubarbwell_core.direct.budgets import *
-from rhubarbwell_core.direct.coldstart import *
 from rhubarbwell_core.direct.estimates import *
 from rhubarbwell_core.direct.followers import *
 from rhubarbwell_core.direct.instances import *
 from rhubarbwell_core.direct.model import *
+from rhubarbwell_core.direct.rates import *
 from rhubarbwell_core.direct.readers import *
 from rhubarbwell_core.direct.regions import *
 from rhubarbwell_core.direct.replica import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -51,6 +51,7 @@
         "last_answer_ms",
         "learned_processing_ratio",
         "processing_ratio_learned_ms",
+        "rate_limit_per_s",
         "region",
         "removal_due_ms",
         "reported_at_ms",
@@ -75,6 +76,9 @@
         self.processing_ratio_learned_ms = now_ms
         self.last_answer_ms = now_ms
         self.removal_due_ms: int | None = None
+        # Requests per second that the server takes from all instances together, as
+        # its last answer named it.
+        self.rate_limit_per_s: float | None = None
         self.sent_at_ms: dict[str, int] = {}
         # Times at which this instance's idle connections to the server became idle.
         self.idle_since_ms: list[int] = []
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -12,9 +12,9 @@
 )
 from rhubarbwell_core.direct.backends import BackendState, BackendTable
 from rhubarbwell_core.direct.budgets import RetryBudgetRule, SharedRetryBudget
-from rhubarbwell_core.direct.coldstart import ColdStartLimiter
 from rhubarbwell_core.direct.estimates import CacheEstimates, ZoneDelays
 from rhubarbwell_core.direct.model import Route, RoutingConfig
+from rhubarbwell_core.direct.rates import SharedRateLimiter
 from rhubarbwell_core.direct.regions import RegionShares, planned_shares
 from rhubarbwell_core.direct.requests import (
     ActiveRequest,
@@ -54,6 +54,13 @@
 # Share of a backend server's connection limit that all instances use together.
 CONNECTION_SHARE_USED = 0.8
 MIN_REMAINING_FOR_RETRY_MS = 30
+# Window in which an instance sends its share of one second's requests to a cold server.
+# It is longer than 1 s, so that a delayed request does not reach the server in the same
+# second as the next one.
+COLD_WINDOW_MS = 1_150
+# Share of a server's rate limit that the instances without a share of their own use to
+# learn whether it still holds.
+PROBE_SHARE = 0.1
 BYTES_PER_KIB = 1_024
 
 
@@ -115,7 +122,8 @@
         self.backends = BackendTable(regions)
         self.zone_delays = ZoneDelays(zone, regions)
         self.cache_estimates = CacheEstimates()
-        self.cold_starts = ColdStartLimiter(instance_id)
+        self.cold_starts = SharedRateLimiter(instance_id, min_window_ms=COLD_WINDOW_MS)
+        self.rate_limits = SharedRateLimiter(instance_id, probe_share=PROBE_SHARE)
         self.retry_budget = SharedRetryBudget(rules.retries)
         self.region_shares = RegionShares(rules.max_shift)
         self._splits = WeightedSplits()
@@ -149,6 +157,7 @@
         is_sharing = self._instance_id in budget_instance_ids
         self._slack_share = 1.0 / len(budget_instance_ids) if is_sharing else 0.0
         self.cold_starts.configure(budget_instance_ids)
+        self.rate_limits.configure(budget_instance_ids)
         self.region_shares.set_instances(
             len(budget_instance_ids) // len(set(self._regions.values()))
         )
@@ -161,6 +170,7 @@
         """Remove expired servers and update the usable slots and planned shares."""
         for backend_id in self.backends.remove_expired(now_ms):
             self.cold_starts.forget(backend_id)
+            self.rate_limits.forget(backend_id)
         usable_slots = self.backends.usable_slots(now_ms)
         self.region_shares.set_usable_slots(usable_slots)
         self._planned_shares = planned_shares(
@@ -247,6 +257,8 @@
         if target.is_cold:
             rate = self._cold_rate(target.service)
             self.cold_starts.try_send(target.backend_id, rate, now_ms)
+        if state.rate_limit_per_s is not None:
+            self.rate_limits.try_send(target.backend_id, state.rate_limit_per_s, now_ms)
 
     def end_attempt(
         self,
@@ -295,6 +307,8 @@
         if report.cold_ms is not None:
             state.cold_until_ms = now_ms + report.cold_ms
         result = report.result
+        if result.is_answer:
+            self._set_rate_limit(state, report.rate_limit_per_s, now_ms)
         if result is AttemptResult.ANSWERED:
             state.record_answer(now_ms)
             state.release_connection(now_ms)
@@ -314,6 +328,15 @@
             cold_ms = self._cold_start_ms(target.service)
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
+    def _set_rate_limit(
+        self, state: BackendState, limit: float | None, now_ms: int
+    ) -> None:
+        """Store the limit that a server named; None if it named none."""
+        if state.rate_limit_per_s is None and limit is not None:
+            # The request that learned of the limit is a part of the share.
+            self.rate_limits.try_send(state.entry.backend_id, limit, now_ms)
+        state.rate_limit_per_s = limit
+
     def _learn_processing_time(
         self, req: ActiveRequest, target: Target, report: AttemptReport, now_ms: int
     ) -> None:
@@ -399,17 +422,30 @@
     ) -> bool:
         """Return True if a request may be sent to a server.
 
-        Servers that were tried, that are outside the route's home regions, or whose
-        cold start rate is used up are excluded.
+        Servers that were tried, that are outside the route's home regions, or of whose
+        cold start rate or rate limit this instance's share is used up are excluded.
         """
         backend_id = state.entry.backend_id
         homes = req.route.home_regions
         if backend_id in req.tried_backends or (homes and state.region not in homes):
             return False
-        if state.cold_until_ms <= now_ms:
-            return True
-        rate = self._cold_rate(req.service)
-        return self.cold_starts.may_send(backend_id, rate, now_ms)
+        return self._pause_ms(state, now_ms) == 0
+
+    def _pause_ms(self, state: BackendState, now_ms: int) -> int:
+        """Return the time in ms until cold start and rate limit allow a request."""
+        backend_id, limit = state.entry.backend_id, state.rate_limit_per_s
+        pause_ms = 0
+        if state.cold_until_ms > now_ms:
+            rate = self._cold_rate(state.entry.service)
+            pause_ms = min(
+                self.cold_starts.pause_ms(backend_id, rate, now_ms),
+                state.cold_until_ms - now_ms,
+            )
+        if limit is not None:
+            pause_ms = max(
+                pause_ms, self.rate_limits.pause_ms(backend_id, limit, now_ms)
+            )
+        return pause_ms
 
     def _prefers_own_zone(
         self, req: ActiveRequest, order: Sequence[RankedBackend]
@@ -527,10 +563,26 @@
         return cost, target
 
     def _no_backend_refusal(self, req: ActiveRequest, now_ms: int) -> Refusal:
-        listed = self.backends.available(req.service)
-        reason = RefusalReason.COLD_START if listed else RefusalReason.NO_BACKEND
+        """Return a refusal until the first server may get a request again."""
         left_ms = req.deadline_ms - now_ms
-        return Refusal(reason, retry_after_ms(0.0, 0.0, left_ms))
+        homes = req.route.home_regions
+        paused = [
+            (self._pause_ms(state, now_ms), state)
+            for state in self.backends.available(req.service)
+            if state.entry.backend_id not in req.tried_backends
+            and (not homes or state.region in homes)
+        ]
+        if not paused:
+            listed = self.backends.available(req.service)
+            reason = RefusalReason.NO_ROOM if listed else RefusalReason.NO_BACKEND
+            return Refusal(reason, retry_after_ms(0.0, 0.0, left_ms))
+        pause_ms, state = min(paused, key=lambda pair: pair[0])
+        reason = RefusalReason.RATE_LIMIT
+        if pause_ms == 0:
+            reason = RefusalReason.NO_ROOM
+        elif state.rate_limit_per_s is None:
+            reason = RefusalReason.COLD_START
+        return Refusal(reason, retry_after_ms(pause_ms, 0.0, left_ms))
 
     def _object_counter(self, service: str) -> ObjectCounter:
         return self._object_counters.setdefault(service, ObjectCounter())
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/budgets.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/budgets.py
@@ -40,6 +40,11 @@
         """Count an event."""
         self._times.append(now_ms)
 
+    @property
+    def oldest_ms(self) -> int:
+        """Return the time in ms of the oldest event that is still counted."""
+        return self._times[0]
+
     def value(self, now_ms: int) -> int:
         """Return the number of events in the window that ends now."""
         times = self._times
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -15,6 +15,7 @@
     NO_BACKEND = "no_backend"
     NO_ROOM = "no_room"
     COLD_START = "cold_start"
+    RATE_LIMIT = "rate_limit"
 
 
 class Refusal(NamedTuple):
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/verdicts.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/verdicts.py
@@ -18,6 +18,15 @@
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
 
+    @property
+    def is_answer(self) -> bool:
+        """Return True if the server answered, be it with an error or a refusal."""
+        return self in (
+            AttemptResult.ANSWERED,
+            AttemptResult.SERVER_ERROR,
+            AttemptResult.NOT_RUN,
+        )
+
     @property
     def proves_not_run(self) -> bool:
         """Return True if the request certainly did not run at the server."""
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -146,6 +146,11 @@
         )
     if fields.get("reason") == "cold_start":
         return f"the usable backend servers of {fields.get('service')} are cold"
+    if fields.get("reason") == "rate_limit":
+        return (
+            f"the usable backend servers of {fields.get('service')} have named limits "
+            "on their requests per second, and this instance's share of them was used"
+        )
     return f"no backend server of {fields.get('service')} is listed"
 
 
--- a/tests/core/direct/test_shared_limits.py
+++ b/tests/core/direct/test_shared_limits.py
@@ -7,8 +7,12 @@
 from collections.abc import Callable
 
 import pytest
-from rhubarbwell_core.direct import FollowerTracker, InstanceEntry, InstanceTable
-from rhubarbwell_core.direct.coldstart import ColdStartLimiter
+from rhubarbwell_core.direct import (
+    FollowerTracker,
+    InstanceEntry,
+    InstanceTable,
+    SharedRateLimiter,
+)
 from rhubarbwell_core.model import Address
 
 INSTANCES = 12
@@ -40,7 +44,7 @@
 
     def allowed_requests(self, now_ms: int) -> int:
         """Return how many requests it may send to a server that has just started."""
-        limiter = ColdStartLimiter(self.entry.instance_id)
+        limiter = SharedRateLimiter(self.entry.instance_id)
         limiter.configure(self.table.budget_instance_ids())
         backend_id = f"b-{now_ms}"
         return sum(limiter.try_send(backend_id, RATE_PER_S, now_ms) for _ in range(50))
@@ -191,5 +195,5 @@
 
 
 def test_an_instance_without_registrations_has_no_share():
-    limiter = ColdStartLimiter("i-3")
+    limiter = SharedRateLimiter("i-3")
     assert not limiter.may_send("b-1", RATE_PER_S, 0)
--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -69,6 +69,12 @@
         self.rng = rng
         self.slowdown_factor = 1.0
         self.shed_probability = 0.0
+        # Requests per second that the server names as its limit with every answer.
+        self.rate_limit_per_s: float | None = None
+        # Times in ms of the arrivals, with the index of the balancer.
+        self.arrival_log: list[tuple[int, int]] = []
+        # Time in ms at which each balancer got an answer that named the limit.
+        self.told_ms: dict[int, int] = {}
         self.down = False
         self.running = 0
         self.queue: list[Callable[[int], None]] = []
@@ -267,6 +273,7 @@
             now_ms + connect_ms + rtt_ms / 2,
             lambda at_ms: self._handle_attempt(
                 server,
+                self.balancers.index(balancer),
                 req,
                 at_ms,
                 lambda result, t: self.schedule(
@@ -303,7 +310,10 @@
                 now_ms - started_ms,
                 received_report,
                 connect_ms=reported_connect_ms,
+                rate_limit_per_s=server.rate_limit_per_s if result.is_answer else None,
             )
+            if report.rate_limit_per_s is not None:
+                server.told_ms.setdefault(self.balancers.index(balancer), now_ms)
             verdict = balancer.end_attempt(req, target, report, now_ms)
             if verdict is Verdict.RETRY:
                 self._start_attempt(balancer, req, load, now_ms)
@@ -317,6 +327,7 @@
     def _handle_attempt(
         self,
         server: SimulatedServer,
+        balancer_index: int,
         req: ActiveRequest,
         now_ms: int,
         reply: Callable[[AttemptResult, int], None],
@@ -325,6 +336,7 @@
             reply(AttemptResult.NOT_SENT, now_ms)
             return
         server.arrivals += 1
+        server.arrival_log.append((now_ms, balancer_index))
         shed = server.rng.random() < server.shed_probability
         if shed or (
             server.running >= SLOTS_PER_SERVER and len(server.queue) >= MAX_QUEUE_LENGTH
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -138,6 +138,8 @@
             Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] | None
         )
         self.custom_handler = None
+        # Headers of every answer, such as those that name a limit.
+        self.extra_headers: dict[str, str] = {}
 
     def registry_entry(self, **fields: Any) -> dict[str, Any]:
         """Return the server's registry entry, updated with `fields`."""
@@ -157,7 +159,11 @@
         expected = request.headers.get("X-Rhubarbwell-Expect-Instance")
         if expected not in (None, self.backend_id):
             return web.Response(
-                status=421, headers={"X-Rhubarbwell-Instance-Id": self.backend_id}
+                status=421,
+                headers={
+                    "X-Rhubarbwell-Instance-Id": self.backend_id,
+                    **self.extra_headers,
+                },
             )
         body = await request.read()
         headers = dict(request.headers)
@@ -174,6 +180,7 @@
             "X-Rhubarbwell-Request-Id": request.headers["X-Rhubarbwell-Request-Id"],
             "X-Rhubarbwell-Server-Stamp": "3e1b.07",
             "X-Rhubarbwell-Server-Load": "1,0,3",
+            **self.extra_headers,
         }
         return web.Response(status=status, body=body, headers=headers)
 
