Send nothing to servers that say in an answer that they leave

Change: whoever answers at an address and says so is not chosen again by this instance, whatever the registry's rows say of this incarnation later; late and repeated rows are recognized by the time of birth. A new incarnation is used. What runs there ends in peace. Instances do not tell each other: the rule counts those that were told, and the registry follows.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -1,10 +1,12 @@
 """Store the backend servers and the observed state of each of them."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from math import exp2
 
 from rhubarbwell_core.direct.model import BackendEntry
 from rhubarbwell_core.engine import Table
+from rhubarbwell_core.model import Address
 
 __all__ = ["BackendState", "BackendTable"]
 
@@ -35,6 +37,9 @@
 # Servers that slow down usually recover after some seconds.
 PROCESSING_RATIO_HALF_LIFE_MS = 5_000
 
+# Servers that left, of which late rows are recognized.
+MAX_LEAVING_ENTRIES = 4_096
+
 
 class BackendState:
     """Hold the state of one backend server as observed by an instance."""
@@ -48,6 +53,7 @@
         "failures_in_row",
         "idle_since_ms",
         "in_flight",
+        "is_leaving",
         "last_answer_ms",
         "learned_processing_ratio",
         "processing_ratio_learned_ms",
@@ -64,6 +70,9 @@
         self.entry = entry
         self.region = region
         self.in_flight = 0
+        # True once an answer said that the server is about to end, whatever the
+        # registry says of this incarnation later.
+        self.is_leaving = False
         self.reported_load = 0
         self.average_other_load = 0.0
         self.reported_in_flight = 0
@@ -216,9 +225,14 @@
         self._by_service: dict[str, list[BackendState]] = {}
         self._store_regained_ms: int | None = None
         self._store_is_out = False
+        # The last entries of servers that said that they leave, by id.
+        self._leaving_entries = OrderedDict[str, BackendEntry]()
 
     def available(self, service: str) -> list[BackendState]:
-        """Return a service's servers that neither drain nor are in evacuated zones."""
+        """Return a service's servers that may get requests.
+
+        These neither drain nor leave, nor are they in evacuated zones.
+        """
         return self._by_service.get(service, [])
 
     def usable_slots(self, now_ms: int) -> dict[str, float]:
@@ -244,6 +258,7 @@
             # A row of an earlier incarnation may be written late, and tells nothing
             # about the caches of the current one.
             state.cold_until_ms = max(state.cold_until_ms, cold_until_ms)
+            state.is_leaving = self._has_left(entry)
             self.rows.put(entry.backend_id, state)
             self._rebuild()
             return
@@ -259,6 +274,20 @@
         if changed:
             self._rebuild()
 
+    def mark_leaving(self, address: Address) -> None:
+        """Stop using the servers at an address, one of which said that it leaves.
+
+        A server that answers in place of one that has ended has the same address.
+        """
+        for backend_id, state in self.rows.items():
+            if state.entry.address != address or state.is_leaving:
+                continue
+            state.is_leaving = True
+            self._leaving_entries[backend_id] = state.entry
+            if len(self._leaving_entries) > MAX_LEAVING_ENTRIES:
+                self._leaving_entries.popitem(last=False)
+            self._rebuild()
+
     def remove(self, backend_id: str, now_ms: int) -> None:
         """Remove a server, after a grace period if the store is or just was down."""
         state = self.rows.get(backend_id)
@@ -321,6 +350,16 @@
                 state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
         self._rebuild()
 
+    def _has_left(self, entry: BackendEntry) -> bool:
+        """Return True if an entry is of an incarnation that said that it leaves.
+
+        Its rows may arrive late, or again after they were removed.
+        """
+        known = self._leaving_entries.get(entry.backend_id)
+        if known is None or known.address != entry.address:
+            return False
+        return 0 < entry.born_ms <= known.born_ms
+
     def _grace_end_ms(self) -> int:
         assert self._store_regained_ms is not None
         return self._store_regained_ms + RETURN_GRACE_MS
@@ -330,7 +369,9 @@
         by_service: dict[str, list[BackendState]] = {}
         for state in self.rows.rows():
             entry = state.entry
-            if not entry.draining and entry.zone not in self.evacuated_zones:
+            if entry.draining or state.is_leaving:
+                continue
+            if entry.zone not in self.evacuated_zones:
                 by_service.setdefault(entry.service, []).append(state)
         self._by_service = by_service
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -93,7 +93,8 @@
     connect_ms is the time to open a new connection, None if one was reused. cold_ms
     is the remaining time during which the server's caches are cold, None if unknown.
     rate_limit_per_s is the limit on requests from all instances together that the
-    server named with its answer, None if it named none.
+    server named with its answer, None if it named none. is_leaving is True if the
+    answer said that its server is about to end.
     """
 
     result: AttemptResult
@@ -102,6 +103,7 @@
     cold_ms: int | None = None
     connect_ms: float | None = None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class LoadBalancer:
@@ -295,6 +297,8 @@
         self, req: ActiveRequest, target: Target, report: AttemptReport, now_ms: int
     ) -> None:
         self.abandon_attempt(req, target)
+        if report.is_leaving:
+            self.backends.mark_leaving(target.address)
         state = self.backends.rows.get(target.backend_id)
         if state is None:
             return
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -97,6 +97,16 @@
         verdict = self._balancer.end_attempt(req, target, report, self._clock_ms())
         self._metrics.record_attempt(target, report.result, verdict, report.latency_ms)
         self._log_attempt(req, target, outcome, verdict)
+        if report.is_leaving:
+            log_event(
+                _log,
+                logging.INFO,
+                "backend_leaving",
+                "an answer said that its backend server is about to end",
+                request_id=req.request_id,
+                backend_id=target.backend_id,
+                service=target.service,
+            )
         return outcome, verdict
 
     def _refuse_request(self, req: ActiveRequest, refusal: Refusal) -> RequestResult:
@@ -146,6 +156,7 @@
             load_age_ms=target.load_age_ms,
             is_cold=target.is_cold,
             rate_limit_per_s=outcome.report.rate_limit_per_s,
+            is_leaving=outcome.report.is_leaving,
             expected_ms=round(target.expected_ms),
             latency_ms=outcome.report.latency_ms,
             result=outcome.report.result.value,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -185,6 +185,7 @@
             backend_report.cold_ms,
             connect_ms,
             backend_report.rate_limit_per_s,
+            backend_report.is_leaving,
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -48,12 +48,14 @@
     """Hold the state that a backend server reports in the headers of an answer.
 
     cold_ms is the time until its caches are warm; rate_limit_per_s is the number of
-    requests that it takes from all instances together. A value that is missing is None.
+    requests that it takes from all instances together; is_leaving is True if it is
+    about to end. A value that is missing is None.
     """
 
     load: LoadReport | None = None
     cold_ms: int | None = None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class DirectPlatform(ABC):
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -13,6 +13,7 @@
 CONTEXT_EVENTS = frozenset(
     {
         "backend_changed",
+        "backend_leaving",
         "backend_removed",
         "config_in_force",
         "history_lost",
--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -71,9 +71,11 @@
         self.shed_probability = 0.0
         # Requests per second that the server names as its limit with every answer.
         self.rate_limit_per_s: float | None = None
+        self.is_leaving = False
         # Times in ms of the arrivals, with the index of the balancer.
         self.arrival_log: list[tuple[int, int]] = []
-        # Time in ms at which each balancer got an answer that named the limit.
+        # Time in ms at which each balancer got an answer that named the limit or said
+        # that the server leaves.
         self.told_ms: dict[int, int] = {}
         self.down = False
         self.running = 0
@@ -311,8 +313,9 @@
                 received_report,
                 connect_ms=reported_connect_ms,
                 rate_limit_per_s=server.rate_limit_per_s if result.is_answer else None,
+                is_leaving=server.is_leaving and result.is_answer,
             )
-            if report.rate_limit_per_s is not None:
+            if report.rate_limit_per_s is not None or report.is_leaving:
                 server.told_ms.setdefault(self.balancers.index(balancer), now_ms)
             verdict = balancer.end_attempt(req, target, report, now_ms)
             if verdict is Verdict.RETRY:
