Send nothing to servers that turn requests away for as long as they ask

Change: 503 with Retry-After pauses the server for this instance; a longer pause extends it, no answer shortens it. It counts neither as a failure nor as a sign of load of the server. If all servers are paused, cold, limited or full, the caller is refused at once with the time of the first return. Pauses of servers and callers are extended by a random share, so that they do not end in one burst. Values that are no number >= 0 count as 1 s, those above 60 s as 60 s, both logged.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -56,6 +56,7 @@
         "is_leaving",
         "last_answer_ms",
         "learned_processing_ratio",
+        "paused_until_ms",
         "processing_ratio_learned_ms",
         "rate_limit_per_s",
         "region",
@@ -79,6 +80,8 @@
         self.reported_at_ms = -MAX_REPORT_AGE_MS
         self.cold_until_ms = now_ms + entry.cold_ms
         self.ejected_until_ms = 0
+        # End of the time for which the server asked for no requests.
+        self.paused_until_ms = 0
         self.failures_in_row = 0
         self.failure_share = 0.0
         self.learned_processing_ratio = 1.0
@@ -198,6 +201,10 @@
         self.learned_processing_ratio = max(self.processing_ratio(now_ms), min_ratio)
         self.processing_ratio_learned_ms = now_ms
 
+    def record_pause(self, until_ms: int) -> None:
+        """Send nothing up to a time; a later answer does not shorten the pause."""
+        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+
     def record_failure(self) -> None:
         """Raise the failure share after a request that was rejected or failed."""
         self.failure_share += FAILURE_SMOOTHING * (1.0 - self.failure_share)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -61,6 +61,10 @@
 # Share of a server's rate limit that the instances without a share of their own use to
 # learn whether it still holds.
 PROBE_SHARE = 0.1
+# Random extension of pauses, as a share of the pause and as a maximum, so that the
+# instances and callers that wait for their end do not return in one burst.
+MAX_PAUSE_EXTENSION_SHARE = 0.25
+MAX_PAUSE_EXTENSION_MS = 1_000
 BYTES_PER_KIB = 1_024
 
 
@@ -94,7 +98,8 @@
     is the remaining time during which the server's caches are cold, None if unknown.
     rate_limit_per_s is the limit on requests from all instances together that the
     server named with its answer, None if it named none. is_leaving is True if the
-    answer said that its server is about to end.
+    answer said that its server is about to end. pause_ms is the time for which the
+    server wants no requests from this instance, None if it asked for none.
     """
 
     result: AttemptResult
@@ -104,6 +109,7 @@
     connect_ms: float | None = None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_ms: int | None = None
 
 
 class LoadBalancer:
@@ -310,6 +316,8 @@
             self.zone_delays.record_connect_time(target.zone, report.connect_ms)
         if report.cold_ms is not None:
             state.cold_until_ms = now_ms + report.cold_ms
+        if report.pause_ms is not None:
+            state.record_pause(now_ms + self._extended_ms(report.pause_ms))
         result = report.result
         if result.is_answer:
             self._set_rate_limit(state, report.rate_limit_per_s, now_ms)
@@ -319,7 +327,9 @@
             self._learn_processing_time(req, target, report, now_ms)
         elif result is AttemptResult.NOT_RUN or result is AttemptResult.SERVER_ERROR:
             state.last_answer_ms = now_ms
-            state.record_failure()
+            # A server that asks for a pause is sound, and gets nothing meanwhile.
+            if report.pause_ms is None:
+                state.record_failure()
         else:
             state.record_connection_failure(now_ms)
         if result is AttemptResult.TIMED_OUT:
@@ -426,8 +436,9 @@
     ) -> bool:
         """Return True if a request may be sent to a server.
 
-        Servers that were tried, that are outside the route's home regions, or of whose
-        cold start rate or rate limit this instance's share is used up are excluded.
+        Servers that were tried, that are outside the route's home regions, that asked
+        for a pause, or of whose cold start rate or rate limit this instance's share is
+        used up are excluded.
         """
         backend_id = state.entry.backend_id
         homes = req.route.home_regions
@@ -436,15 +447,19 @@
         return self._pause_ms(state, now_ms) == 0
 
     def _pause_ms(self, state: BackendState, now_ms: int) -> int:
-        """Return the time in ms until cold start and rate limit allow a request."""
+        """Return the time in ms until a request may be sent to a server.
+
+        It asked for a pause, its caches are cold, or it named a rate limit.
+        """
         backend_id, limit = state.entry.backend_id, state.rate_limit_per_s
-        pause_ms = 0
+        pause_ms = max(0, state.paused_until_ms - now_ms)
         if state.cold_until_ms > now_ms:
             rate = self._cold_rate(state.entry.service)
-            pause_ms = min(
+            cold_ms = min(
                 self.cold_starts.pause_ms(backend_id, rate, now_ms),
                 state.cold_until_ms - now_ms,
             )
+            pause_ms = max(pause_ms, cold_ms)
         if limit is not None:
             pause_ms = max(
                 pause_ms, self.rate_limits.pause_ms(backend_id, limit, now_ms)
@@ -581,13 +596,21 @@
             reason = RefusalReason.NO_ROOM if listed else RefusalReason.NO_BACKEND
             return Refusal(reason, retry_after_ms(0.0, 0.0, left_ms))
         pause_ms, state = min(paused, key=lambda pair: pair[0])
-        reason = RefusalReason.RATE_LIMIT
+        reason = RefusalReason.COLD_START
         if pause_ms == 0:
             reason = RefusalReason.NO_ROOM
-        elif state.rate_limit_per_s is None:
-            reason = RefusalReason.COLD_START
+        elif state.paused_until_ms > now_ms:
+            reason = RefusalReason.PAUSED
+        elif state.rate_limit_per_s is not None:
+            reason = RefusalReason.RATE_LIMIT
+        pause_ms = self._extended_ms(pause_ms)
         return Refusal(reason, retry_after_ms(pause_ms, 0.0, left_ms))
 
+    def _extended_ms(self, pause_ms: int) -> int:
+        """Return a pause with a random extension."""
+        extension_ms = min(MAX_PAUSE_EXTENSION_SHARE * pause_ms, MAX_PAUSE_EXTENSION_MS)
+        return pause_ms + round(self._rng.uniform(0.0, extension_ms))
+
     def _object_counter(self, service: str) -> ObjectCounter:
         return self._object_counters.setdefault(service, ObjectCounter())
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -16,6 +16,7 @@
     NO_ROOM = "no_room"
     COLD_START = "cold_start"
     RATE_LIMIT = "rate_limit"
+    PAUSED = "paused"
 
 
 class Refusal(NamedTuple):
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -157,6 +157,7 @@
             is_cold=target.is_cold,
             rate_limit_per_s=outcome.report.rate_limit_per_s,
             is_leaving=outcome.report.is_leaving,
+            pause_ms=outcome.report.pause_ms,
             expected_ms=round(target.expected_ms),
             latency_ms=outcome.report.latency_ms,
             result=outcome.report.result.value,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -30,6 +30,7 @@
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
 # Allows several round trips between regions, but ends well before a lost packet is
 # retransmitted after 1 s: as nothing has been sent yet, trying another server is safe
 # and sooner.
@@ -186,6 +187,7 @@
             connect_ms,
             backend_report.rate_limit_per_s,
             backend_report.is_leaving,
+            backend_report.pause_ms if resp.status == UNAVAILABLE else None,
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -49,13 +49,15 @@
 
     cold_ms is the time until its caches are warm; rate_limit_per_s is the number of
     requests that it takes from all instances together; is_leaving is True if it is
-    about to end. A value that is missing is None.
+    about to end; pause_ms is the time for which it wants no requests from this
+    instance, if it turned the request away. A value that is missing is None.
     """
 
     load: LoadReport | None = None
     cold_ms: int | None = None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_ms: int | None = None
 
 
 class DirectPlatform(ABC):
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -152,6 +152,11 @@
             f"the usable backend servers of {fields.get('service')} have named limits "
             "on their requests per second, and this instance's share of them was used"
         )
+    if fields.get("reason") == "paused":
+        return (
+            f"the usable backend servers of {fields.get('service')} have asked this "
+            "instance for a pause"
+        )
     return f"no backend server of {fields.get('service')} is listed"
 
 
--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -72,6 +72,10 @@
         # Requests per second that the server names as its limit with every answer.
         self.rate_limit_per_s: float | None = None
         self.is_leaving = False
+        # Pause in ms that a server asks for when its queue is full.
+        self.pause_ms: int | None = None
+        # Balancer's index, start and end in ms of each pause that was asked for.
+        self.pauses: list[tuple[int, int, int]] = []
         # Times in ms of the arrivals, with the index of the balancer.
         self.arrival_log: list[tuple[int, int]] = []
         # Time in ms at which each balancer got an answer that named the limit or said
@@ -314,7 +318,12 @@
                 connect_ms=reported_connect_ms,
                 rate_limit_per_s=server.rate_limit_per_s if result.is_answer else None,
                 is_leaving=server.is_leaving and result.is_answer,
+                pause_ms=server.pause_ms if result is AttemptResult.NOT_RUN else None,
             )
+            if report.pause_ms is not None:
+                index = self.balancers.index(balancer)
+                end_ms = now_ms + report.pause_ms
+                server.pauses.append((index, now_ms, end_ms))
             if report.rate_limit_per_s is not None or report.is_leaving:
                 server.told_ms.setdefault(self.balancers.index(balancer), now_ms)
             verdict = balancer.end_attempt(req, target, report, now_ms)
--- a/tests/wire/test_records.py
+++ b/tests/wire/test_records.py
@@ -8,7 +8,7 @@
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.direct.wire import BackendReport, RowDecodingError
 from rhubarbwell_wire.adapter import UsersPlatform
-from rhubarbwell_wire.records import decode_rate_limit
+from rhubarbwell_wire.records import decode_pause_ms, decode_rate_limit
 from support.users_platform import config_body
 
 ENTRY = {
@@ -121,3 +121,17 @@
 
 def test_rate_limit_of_zero_is_a_limit():
     assert decode_rate_limit("0") == 0.0
+
+
+@pytest.mark.parametrize(
+    ("value", "pause_ms"),
+    [("-3", 1_000), ("nan", 1_000), ("soon", 1_000), ("inf", 60_000), ("1e9", 60_000)],
+)
+def test_unreadable_and_endless_pauses_are_logged_and_bounded(value, pause_ms, caplog):
+    assert decode_pause_ms(value) == pause_ms
+    assert [record.event for record in caplog.records] == ["header_unreadable"]
+
+
+def test_pauses_are_decimal_seconds():
+    assert decode_pause_ms("0.25") == 250
+    assert decode_pause_ms("0") == 0
