--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -447,10 +447,7 @@
         return self._pause_ms(state, now_ms) == 0
 
     def _pause_ms(self, state: BackendState, now_ms: int) -> int:
-        """Return the time in ms until a request may be sent to a server.
-
-        It asked for a pause, its caches are cold, or it named a rate limit.
-        """
+        """Return the ms until pause, cold start and rate limit allow a request."""
         backend_id, limit = state.entry.backend_id, state.rate_limit_per_s
         pause_ms = max(0, state.paused_until_ms - now_ms)
         if state.cold_until_ms > now_ms:
