--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/rates.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/rates.py
@@ -33,9 +33,9 @@
     """Limit requests to each backend server to this instance's share of its rate.
 
     The rate of a server applies to all instances together. If it is below one request
-    per second for each instance, rendezvous hashing selects the instances that may
-    send requests. The others send none, or with probe_share together this share of the
-    rate. An instance that does not share the rate sends no more than the others.
+    per second for each instance, rendezvous hashing chooses the instances that may
+    send requests, as many as the rate has whole requests. The others, and those that
+    are not configured, send none, or with probe_share together this share of the rate.
 
     An instance sends its share within windows of at least min_window_ms.
 
