Test the refusals for pauses, limits and leaving servers

Tests alone: the reason and the time of the first return at the load balancer, and what rhubarbwell explain says of each reason.

--- a/tests/core/direct/test_balancer.py
+++ b/tests/core/direct/test_balancer.py
@@ -256,3 +256,41 @@
     report = AttemptReport(AttemptResult.ANSWERED, 700, load)
     balancer.end_attempt(req, target, report, 700)
     assert balancer.backends.rows["b-1"].processing_ratio(700) == 1.0
+
+
+def refusal_after(report_fields, now_ms=100):
+    """Return the refusal at a lone server after an answer with the given fields."""
+    balancer, route = make_balancer(backend("b-1"))
+    req = start_request(balancer, route)
+    target = balancer.choose_backend(req, 0)
+    balancer.start_attempt(req, target, 0)
+    result = report_fields.pop("result", AttemptResult.ANSWERED)
+    end_attempt(balancer, req, target, result, **report_fields)
+    later = start_request(balancer, route, "2", now_ms)
+    return balancer.choose_backend(later, now_ms)
+
+
+def test_refusal_during_a_pause_tells_when_it_ends():
+    refusal = refusal_after({"result": AttemptResult.NOT_RUN, "pause_ms": 400})
+    assert refusal.reason is RefusalReason.PAUSED
+    assert 310 <= refusal.retry_after_ms <= 600
+
+
+def test_refusal_at_a_rate_limit_tells_when_the_next_request_is_allowed():
+    refusal = refusal_after({"rate_limit_per_s": 1.0}, now_ms=800)
+    assert refusal.reason is RefusalReason.RATE_LIMIT
+    assert 320 <= refusal.retry_after_ms <= 405
+
+
+def test_refusal_after_the_last_server_has_left_names_no_server():
+    refusal = refusal_after({"is_leaving": True})
+    assert refusal.reason is RefusalReason.NO_BACKEND
+
+
+def test_longer_pause_extends_a_pause_and_an_answer_does_not_shorten_it():
+    balancer, _ = make_balancer(backend("b-1"))
+    state = balancer.backends.rows["b-1"]
+    state.record_pause(5_000)
+    state.record_pause(3_000)
+    state.record_answer(1_000)
+    assert state.paused_until_ms == 5_000
--- a/tests/ops/commands/test_explain.py
+++ b/tests/ops/commands/test_explain.py
@@ -71,3 +71,21 @@
     assert explain("nobody", [RECORDED_LOG]).exit_code is ExitCode.FINDINGS
     assert explain("r", []).exit_code is ExitCode.USAGE
     assert explain("r", ["/nowhere.log"]).exit_code is ExitCode.NOT_DONE
+
+
+@pytest.mark.parametrize(
+    "reason, words",
+    [
+        ("rate_limit", "have named limits on their requests per second"),
+        ("paused", "have asked this instance for a pause"),
+        ("cold_start", "are cold"),
+        ("no_backend", "no backend server of svc is listed"),
+    ],
+)
+def test_cause_tells_why_no_server_was_chosen(tmp_path, reason, words):
+    fields = {"request_id": "r", "timestamp": "2026-12-05T07:00:00.000000+00:00"}
+    refused = {"event": "request_refused", "service": "svc", "reason": reason}
+    ended = {"event": "request_ended", "outcome": "refused"}
+    log = tmp_path / "i-1.log"
+    log.write_text("\n".join(json.dumps({**fields, **row}) for row in (refused, ended)))
+    assert words in explain("r", [str(log)]).fields["cause"]
