--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,7 +24,7 @@
 EXCUSED_S = 3.0
 TTL_FACTOR = 3.0
 WORK_S = 2.6
-DEADLINE_MS = 3_500
+DEADLINE_MS = 3_044
 ROUTE_TIMEOUT_MS = 3_000
 GRACE_S = 6.0
 # The rule holds until this time after the grace.
