Refuse requests that may outlive a stopping instance

Cause: new requests were accepted for 0.6 of the grace time whatever time they may take themselves; all that were open at 0.93 were cut off. Change: ShutdownSchedule in the core holds the times of a stop and decides. A request is accepted since SIGTERM if it expires, by its deadline or its route's timeout, within 0.9 of the grace time; else it gets 503 at once, not run, with Retry-After 20 ms. The fixed end of acceptance is gone, so that a request which can end in time is served until the connections are closed. The test of the last accepted connection waits for the end of listening in place of the flag that is gone, with the same checks. Conclusion: an accepted request ends before its instance does.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
@@ -15,4 +15,5 @@
 from rhubarbwell_core.direct.replica import *
 from rhubarbwell_core.direct.requests import *
 from rhubarbwell_core.direct.routes import *
+from rhubarbwell_core.direct.shutdown import *
 from rhubarbwell_core.direct.verdicts import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/model.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/model.py
@@ -60,6 +60,10 @@
     sticky: bool = False
     home_regions: frozenset[str] = frozenset()
 
+    def expires_ms(self, arrived_ms: int, deadline_ms: int) -> int:
+        """Return the time in ms at which a request ends without an answer."""
+        return min(deadline_ms, arrived_ms + self.timeout_ms)
+
 
 class ServiceRule(NamedTuple):
     """Store the limits and health check path of a service's backend servers.
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/requests.py
@@ -96,4 +96,4 @@
     @property
     def expires_ms(self) -> int:
         """Return the time in ms at which the request ends without an answer."""
-        return min(self.deadline_ms, self.arrived_ms + self.route.timeout_ms)
+        return self.route.expires_ms(self.arrived_ms, self.deadline_ms)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -64,6 +64,11 @@
         """Return the number of requests whose response is not yet written."""
         return self._open_requests.total()
 
+    @property
+    def is_listening(self) -> bool:
+        """Return True while new connections are accepted."""
+        return self._site is not None
+
     async def listen(self, runner: web.ServerRunner, sock: socket.socket) -> None:
         """Accept connections on a listening socket of this server's runner."""
         self._sock = sock
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from aiohttp import hdrs, web
-from rhubarbwell_core.direct import LoadBalancer
+from rhubarbwell_core.direct import LoadBalancer, ShutdownSchedule
 
 from rhubarbwell_entry.direct.forwarding import Forwarder, RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.metrics import DirectMetrics
@@ -30,8 +30,8 @@
 class DirectHandler:
     """Forward callers' requests and return the backend servers' answers.
 
-    While leaving is True, each response closes its connection; while refuses_new is
-    True, new requests are refused with status 503.
+    While shutdown is set, each response closes its connection, and a request that may
+    outlive the instance is refused with status 503.
     """
 
     def __init__(
@@ -42,8 +42,7 @@
         metrics: DirectMetrics,
         clock_ms: Callable[[], int],
     ) -> None:
-        self.leaving = False
-        self.refuses_new = False
+        self.shutdown: ShutdownSchedule | None = None
         self._names = names
         self._balancer = balancer
         self._forwarder = forwarder
@@ -78,13 +77,6 @@
                     MIN_NO_CONFIG_RETRY_AFTER_MS,
                 ),
             )
-        if self.refuses_new:
-            return RequestResult(
-                RequestOutcome.REFUSED,
-                503,
-                "instance is stopping",
-                STOPPING_RETRY_AFTER_MS,
-            )
         request_id = request.headers.get(self._names.request_id, "")
         if not request_id:
             return RequestResult(RequestOutcome.REJECTED, 400, "request has no id")
@@ -93,6 +85,9 @@
             return RequestResult(RequestOutcome.REJECTED, 404, "no route")
         remaining_ms = self._remaining_ms(request)
         deadline_ms = arrived_ms + remaining_ms
+        expires_ms = route.expires_ms(arrived_ms, deadline_ms)
+        if self._may_outlive_instance(expires_ms):
+            return _stopping_result()
         try:
             async with asyncio.timeout(remaining_ms / MS_PER_S):
                 body = await _read_body(request, balancer.config.limits.max_body_bytes)
@@ -100,6 +95,9 @@
             return RequestResult(RequestOutcome.REFUSED, 408, "body came too slowly")
         if body is None:
             return RequestResult(RequestOutcome.REJECTED, 413, "body exceeds the limit")
+        # SIGTERM may have come while the body was read.
+        if self._may_outlive_instance(expires_ms):
+            return _stopping_result()
         object_key = request.cookies.get(self._names.object_cookie, "")
         req = balancer.start_request(
             request_id,
@@ -132,10 +130,13 @@
         if result.retry_after_ms is not None:
             seconds = result.retry_after_ms / MS_PER_S
             resp.headers[hdrs.RETRY_AFTER] = f"{seconds:.3f}"
-        if self.leaving:
+        if self.shutdown is not None:
             resp.force_close()
         return resp
 
+    def _may_outlive_instance(self, expires_ms: int) -> bool:
+        return self.shutdown is not None and not self.shutdown.can_finish(expires_ms)
+
     def _remaining_ms(self, request: web.BaseRequest) -> int:
         value = request.headers.get(self._names.deadline, "")
         try:
@@ -162,6 +163,12 @@
         )
 
 
+def _stopping_result() -> RequestResult:
+    return RequestResult(
+        RequestOutcome.REFUSED, 503, "instance is stopping", STOPPING_RETRY_AFTER_MS
+    )
+
+
 async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
     """Return the body, or None if it exceeds max_bytes."""
     if not request.can_read_body:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -89,7 +89,7 @@
         self.settings = settings
         self.platform = platform
         self._rng = rng or SystemRandom()
-        self._clock_ms = clock_ms
+        self.clock_ms = clock_ms
         self._tasks = BackgroundTasks()
         self._timers = TimerService(now_ms=clock_ms())
         self._runners: list[web.ServerRunner] = []
@@ -139,16 +139,16 @@
         self._health = StoreHealth(self._on_store_lost, self._on_store_regained)
         self._sender = DirectSender(
             self.platform,
-            self._clock_ms,
+            self.clock_ms,
             max_answer_bytes=self.settings.max_answer_bytes,
         )
-        forwarder = Forwarder(self.balancer, self._sender, self.metrics, self._clock_ms)
+        forwarder = Forwarder(self.balancer, self._sender, self.metrics, self.clock_ms)
         self.handler = DirectHandler(
             self.platform.names,
             self.balancer,
             forwarder,
             self.metrics,
-            self._clock_ms,
+            self.clock_ms,
         )
         await self._start_listeners()
         self._start_followers()
@@ -163,7 +163,7 @@
             self._upstream,
             self.state.instance_row_version,
             lambda: self.is_ready,
-            self._clock_ms,
+            self.clock_ms,
         )
         self._tasks.spawn(self.registrar.run())
         log_event(
@@ -225,7 +225,7 @@
                 self._health,
                 self._upstream,
                 self._followers,
-                self._clock_ms,
+                self.clock_ms,
             ),
             lambda: self.is_ready,
         )
@@ -276,7 +276,7 @@
             schedules=schedules,
             client=client,
             rng=self._rng,
-            clock_ms=self._clock_ms,
+            clock_ms=self.clock_ms,
         )
         self._tasks.spawn(seeds.load_during_outage())
         for schedule in schedules:
@@ -287,7 +287,7 @@
                 self._health,
                 self._upstream,
                 rng=self._rng,
-                clock_ms=self._clock_ms,
+                clock_ms=self.clock_ms,
             )
             self._tasks.spawn(follower.run())
         peers = PeerFollower(
@@ -299,16 +299,16 @@
             schedules,
             client,
             seeds,
-            self._clock_ms,
+            self.clock_ms,
         )
         self._tasks.spawn(peers.run())
 
     async def _run_timers(self) -> None:
         while True:
-            self._timers.advance(self._clock_ms())
-            due_ms = self._timers.next_due_ms() or self._clock_ms()
-            await asyncio.sleep(max(due_ms - self._clock_ms(), 1) / 1_000)
-            self._loop_lag.record_delay(self._clock_ms() - due_ms)
+            self._timers.advance(self.clock_ms())
+            due_ms = self._timers.next_due_ms() or self.clock_ms()
+            await asyncio.sleep(max(due_ms - self.clock_ms(), 1) / 1_000)
+            self._loop_lag.record_delay(self.clock_ms() - due_ms)
 
     def _advance(self, now_ms: int) -> Sequence[Action]:
         self.instances.own_is_busy = self._loop_lag.is_busy
@@ -343,10 +343,10 @@
         )
 
     def _on_store_lost(self) -> None:
-        self.balancer.backends.mark_store_lost(self._clock_ms())
+        self.balancer.backends.mark_store_lost(self.clock_ms())
 
     def _on_store_regained(self) -> None:
-        self.balancer.backends.mark_store_regained(self._clock_ms())
+        self.balancer.backends.mark_store_regained(self.clock_ms())
 
 
 def _poll_schedule(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+from rhubarbwell_core.direct import ShutdownSchedule
+
 from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.logs import log_event
 
@@ -10,13 +12,8 @@
 
 _log = logging.getLogger(__name__)
 
-# Fractions of the time from SIGTERM to SIGKILL: new connections are accepted until the
-# first; at the second the instance stops even if requests are still open; at the third
-# its parts have stopped.
-ACCEPT_SHARE = 0.6
-STOP_SHARE = 0.93
-END_SHARE = 0.98
 POLL_PERIOD_MS = 20
+MS_PER_S = 1_000
 
 
 class DirectShutdown:
@@ -24,24 +21,22 @@
 
     def __init__(self, instance: DirectInstance) -> None:
         self._instance = instance
-        self._started_s = 0.0
+        self._clock_ms = instance.clock_ms
+        self._schedule = ShutdownSchedule(
+            self._clock_ms(), instance.settings.stop_max_ms
+        )
 
     @property
     def remaining_s(self) -> float:
         """Return the time in seconds in which the parts of the instance may stop."""
-        loop = asyncio.get_running_loop()
-        stop_max_s = self._instance.settings.stop_max_ms / 1_000
-        return max(self._started_s + END_SHARE * stop_max_s - loop.time(), 0.0)
+        return max(self._schedule.stop_ms - self._clock_ms(), 0) / MS_PER_S
 
     async def run(self) -> None:
         """Shut down and return once the instance may stop."""
-        instance, handler = self._instance, self._instance.handler
+        instance, schedule = self._instance, self._schedule
         callers = instance.callers
-        loop = asyncio.get_running_loop()
-        stop_max_s = instance.settings.stop_max_ms / 1_000
-        self._started_s = started_s = loop.time()
         instance.leaving = True
-        handler.leaving = True
+        instance.handler.shutdown = schedule
         log_event(
             _log,
             logging.INFO,
@@ -50,18 +45,18 @@
             open_requests=callers.open_requests,
         )
         await instance.registrar.write_heartbeat()
-        await asyncio.sleep(started_s + ACCEPT_SHARE * stop_max_s - loop.time())
-        handler.refuses_new = True
+        listen_ms = max(schedule.listen_until_ms - self._clock_ms(), 0)
+        await asyncio.sleep(listen_ms / MS_PER_S)
         await callers.stop_listening()
-        while loop.time() < started_s + STOP_SHARE * stop_max_s:
+        while self._clock_ms() < schedule.close_ms:
             if not callers.close_idle_connections():
                 break
-            await asyncio.sleep(POLL_PERIOD_MS / 1_000)
+            await asyncio.sleep(POLL_PERIOD_MS / MS_PER_S)
         log_event(
             _log,
             logging.INFO,
             "requests_finished",
             "entry instance no longer waits for callers",
             open_requests=callers.open_requests,
-            elapsed_ms=round((loop.time() - started_s) * 1_000),
+            elapsed_ms=self._clock_ms() - schedule.started_ms,
         )
--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -396,7 +396,7 @@
         expired_entry = instance._own_entry._replace(instance_id="i-9", beat=1)
         await fleet.store.write("instances", "i-9", encode_instance(expired_entry))
         await wait_until(lambda: "i-9" in instance.instances.live_ids())
-        instance.instances.mark_synced(instance._clock_ms() + 120_000)
+        instance.instances.mark_synced(instance.clock_ms() + 120_000)
         await instance.registrar.remove_expired()
         assert fleet.store.rows["instances", "i-9"][1] is None
 
--- a/tests/entry/direct/test_seeds.py
+++ b/tests/entry/direct/test_seeds.py
@@ -75,7 +75,7 @@
         stale_ms = instance.settings.drain_ms
         await wait_until(
             lambda: (
-                instance._clock_ms() - instance.state.synced_until_ms[table] > stale_ms
+                instance.clock_ms() - instance.state.synced_until_ms[table] > stale_ms
             )
         )
         await fleet.store.write("servers", "b-0", None)
--- a/tests/entry/direct/test_stop_under_load.py
+++ b/tests/entry/direct/test_stop_under_load.py
@@ -13,12 +13,12 @@
 READ_SIZE = 64 << 10
 
 
-def request_head(request_id, connection="keep-alive"):
+def request_head(request_id, connection="keep-alive", *, deadline_ms=900):
     return (
         f"POST /pay/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
         f"Connection: {connection}\r\n"
         f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
-        "X-Rhubarbwell-Request-Deadline: 900\r\n\r\n"
+        f"X-Rhubarbwell-Request-Deadline: {deadline_ms}\r\n\r\n"
     ).encode()
 
 
@@ -64,7 +64,7 @@
 
 
 async def test_no_accepted_request_is_cut_off_by_a_stop():
-    async with running_fleet(4) as fleet:
+    async with running_fleet(4, stop_max_ms=3_000) as fleet:
 
         async def work(request):
             await asyncio.sleep(0.03)
@@ -108,22 +108,80 @@
         await stopping
 
 
+async def send_just_before_the_end(fleet, head):
+    """Stop the instance; send a request on the connection that it accepts last."""
+    stopping = asyncio.create_task(stop(fleet.instance))
+    reader = writer = None
+    while fleet.instance.callers.is_listening:
+        if writer is not None:
+            writer.close()
+        reader, writer = await raw_request(fleet, "")
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.03)
+    writer.write(head)
+    answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+    writer.close()
+    await stopping
+    return answer
+
+
 async def test_request_on_a_connection_accepted_just_before_the_end_is_answered():
     async with running_fleet(1) as fleet:
-        stopping = asyncio.create_task(stop(fleet.instance))
-        await wait_until(lambda: fleet.instance.handler.leaving)
-        handler = fleet.instance.handler
-        reader = writer = None
-        while not handler.refuses_new:
-            if writer is not None:
-                writer.close()
-            reader, writer = await raw_request(fleet, "")
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(0.03)
-        writer.write(request_head("late"))
-        status, keeps_connection = await asyncio.wait_for(read_answer(reader), WAIT_S)
+        status, keeps_connection = await send_just_before_the_end(
+            fleet, request_head("late")
+        )
         assert " 503 " in status
         assert not keeps_connection
-        writer.close()
-        await stopping
         assert fleet.backends[0].received == []
+
+
+async def test_request_that_ends_before_the_instance_is_served_until_its_end():
+    async with running_fleet(1, stop_max_ms=2_000) as fleet:
+        status, keeps_connection = await send_just_before_the_end(
+            fleet, request_head("brief", deadline_ms=300)
+        )
+        assert " 200 " in status
+        assert not keeps_connection
+
+
+async def send_after_sigterm(fleet, delay_s, stopped):
+    """Send a request on a kept connection; return whether it ran and its status."""
+    reader, writer = await raw_request(fleet, "")
+    await stopped.wait()
+    await asyncio.sleep(delay_s)
+    request_id = f"r-{delay_s:.2f}"
+    writer.write(request_head(request_id, deadline_ms=2_000))
+    try:
+        status, _ = await read_answer(reader)
+    except (OSError, asyncio.IncompleteReadError) as exc:
+        status = repr(exc)
+    writer.close()
+    ran = any(
+        headers["X-Rhubarbwell-Request-Id"] == request_id
+        for _, _, headers, _ in fleet.backends[0].received
+    )
+    return ran, status
+
+
+# Requests whose work took longer than the rest of the grace time were cut off.
+async def test_request_after_sigterm_is_answered_in_full_or_refused_as_not_run():
+    async with running_fleet(1, stop_max_ms=2_000) as fleet:
+
+        async def work(request):
+            await asyncio.sleep(0.9)
+            return fleet.backends[0].signed_response(request)
+
+        fleet.backends[0].custom_handler = work
+        stopped = asyncio.Event()
+        calls = [
+            asyncio.create_task(send_after_sigterm(fleet, delay_s, stopped))
+            for delay_s in (0.1, 0.3, 0.5, 0.75, 0.9, 1.0, 1.1)
+        ]
+        await wait_until(lambda: len(fleet.instance.callers.connections) == len(calls))
+        stopping = asyncio.create_task(stop(fleet.instance))
+        stopped.set()
+        results = await asyncio.gather(*calls)
+        await stopping
+        # The route's timeout is 1 s: requests up to 0.8 s after SIGTERM can end.
+        assert [ran for ran, _ in results] == [True] * 4 + [False] * 3
+        assert all((" 200 " if ran else " 503 ") in status for ran, status in results)
