Make every decoder of stored rows raise its one declared error

Cause: read_mapping expected ValueError; json.loads raises RecursionError for nesting. It passed all callers and ended the task that follows the table. Evidence: on the test with that row logs "Task exception was never retrieved" with the RecursionError of read_mapping, and one with slots of 400 digits an OverflowError from the same place. Numbers, texts, hosts, ports and ids are bounded to what later steps can use (an id is sent in a header, a port opens a connection). Conclusion: bytes of other writers cannot end the discovery of servers by the way of a decoder.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/errors.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/errors.py
@@ -1,6 +1,22 @@
 """Exceptions raised by the decision core."""
 
-__all__ = ["DuplicateRowError", "MissingRowError", "RhubarbwellError"]
+__all__ = [
+    "DECODING_ERRORS",
+    "DuplicateRowError",
+    "MissingRowError",
+    "RhubarbwellError",
+]
+
+# What parsing JSON of unknown origin and converting its fields can raise: values of
+# other types, missing fields, nesting beyond the stack, numbers beyond a float.
+DECODING_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class RhubarbwellError(Exception):
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
-from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.errors import DECODING_ERRORS, RhubarbwellError
 from rhubarbwell_core.model import Address, host_port
 
 __all__ = [
@@ -98,16 +98,19 @@
 
     @classmethod
     def decode(cls, body: Mapping[str, Any]) -> "ChangesResponse":
-        """Return the response in a body; raise KeyError, TypeError or ValueError."""
-        tables = body["tables"]
-        reader = body.get("reader")
-        return cls(
-            tables={name: _decode_update(table) for name, table in tables.items()},
-            ages_ms={name: int(table["age_ms"]) for name, table in tables.items()},
-            reads_store=bool(body["reads_store"]),
-            store_is_out=bool(body["store_is_out"]),
-            reader=None if reader is None else str(reader),
-        )
+        """Return the response in a body; raise ChangesError."""
+        try:
+            tables = body["tables"]
+            reader = body.get("reader")
+            return cls(
+                tables={name: _decode_update(table) for name, table in tables.items()},
+                ages_ms={name: int(table["age_ms"]) for name, table in tables.items()},
+                reads_store=bool(body["reads_store"]),
+                store_is_out=bool(body["store_is_out"]),
+                reader=None if reader is None else str(reader),
+            )
+        except DECODING_ERRORS as exc:
+            raise ChangesError(f"invalid table changes: {exc!r}") from exc
 
 
 class ChangesClient:
@@ -129,15 +132,10 @@
                 url, params=query.encode(), timeout=timeout
             ) as resp:
                 resp.raise_for_status()
-                return ChangesResponse.decode(await resp.json())
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as exc:
+                body = await resp.json()
+        except (aiohttp.ClientError, TimeoutError, *DECODING_ERRORS) as exc:
             raise ChangesError(repr(exc)) from exc
+        return ChangesResponse.decode(body)
 
 
 def _encode_update(update: ReplicaUpdate) -> dict[str, Any]:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrations.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrations.py
@@ -1,15 +1,19 @@
 """Encoding of the rows under which entry instances register in the store."""
 
 import json
+from math import isfinite
 from typing import Any
 
 from rhubarbwell_core.direct import InstanceEntry
+from rhubarbwell_core.errors import DECODING_ERRORS
 from rhubarbwell_core.model import Address
 
 from rhubarbwell_entry.direct.wire import RowDecodingError
 
 __all__ = ["decode_instance", "encode_instance"]
 
+MAX_PORT = 65_535
+
 
 def encode_instance(entry: InstanceEntry) -> bytes:
     """Return the row of an instance, kept short because all instances read it.
@@ -40,7 +44,7 @@
         row: Any = json.loads(value)
         incarnation, zone, region, host, port, control, control_port, *state = row
         beat, leaving, capacity, followers, busy = state
-        return InstanceEntry(
+        entry = InstanceEntry(
             key,
             str(incarnation),
             str(zone),
@@ -53,5 +57,11 @@
             tuple(map(str, followers)),
             tuple(map(str, busy)),
         )
-    except (TypeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise RowDecodingError(f"cannot decode the registration: {exc!r}") from exc
+    if not isfinite(entry.capacity) or entry.capacity < 0.0:
+        raise RowDecodingError(f"the capacity {entry.capacity} is not finite and >= 0")
+    for address in (entry.callers, entry.control):
+        if not address.host.isprintable() or not 0 < address.port <= MAX_PORT:
+            raise RowDecodingError(f"no connection can be opened to {address!r}")
+    return entry
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/adapters.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 import aiohttp
+from rhubarbwell_core.errors import DECODING_ERRORS
 
 from rhubarbwell_platform.errors import AnswerLostError, PlatformError, UnavailableError
 from rhubarbwell_platform.http.client import (
@@ -141,5 +142,5 @@
 def _decode(decode: Callable[[Any], T], answer: Any, error: type[PlatformError]) -> T:
     try:
         return decode(answer)
-    except (KeyError, TypeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise error(f"invalid answer of the platform: {exc!r}") from exc
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiolimiter import AsyncLimiter
+from rhubarbwell_core.errors import DECODING_ERRORS
 from tenacity import (
     AsyncRetrying,
     RetryCallState,
@@ -193,9 +194,9 @@
             raise UnavailableError(f"no connection to the platform: {exc}") from exc
         except TimeoutError as exc:
             raise lost_error("the platform did not answer in time") from exc
-        except (aiohttp.ClientError, ValueError) as exc:
+        except (aiohttp.ClientError, *DECODING_ERRORS) as exc:
             raise lost_error(
-                f"the platform's answer is incomplete or malformed: {exc}"
+                f"the platform's answer is incomplete or malformed: {exc!r}"
             ) from exc
 
 
