--- a/tests/entry/direct/test_unreadable_rows.py
+++ b/tests/entry/direct/test_unreadable_rows.py
@@ -5,7 +5,6 @@
 import pytest
 from support.running_fleet import running_fleet, wait_until
 
-
 HUGE_SLOTS = {
     "service": "svc",
     "address": "127.0.0.1:9",
