Count an attempt as not sent if its connection cannot be opened

Callers saw: 500 where the registry listed a server whose host no connection can be opened to, such as "..", "[" or a label of 300 characters, although another server could have served them (class of the unreadable rows). Cause: the sender caught errors of connections alone. The idna codec raises UnicodeError and URL() ValueError; both passed the handler. InvalidURL counted as an answer that broke off, so that an unsafe request was not sent elsewhere. Change: whatever ends an attempt before it has a connection counts as not sent; an unexpected exception is logged with its traceback (attempt_raised). Conclusion: an address that cannot be used costs an attempt, not a request.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -1,6 +1,7 @@
 """A single attempt to send a request to a backend server."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from yarl import URL
 
 from rhubarbwell_entry.direct.wire import DirectPlatform
+from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy.connections import (
     AUTOMATIC_HEADERS,
     AttemptError,
@@ -29,6 +31,8 @@
 
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
+_log = logging.getLogger(__name__)
+
 MISDIRECTED_REQUEST = 421
 UNAVAILABLE = 503
 # Allows several round trips between regions, but ends well before a lost packet is
@@ -101,15 +105,25 @@
                 result, detail = AttemptResult.BROKEN, "answers to other requests only"
             return self._failed_outcome(result, detail, started_ms)
         except AttemptError as exc:
-            result = AttemptResult.BROKEN
-            if self._connector.connection_of(req.request_id) is None:
-                result = AttemptResult.NOT_SENT
-            return self._failed_outcome(
-                result, str(exc) or "connection failed", started_ms
-            )
+            detail = str(exc) or "connection failed"
+            return self._interrupted_outcome(req, detail, started_ms)
         except (aiohttp.ClientError, OSError) as exc:
             detail = f"answer broke off: {str(exc) or type(exc).__name__}"
-            return self._failed_outcome(AttemptResult.BROKEN, detail, started_ms)
+            return self._interrupted_outcome(req, detail, started_ms)
+        except Exception as exc:
+            # The host of an address can have any form that its registry row had.
+            log_event(
+                _log,
+                logging.ERROR,
+                "attempt_raised",
+                "an attempt ended with an unexpected exception",
+                request_id=req.request_id,
+                backend_id=target.backend_id,
+                address=host_port(target.address),
+                error=repr(exc),
+                exc_info=True,
+            )
+            return self._interrupted_outcome(req, repr(exc), started_ms)
         finally:
             self._connector.forget(req.request_id)
 
@@ -214,6 +228,18 @@
             return AttemptResult.SERVER_ERROR, f"backend server answered {status}"
         return AttemptResult.ANSWERED, f"backend server answered {status}"
 
+    def _interrupted_outcome(
+        self, req: ActiveRequest, detail: str, started_ms: int
+    ) -> AttemptOutcome:
+        """Return the outcome of an attempt that an error ended.
+
+        Without a connection, nothing was sent.
+        """
+        result = AttemptResult.BROKEN
+        if self._connector.connection_of(req.request_id) is None:
+            result = AttemptResult.NOT_SENT
+        return self._failed_outcome(result, detail, started_ms)
+
     def _failed_outcome(
         self, result: AttemptResult, detail: str, started_ms: int
     ) -> AttemptOutcome:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/logs.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/logs.py
@@ -12,10 +12,16 @@
 
 
 def log_event(
-    log: logging.Logger, level: int, event: str, message: str, **fields: object
+    log: logging.Logger,
+    level: int,
+    event: str,
+    message: str,
+    *,
+    exc_info: bool | BaseException = False,
+    **fields: object,
 ) -> None:
-    """Log a message under an event name with its fields."""
-    log.log(level, message, extra={"event": event, **fields})
+    """Log a message under an event name with its fields, exc_info as a traceback."""
+    log.log(level, message, exc_info=exc_info, extra={"event": event, **fields})
 
 
 class EventRateFilter(logging.Filter):
