Supervise background tasks

Cause: tasks were started and forgotten; asyncio reports the exception of a task as it is collected, if at all. Change: BackgroundTasks.supervise logs an exception with its task (task_failed), counts it (rhubarbwell.tasks.failed) and starts the task again after 0.1 s, doubling up to 5 s. An essential task that fails five times in a row makes the instance not ready until it has run for 10 s. Both products use it; tasks that run once report their exception too. Conclusion: an exception costs a background task its restart, not its work.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -90,7 +90,8 @@
         self.platform = platform
         self._rng = rng or SystemRandom()
         self.clock_ms = clock_ms
-        self._tasks = BackgroundTasks()
+        self.metrics = DirectMetrics(settings)
+        self._tasks = BackgroundTasks(self.metrics.record_task_failure)
         self._timers = TimerService(now_ms=clock_ms())
         self._runners: list[web.ServerRunner] = []
         self._upstream = Upstream()
@@ -119,13 +120,12 @@
             self._rng,
         )
         self.state = FleetState(platform, self.balancer, self.instances)
-        self.metrics = DirectMetrics(settings)
         self._add_gauges()
 
     @property
     def is_ready(self) -> bool:
-        """Return True if the instance is configured and not shutting down."""
-        return self.state.is_configured and not self.leaving
+        """Return True if the instance is configured, able to run and not stopping."""
+        return self.state.is_configured and self._tasks.can_run and not self.leaving
 
     @property
     def _config_version(self) -> int:
@@ -153,7 +153,7 @@
         await self._start_listeners()
         self._start_followers()
         self._timers.subscribe(ADVANCE_PERIOD_MS, self._advance)
-        self._tasks.spawn(self._run_timers())
+        self._tasks.supervise("timers", self._run_timers, essential=True)
         self.registrar = Registrar(
             self._own_entry,
             self.platform.names.instance_table,
@@ -165,7 +165,7 @@
             lambda: self.is_ready,
             self.clock_ms,
         )
-        self._tasks.spawn(self.registrar.run())
+        self._tasks.supervise("registrar", self.registrar.run)
         log_event(
             _log,
             logging.INFO,
@@ -278,7 +278,7 @@
             rng=self._rng,
             clock_ms=self.clock_ms,
         )
-        self._tasks.spawn(seeds.load_during_outage())
+        self._tasks.supervise("seeds", seeds.load_during_outage)
         for schedule in schedules:
             follower = TableFollower(
                 schedule,
@@ -289,7 +289,9 @@
                 rng=self._rng,
                 clock_ms=self.clock_ms,
             )
-            self._tasks.spawn(follower.run())
+            self._tasks.supervise(
+                f"follower of {schedule.table}", follower.run, essential=True
+            )
         peers = PeerFollower(
             self._own_entry,
             self.state,
@@ -301,7 +303,7 @@
             seeds,
             self.clock_ms,
         )
-        self._tasks.spawn(peers.run())
+        self._tasks.supervise("follower of peers", peers.run, essential=True)
 
     async def _run_timers(self) -> None:
         while True:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -85,7 +85,7 @@
         )
         self.driver = CoreDriver(core, clock_ms=clock_ms)
         self._shutdown: GracefulShutdown | None = None
-        self._tasks = BackgroundTasks()
+        self._tasks = BackgroundTasks(self.metrics.record_task_failure)
 
     @property
     def core(self) -> Core:
@@ -125,10 +125,11 @@
         poller = InstanceListPoller(
             self.driver, self._platform.instances, self.settings.seeds
         )
-        self._tasks.spawn(self.driver.run())
-        self._tasks.spawn(poller.run())
+        self._tasks.supervise("timers", self.driver.run, essential=True)
+        self._tasks.supervise("instance list", poller.run)
         self._log_follower.start()
-        self._tasks.spawn(BackendMonitor(self.driver, self._session).run())
+        monitor = BackendMonitor(self.driver, self._session)
+        self._tasks.supervise("backend monitor", monitor.run, essential=True)
         log_event(
             _log,
             logging.INFO,
@@ -202,7 +203,9 @@
 
     def _operator_app(self) -> web.Application:
         app = web.Application()
-        OperatorHandler(self.driver, self.metrics).add_routes(app)
+        OperatorHandler(
+            self.driver, self.metrics, lambda: self._tasks.can_run
+        ).add_routes(app)
         return app
 
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/meters.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/meters.py
@@ -31,6 +31,11 @@
         )
         self._provider = MeterProvider([reader], resource=resource)
         self._meter = self._provider.get_meter("rhubarbwell")
+        self._task_failures = self._meter.create_counter(
+            "rhubarbwell.tasks.failed",
+            "{failure}",
+            "Background tasks that ended with an unexpected exception.",
+        )
 
     def add_gauge(
         self, name: str, unit: str, description: str, read: GaugeReader
@@ -42,6 +47,10 @@
 
         self._meter.create_observable_gauge(name, [observe], unit, description)
 
+    def record_task_failure(self, task: str) -> None:
+        """Count a background task that ended with an exception."""
+        self._task_failures.add(1, {"task": task})
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/operators.py
@@ -1,5 +1,7 @@
 """Serve the HTTP endpoints for operators."""
 
+from collections.abc import Callable
+
 from aiohttp import web
 from rhubarbwell_core import Core
 from rhubarbwell_core.messages import PeerState
@@ -14,9 +16,15 @@
 class OperatorHandler:
     """Serve readiness, status, metrics and the report of an instance."""
 
-    def __init__(self, driver: CoreDriver, metrics: InstanceMetrics) -> None:
+    def __init__(
+        self,
+        driver: CoreDriver,
+        metrics: InstanceMetrics,
+        can_run: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._driver = driver
         self._metrics = metrics
+        self._can_run = can_run
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes of the endpoints to the application."""
@@ -28,7 +36,8 @@
     async def ready(self, _: web.Request) -> web.Response:
         """Return 200 if the instance accepts work, 503 otherwise."""
         state = self._driver.core.state
-        status = 200 if state is PeerState.READY else 503
+        is_ready = state is PeerState.READY and self._can_run()
+        status = 200 if is_ready else 503
         return web.json_response({"state": state.value}, status=status)
 
     async def status(self, _: web.Request) -> web.Response:
--- a/tests/entry/test_tasks.py
+++ b/tests/entry/test_tasks.py
@@ -1,8 +1,12 @@
-"""Test that background tasks end with their owner."""
+"""Tests that background tasks end with their owner and survive their exceptions."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
+import pytest
+from rhubarbwell_entry import tasks as tasks_module
 from rhubarbwell_entry.tasks import BackgroundTasks
+from support.running_fleet import wait_until
 
 CLOSE_TIMEOUT_S = 5.0
 
@@ -28,3 +32,81 @@
 
 async def test_close_without_tasks_returns():
     await BackgroundTasks().close()
+
+
+@asynccontextmanager
+async def background_tasks():
+    failed = []
+    tasks = BackgroundTasks(failed.append)
+    try:
+        yield tasks, failed
+    finally:
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            await tasks.close()
+
+
+@pytest.fixture
+def short_delays(monkeypatch):
+    monkeypatch.setattr(tasks_module, "MIN_RESTART_DELAY_S", 0.001)
+    monkeypatch.setattr(tasks_module, "MAX_RESTART_DELAY_S", 0.004)
+    monkeypatch.setattr(tasks_module, "RECOVERY_S", 0.05)
+
+
+async def test_supervised_task_starts_again_and_its_exception_is_logged(caplog):
+    starts = []
+
+    async def fail_once():
+        starts.append(True)
+        if len(starts) == 1:
+            raise KeyError("lost")
+        await asyncio.Event().wait()
+
+    async with background_tasks() as (tasks, failed):
+        tasks.supervise("poller", fail_once, essential=True)
+        await wait_until(lambda: len(starts) == 2)
+        assert tasks.can_run
+    assert failed == ["poller"]
+    (record,) = [r for r in caplog.records if r.event == "task_failed"]
+    assert (record.task, record.failures_in_row) == ("poller", 1)
+    assert record.exc_info[0] is KeyError
+
+
+@pytest.mark.parametrize("essential", [True, False])
+async def test_essential_task_that_cannot_run_is_told_until_it_recovers(
+    essential, short_delays
+):
+    broken = True
+
+    async def fail_while_broken():
+        if broken:
+            raise RuntimeError("injected")
+        await asyncio.Event().wait()
+
+    async with background_tasks() as (tasks, failed):
+        tasks.supervise("poller", fail_while_broken, essential=essential)
+        await wait_until(lambda: len(failed) >= 8)
+        assert tasks.can_run is not essential
+        broken = False
+        await wait_until(lambda: tasks.can_run)
+
+
+async def test_task_that_returns_is_not_started_again():
+    starts = []
+
+    async def run():
+        starts.append(True)
+
+    async with background_tasks() as (tasks, failed):
+        tasks.supervise("loader", run)
+        await asyncio.sleep(0.05)
+    assert (len(starts), failed) == (1, [])
+
+
+async def test_exception_of_a_task_that_runs_once_is_reported():
+    async def fail():
+        raise RuntimeError("injected")
+
+    async with background_tasks() as (tasks, failed):
+        tasks.spawn(fail())
+        await wait_until(lambda: failed)
+    assert failed[0].endswith("fail")
