Ignore further signals once a stop has begun

Cause: aiomisc restores the earlier handler of SIGTERM as it stops and starts a second stop for a second signal that its own handler has caught; either ends the event loop under the first one. Change: the service catches SIGTERM and SIGINT itself, from before its listeners open; the first one ends the wait of the process, further ones have no effect. aiomisc's own bound on the stop no longer applies: the parts stop within the grace time by themselves (tests/entry/direct/test_shutdown.py). Tests: test_repeated_signals_do_not_cut_off_requests sends SIGTERM, SIGTERM, SIGHUP, SIGTERM without a pause and with pauses of 2 and 300 ms to a process that serves a request of 0.8 s. Tried: a handler of our own under aiomisc's, which is restored at its stop: still cut off, as aiomisc starts its second stop from its own handler. Conclusion: repeated signals change nothing.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -30,10 +30,17 @@
 
     async def start(self) -> None:
         """Start the instance; raise OSError if an address is taken."""
-        await self.instance.start()
+        self._stop_requested = asyncio.Event()
         loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._stop_requested.set)
+        await self.instance.start()
         loop.add_signal_handler(signal.SIGHUP, self._log_settings_changes)
 
+    async def wait_for_stop_signal(self) -> None:
+        """Return after a first SIGTERM or SIGINT; further ones have no effect."""
+        await self._stop_requested.wait()
+
     async def stop(self, exception: Exception | None = None) -> Any:
         """Finish open requests, then stop the instance."""
         shutdown = DirectShutdown(self.instance)
@@ -80,12 +87,9 @@
     instance = DirectInstance(platform, settings)
     service = DirectService(instance=instance)
     try:
-        with entrypoint(
-            service,
-            log_config=False,
-            shutdown_timeout=settings.stop_max_ms / 1_000,
-        ) as loop:
-            loop.run_forever()
+        # aiomisc's own handler ends the process at a second signal.
+        with entrypoint(service, log_config=False, catch_signals=()) as loop:
+            loop.run_until_complete(service.wait_for_stop_signal())
     except OSError as exc:
         print(f"cannot start: {exc}", file=sys.stderr)
         raise SystemExit(EXIT_CANNOT_START) from exc
--- /dev/null
+++ b/tests/entry/direct/test_main.py
@@ -0,0 +1,77 @@
+"""Test of signals to an entry instance that runs as a process."""
+
+import asyncio
+import os
+import signal
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from rhubarbwell_core.model import host_port
+from soak.fleet import InstanceProcess
+from soak.soak import ENTRY_SCRIPT
+from support.running_fleet import WAIT_S
+from support.users_platform import StoreStandIn, UsersBackend, config_body
+
+# Of this test process alone, as the port of metrics is the same for all instances.
+HOST = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.7"
+WORK_S = 0.8
+
+
+@asynccontextmanager
+async def running_process(folder):
+    """Run an instance as a process beside a store and a server that works WORK_S."""
+    store, server = StoreStandIn(), UsersBackend("b-0")
+
+    async def work(request):
+        await asyncio.sleep(WORK_S)
+        return server.signed_response(request)
+
+    server.custom_handler = work
+    instance = InstanceProcess(0, store, folder, HOST)
+    await store.start()
+    await server.start()
+    await store.write("servers", server.backend_id, server.registry_entry())
+    await store.write("op", "config", config_body())
+    await instance.prepare(ENTRY_SCRIPT)
+    await instance.start()
+    async with aiohttp.ClientSession() as session:
+        try:
+            async with asyncio.timeout(WAIT_S):
+                while not await instance.is_ready(session):
+                    await asyncio.sleep(0.05)
+            yield instance, server, session
+        finally:
+            if instance.process.returncode is None:
+                await instance.stop_with_signal(signal.SIGKILL)
+            await instance.store_proxy.stop()
+            await server.stop()
+            await store.stop()
+
+
+async def send_request(instance, session):
+    headers = {
+        "Host": "h.example",
+        "X-Rhubarbwell-Request-Id": "r-1",
+        "X-Rhubarbwell-Request-Deadline": "2000",
+    }
+    url = f"http://{host_port(instance.callers)}/pay/x"
+    async with session.post(url, headers=headers) as resp:
+        await resp.read()
+        return resp.status
+
+
+# A second SIGTERM ended the process at once and cut off all open requests.
+@pytest.mark.parametrize("gap_s", [0.0, 0.002, 0.3])
+async def test_repeated_signals_do_not_cut_off_requests(gap_s, tmp_path):
+    async with running_process(tmp_path) as (instance, server, session):
+        answer = asyncio.create_task(send_request(instance, session))
+        async with asyncio.timeout(WAIT_S):
+            while not server.received:
+                await asyncio.sleep(0.01)
+        for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            instance.send_signal(number)
+            await asyncio.sleep(gap_s)
+        async with asyncio.timeout(WAIT_S):
+            assert await answer == 200
+            assert await instance.process.wait() == 0
