Make the stand-alone product's decoders raise their one declared error

Cause: the monitor expected TypeError and ValueError; a RecursionError or an OverflowError ended its group of polls. Change: these decoders expect all of DECODING_ERRORS; a host of any form that cannot be polled is logged like a missing report.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/log.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/adoption/log.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from rhubarbwell_core.errors import RhubarbwellError
+from rhubarbwell_core.errors import DECODING_ERRORS, RhubarbwellError
 
 __all__ = [
     "EMPTY_CHAIN",
@@ -132,7 +132,7 @@
     """Return the row encoded in text; raise InvalidLogError if it is invalid."""
     try:
         row = LogRow(**json.loads(text))
-    except (TypeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise InvalidLogError(f"unreadable log row: {exc}") from exc
     numbers = (row.version, row.published_at_ms, row.rows_left)
     names = (row.document, row.digest, row.previous_chain, row.publish_id, row.author)
@@ -149,7 +149,7 @@
     """Return the head encoded in text; raise InvalidLogError if it is invalid."""
     try:
         head = LogHead(**json.loads(text))
-    except (TypeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise InvalidLogError(f"unreadable head: {exc}") from exc
     _check_types((head.version, head.snapshot_version), (head.chain,))
     return head
@@ -165,7 +165,7 @@
     try:
         snapshot = LogSnapshot(**json.loads(text))
         documents = dict(snapshot.documents)
-    except (TypeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise InvalidLogError(f"unreadable snapshot: {exc}") from exc
     names = (snapshot.chain, *documents, *documents.values())
     _check_types((snapshot.version,), names)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
@@ -5,6 +5,7 @@
 import json
 import logging
 
+from rhubarbwell_core.errors import DECODING_ERRORS
 from rhubarbwell_core.messages import (
     ClaimKey,
     ClaimResult,
@@ -147,5 +148,5 @@
             pairs = tuple((name, text) for name, text in headers)
             answer = KeptAnswer(status, pairs, base64.b64decode(body))
         return StoredKey(**fields, answer=answer)
-    except (KeyError, TypeError) as exc:
+    except DECODING_ERRORS as exc:
         raise ValueError(f"malformed row of an idempotency key: {exc}") from exc
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import aiohttp
+from rhubarbwell_core.errors import DECODING_ERRORS
 from rhubarbwell_core.messages import LoadReported
 from rhubarbwell_core.model import (
     Address,
@@ -99,7 +100,7 @@
             return
         try:
             report = _read_report(spec.backend_id, json.loads(response.body), sent_ms)
-        except (TypeError, ValueError) as exc:
+        except DECODING_ERRORS as exc:
             self._log_missing_report(spec, exc)
             return
         healthy = report.healthy and spec.backend_id not in self._unhealthy
@@ -114,7 +115,7 @@
             ) as response:
                 body = await response.content.read(MAX_REPORT_BYTES)
                 return _Response(response.status, body)
-        except (aiohttp.ClientError, TimeoutError) as exc:
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
             self._log_missing_report(spec, exc)
             return None
 
@@ -140,7 +141,7 @@
 
 
 def _read_report(backend_id: str, body: object, sent_ms: int) -> LoadReported:
-    """Return the load report; raise TypeError or ValueError if it is malformed."""
+    """Return the load report; raise one of DECODING_ERRORS if it is malformed."""
     if not isinstance(body, dict):
         raise TypeError("load report is not a JSON object")
     return LoadReported(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Mapping
 
+from rhubarbwell_core.errors import DECODING_ERRORS
 from rhubarbwell_core.messages import (
     ClaimSlot,
     ReadSlots,
@@ -191,7 +192,7 @@
     """Return the row that a JSON text stores; raise ValueError if it is malformed."""
     try:
         return SlotRow(**json.loads(text))
-    except TypeError as exc:
+    except DECODING_ERRORS as exc:
         raise ValueError(f"malformed row of a slot: {exc}") from exc
 
 
--- a/tests/entry/test_monitor.py
+++ b/tests/entry/test_monitor.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+from itertools import chain, repeat
 from random import Random
 
 import aiohttp
@@ -25,10 +26,13 @@
 
 
 async def poll_until(load, health_status, condition):
-    """Poll one scripted server until its row in the core satisfies condition."""
+    """Poll one scripted server until its row in the core satisfies condition.
+
+    load is the server's report, or an iterator over its reports.
+    """
 
     async def serve_load(_):
-        return web.Response(text=load)
+        return web.Response(text=load if isinstance(load, str) else next(load))
 
     async def serve_health(_):
         return web.Response(status=health_status)
@@ -74,7 +78,18 @@
 
 
 @pytest.mark.parametrize(
-    "load", ["", "[]", '{"in_flight": null}', '{"in_flight": "x"}']
+    "load",
+    [
+        *(
+            "",
+            "[]",
+            '{"in_flight": null}',
+            '{"in_flight": "x"}',
+            '{"in_flight": 1e999}',
+        ),
+        # A report of nested brackets ended the polls of all backend servers.
+        "[" * 2_000,
+    ],
 )
 async def test_malformed_report_is_ignored(load):
     with pytest.raises(TimeoutError):
@@ -82,5 +97,13 @@
             await poll_until(load, 200, lambda row: row.reported is not None)
 
 
+# A report of nested brackets ended the polls of all backend servers.
+@pytest.mark.parametrize("malformed", ["[" * 2_000, '{"in_flight": 1e999}'])
+async def test_polls_go_on_after_a_malformed_report(malformed):
+    loads = chain([malformed], repeat('{"in_flight": 2}'))
+    async with asyncio.timeout(10.0):
+        await poll_until(loads, 200, lambda row: row.reported is not None)
+
+
 def test_poll_rate_falls_with_the_fleet_within_its_bounds():
     assert [polls_per_s(n) for n in (0, 12, 48, 2_900)] == [20.0, 20.0, 5.0, 0.5]
