--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from aiohttp import web
+from rhubarbwell_core.direct import ShutdownSchedule
 from rhubarbwell_core.messages import (
     CallerGone,
     EndRequest,
@@ -44,7 +45,8 @@
     the end. Without hop_keys, requests are neither forwarded to nor accepted from
     other entry instances; peer_tls is required if the other instances' caller
     listeners use TLS. While leaving is set, responses to new requests close their
-    connections; while refusing is set, every new request is refused.
+    connections; while refusing is set, every new request is refused; while shutdown is
+    set, those that may outlive the instance are.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
     ) -> None:
         self.leaving = False
         self.refusing = False
+        self.shutdown: ShutdownSchedule | None = None
         self.exchanges = ExchangeTable()
         self.attempts = AttemptSender(driver, self.exchanges, hop_keys, peer_tls)
         self.open_requests = 0
@@ -88,9 +91,14 @@
         if isinstance(matched, Reason):
             return self._refusal_response(request, request_id, matched)
         exchange = self._make_exchange(request, request_id, matched)
+        if self._may_outlive_instance(exchange.arrival):
+            return self._refusal_response(request, request_id, Reason.STOPPING)
         try:
             if exchange.keeps_answer:
                 exchange.arrival = await arrival_with_body_digest(exchange)
+                # The stop may have begun while the body was read.
+                if self._may_outlive_instance(exchange.arrival):
+                    return self._refusal_response(request, request_id, Reason.STOPPING)
             self.exchanges.add(exchange)
             self._driver.handle(exchange.arrival)
             end = await exchange.ended
@@ -101,6 +109,10 @@
             raise
         return exchange.finish(end)
 
+    def _may_outlive_instance(self, arrival: RequestArrived) -> bool:
+        schedule = self.shutdown
+        return schedule is not None and not schedule.can_finish(arrival.deadline_ms)
+
     def _match_request(self, request: web.Request) -> "_MatchedRequest | Reason":
         cfg = self._driver.core.configuration
         if cfg is None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from rhubarbwell_core.direct import ShutdownSchedule
 from rhubarbwell_core.messages import ShutdownForced
 
 from rhubarbwell_entry.driver import CoreDriver
@@ -25,10 +26,11 @@
     """Stop an entry instance after its open requests have ended.
 
     New requests are served for the time to live of look-up answers plus margin_ms, at
-    most for max_ms. Requests still open max_ms after the start are cut. announce tells
-    peers that the instance is leaving; stop_listening closes the callers' listeners.
-    `run` returns once the process may exit; `force`, for a second signal, ends the
-    open requests with the outcome unknown.
+    most for max_ms, if their deadline leaves them time to end before the instance.
+    Requests still open max_ms after the start are cut. announce tells peers that the
+    instance is leaving; stop_listening closes the callers' listeners. `run` returns
+    once the process may exit; `force`, for a second signal, ends the open requests
+    with the outcome unknown.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
 
     async def run(self) -> bool:
         """Shut down; return True if every request ran to its end."""
-        deadline_ms = self._driver.clock_ms() + self._max_ms
+        started_ms = self._driver.clock_ms()
+        deadline_ms = started_ms + self._max_ms
+        self._handler.shutdown = ShutdownSchedule(started_ms, self._max_ms)
         self._announce()
         self._handler.leaving = True
         log_event(
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -114,6 +114,23 @@
     assert {answer[:2] for answer in answers} == {(502, "unknown")}
 
 
+# Requests with more time than the stop had were accepted and ended as unknown.
+@pytest.mark.parametrize("keyed", [True, False])
+async def test_request_that_may_outlive_the_instance_is_refused_as_not_run(
+    entry, backend, keyed
+):
+    backend.service_ms = 900
+    stop = asyncio.create_task(make_shutdown(entry, max_ms=600).run())
+    await wait_until(lambda: entry.handler.leaving)
+    headers = {"Rhubarbwell-Deadline-Ms": "2000"}
+    if keyed:
+        headers["Idempotency-Key"] = "o-1"
+    status, outcome, _ = await entry.request("POST", "/book/1", headers=headers)
+    assert (status, outcome) == (503, "not_run")
+    assert await stop
+    assert backend.started == 0
+
+
 async def test_stop_waits_until_outcomes_are_recorded(entry):
     query = LookUpQuery("slotsvc", wants_ticket=True)
     ticket = entry.core.look_up(query, entry.driver.clock_ms()).ticket
