Pass bodies of requests on as their bytes

Cause: the HTTP server decodes request bodies unless told not to; only the client towards the backend servers had been told. Change: neither product decodes them (auto_decompress=False). The stand-in server of the tests keeps bodies as they are, too. Conclusion: the payload is the two ends' own.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -56,6 +56,8 @@
             "max_line_size": MAX_HEADER_BYTES,
             "max_field_size": MAX_HEADER_BYTES,
             "lingering_time": 0.0,
+            # The body is the backend server's to decode.
+            "auto_decompress": False,
         }
         return CallerConnection(self, loop=self._loop, **options)
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -208,6 +208,8 @@
         access_log=None,
         keepalive_timeout=KEEPALIVE_S,
         lingering_time=LINGERING_S,
+        # The body is the backend server's to decode.
+        auto_decompress=False,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
 
--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -22,7 +22,7 @@
     """Serve HTTP requests on a loopback port."""
 
     async def start(self) -> None:
-        server = web.Server(self.handle, access_log=None)
+        server = web.Server(self.handle, access_log=None, auto_decompress=False)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await self._runner.setup()
         site = web.TCPSite(self._runner, LOOPBACK, 0)
