--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -72,6 +72,8 @@
         # Requests per second that the server names as its limit with every answer.
         self.rate_limit_per_s: float | None = None
         self.is_leaving = False
+        # Increases with each crash.
+        self.incarnation = 0
         # Pause in ms that a server asks for when its queue is full.
         self.pause_ms: int | None = None
         # Balancer's index, start and end in ms of each pause that was asked for.
@@ -84,6 +86,8 @@
         self.down = False
         self.running = 0
         self.queue: list[Callable[[int], None]] = []
+        # What the server owes to the requests that run or wait, by request id.
+        self.open_replies: dict[str, Callable[[AttemptResult, int], None]] = {}
         self.cached_objects: OrderedDict[str, None] = OrderedDict()
         self.arrivals = 0
         self.cache_hits = 0
@@ -350,9 +354,12 @@
         server.arrivals += 1
         server.arrival_log.append((now_ms, balancer_index))
         shed = server.rng.random() < server.shed_probability
+        server.open_replies[req.request_id] = reply
+        incarnation = server.incarnation
         if shed or (
             server.running >= SLOTS_PER_SERVER and len(server.queue) >= MAX_QUEUE_LENGTH
         ):
+            del server.open_replies[req.request_id]
             reply(AttemptResult.NOT_RUN, now_ms)
             return
 
@@ -362,6 +369,9 @@
             self.schedule(start_ms + service_ms, finish_work)
 
         def finish_work(end_ms: int) -> None:
+            if server.incarnation != incarnation:
+                return
+            del server.open_replies[req.request_id]
             server.running -= 1
             reply(AttemptResult.ANSWERED, end_ms)
             if server.queue:
@@ -372,6 +382,31 @@
         else:
             server.queue.append(start_work)
 
+    def crash(self, server: SimulatedServer, now_ms: int) -> None:
+        """Reset the server's connections and lose what it ran and held."""
+        server.down = True
+        server.incarnation += 1
+        replies = list(server.open_replies.values())
+        server.open_replies.clear()
+        server.running = 0
+        server.queue.clear()
+        server.cached_objects.clear()
+        for balancer in self.balancers:
+            self._idle_since_ms[id(balancer), server.entry.backend_id].clear()
+        for reply in replies:
+            reply(AttemptResult.BROKEN, now_ms)
+
+    def restart(self, server: SimulatedServer, born_ms: int) -> None:
+        """Start a crashed server again under its id, unknown to the instances."""
+        server.down = False
+        server.entry = server.entry._replace(born_ms=born_ms)
+
+    def register(self, server: SimulatedServer, cold_ms: int, now_ms: int) -> None:
+        """Tell all instances the server's entry, with the time for which it is cold."""
+        entry = server.entry._replace(cold_ms=cold_ms)
+        for balancer in self.balancers:
+            balancer.backends.put(entry, now_ms)
+
     def _take_connection(
         self,
         balancer: LoadBalancer,
