--- a/tests/entry/direct/test_stop_under_load.py
+++ b/tests/entry/direct/test_stop_under_load.py
@@ -5,6 +5,8 @@
 import itertools
 from typing import NamedTuple
 
+import pytest
+from aiohttp import web
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from support.running_fleet import WAIT_S, raw_request, running_fleet, wait_until
 
@@ -185,3 +187,26 @@
         # The route's timeout is 1 s: requests up to 0.8 s after SIGTERM can end.
         assert [ran for ran, _ in results] == [True] * 4 + [False] * 3
         assert all((" 200 " if ran else " 503 ") in status for ran, status in results)
+
+
+@pytest.mark.parametrize("kind", ["silent", "refusing"])
+async def test_lost_store_does_not_change_a_stop(kind):
+    async with running_fleet(1, stop_max_ms=3_000) as fleet:
+
+        async def fail(request):
+            if kind == "silent":
+                await asyncio.sleep(WAIT_S)
+            return web.Response(status=503)
+
+        fleet.store.fault_handler = fail
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        reader, writer = await raw_request(fleet, "")
+        stopping = asyncio.create_task(stop(fleet.instance))
+        await asyncio.sleep(1.0)
+        writer.write(request_head("r-1"))
+        status, _ = await read_answer(reader)
+        writer.close()
+        await stopping
+        assert " 200 " in status
+        assert loop.time() - started_s < 3.0
