Serve requests whose object key is not UTF-8

Callers saw: 500 for a request whose object cookie held bytes that are no UTF-8 (found while reading the class of the unreadable rows: bytes that others write). Cause: the HTTP server decodes such bytes to surrogates, and the hash of the object's servers encoded the key strictly. Change: surrogates pass into the hash; keys of valid text hash as before. Seen and open: other request headers with such bytes reach the server without them (X-Odd: ff fe arrives empty), as the HTTP client leaves surrogates out.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/hashing.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/hashing.py
@@ -39,4 +39,6 @@
 
 
 def _weight(key: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{key}\n{name}".encode(), digest_size=8).digest()
+    # Keys are decoded from any bytes, those that are no UTF-8 to surrogates.
+    data = f"{key}\n{name}".encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=8).digest()
