Bound the exponent of a task's restart delay

And a task that runs once and is cancelled before it starts left its coroutine unawaited (two warnings in the test run). Change: six doublings at most; the coroutine is closed with its task. Tests: test_task_that_fails_for_hours_still_starts_again and test_task_that_is_closed_before_it_runs_leaves_no_coroutine; both failed before.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/tasks.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/tasks.py
@@ -17,6 +17,7 @@
 # The delay before a failed task starts again doubles with each failure.
 MIN_RESTART_DELAY_S = 0.1
 MAX_RESTART_DELAY_S = 5.0
+MAX_DOUBLINGS = 6
 # A task that has run for this time has recovered from its earlier failures.
 RECOVERY_S = 10.0
 # Failures in a row after which a task counts as unable to run.
@@ -42,7 +43,9 @@
 
     def spawn(self, coro: Coroutine[Any, Any, None]) -> None:
         """Start a coroutine as a task that runs once; log an exception that ends it."""
-        self._start(self._run_once(coro))
+        task = self._start(self._run_once(coro))
+        # A task that is cancelled before it runs leaves its coroutine unstarted.
+        task.add_done_callback(lambda _: coro.close())
 
     def supervise(
         self,
@@ -62,10 +65,11 @@
                 task.cancel()
             _, running = await asyncio.wait(running, timeout=RECANCEL_INTERVAL_S)
 
-    def _start(self, coro: Coroutine[Any, Any, None]) -> None:
+    def _start(self, coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _run_once(self, coro: Coroutine[Any, Any, None]) -> None:
         try:
@@ -95,8 +99,9 @@
                 return
             finally:
                 recovery.cancel()
-            delay_s = MIN_RESTART_DELAY_S * 2.0 ** (failures_in_row - 1)
-            await asyncio.sleep(min(delay_s, MAX_RESTART_DELAY_S))
+            doublings = min(failures_in_row - 1, MAX_DOUBLINGS)
+            delay_s = min(MIN_RESTART_DELAY_S * 2.0**doublings, MAX_RESTART_DELAY_S)
+            await asyncio.sleep(delay_s)
 
     def _report_failure(self, name: str, exc: Exception, failures_in_row: int) -> None:
         self._on_failure(name)
--- a/tests/entry/test_tasks.py
+++ b/tests/entry/test_tasks.py
@@ -1,6 +1,7 @@
 """Tests that background tasks end with their owner and survive their exceptions."""
 
 import asyncio
+import gc
 from contextlib import asynccontextmanager
 
 import pytest
@@ -110,3 +111,26 @@
         tasks.spawn(fail())
         await wait_until(lambda: failed)
     assert failed[0].endswith("fail")
+
+
+# The delay overflowed after 1,025 failures and ended the task for good.
+async def test_task_that_fails_for_hours_still_starts_again(monkeypatch):
+    monkeypatch.setattr(tasks_module, "MIN_RESTART_DELAY_S", 0.0)
+
+    async def fail():
+        raise RuntimeError("injected")
+
+    async with background_tasks() as (tasks, failed):
+        tasks.supervise("poller", fail)
+        await wait_until(lambda: len(failed) > 1_100)
+
+
+async def test_task_that_is_closed_before_it_runs_leaves_no_coroutine(recwarn):
+    async def wait():
+        await asyncio.Event().wait()
+
+    async with background_tasks() as (tasks, failed):
+        tasks.spawn(wait())
+    gc.collect()
+    assert failed == []
+    assert [w for w in recwarn if "never awaited" in str(w.message)] == []
