End with code 0 although signals arrive until the exit

Operators saw: exit code -15, like a crash, where SIGTERM came once more while the interpreter ended. Trace: i-2 logged no start between 13:37:18.55 and 13:37:22.67: it was stopped during its start. Python restores the default action of handled signals as it finalizes, uvloop as the loop closes; a signal after that kills the process. Test harness: InstanceProcess.send_signal no longer reaps a process that has ended (seen: code 255 in its place). test_repeated_signals_do_not_cut_off_ requests failed once with a timeout: its log shows 503 no_backend 12 ms after the start, as the instance is ready before it has read the servers' table; the test waits for a first answer now.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -21,6 +21,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class DirectService(Service):
@@ -32,7 +33,7 @@
         """Start the instance; raise OSError if an address is taken."""
         self._stop_requested = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for signum in (signal.SIGTERM, signal.SIGINT):
+        for signum in STOP_SIGNALS:
             loop.add_signal_handler(signum, self._stop_requested.set)
         await self.instance.start()
         loop.add_signal_handler(signal.SIGHUP, self._log_settings_changes)
@@ -46,6 +47,11 @@
         shutdown = DirectShutdown(self.instance)
         await shutdown.run()
         await self.instance.stop(timeout_s=shutdown.remaining_s)
+        # The loop, as it closes, restores the default actions of the signals it handles.
+        loop = asyncio.get_running_loop()
+        for signum in STOP_SIGNALS:
+            loop.remove_signal_handler(signum)
+            signal.signal(signum, signal.SIG_IGN)
 
     def _log_settings_changes(self) -> None:
         """Log which settings have changed; they take effect after a restart."""
--- a/tests/entry/direct/test_main.py
+++ b/tests/entry/direct/test_main.py
@@ -40,6 +40,10 @@
             async with asyncio.timeout(WAIT_S):
                 while not await instance.is_ready(session):
                     await asyncio.sleep(0.05)
+                # A ready instance may not have read the servers' table yet.
+                while await send_request(instance, session, "r-0") != 200:
+                    await asyncio.sleep(0.05)
+            server.received.clear()
             yield instance, server, session
         finally:
             if instance.process.returncode is None:
@@ -49,10 +53,10 @@
             await store.stop()
 
 
-async def send_request(instance, session):
+async def send_request(instance, session, request_id):
     headers = {
         "Host": "h.example",
-        "X-Rhubarbwell-Request-Id": "r-1",
+        "X-Rhubarbwell-Request-Id": request_id,
         "X-Rhubarbwell-Request-Deadline": "2000",
     }
     url = f"http://{host_port(instance.callers)}/pay/x"
@@ -65,7 +69,7 @@
 @pytest.mark.parametrize("gap_s", [0.0, 0.002, 0.3])
 async def test_repeated_signals_do_not_cut_off_requests(gap_s, tmp_path):
     async with running_process(tmp_path) as (instance, server, session):
-        answer = asyncio.create_task(send_request(instance, session))
+        answer = asyncio.create_task(send_request(instance, session, "r-1"))
         async with asyncio.timeout(WAIT_S):
             while not server.received:
                 await asyncio.sleep(0.01)
@@ -75,3 +79,23 @@
         async with asyncio.timeout(WAIT_S):
             assert await answer == 200
             assert await instance.process.wait() == 0
+
+
+async def send_until_exit(instance, number, period_s):
+    async with asyncio.timeout(WAIT_S):
+        while instance.process.returncode is None:
+            instance.send_signal(number)
+            await asyncio.sleep(period_s)
+
+
+# A signal while the interpreter ended made a regular end look like a crash.
+@pytest.mark.parametrize("after_start_s", [0.0, 0.3, 0.7, None])
+async def test_signals_until_the_exit_leave_the_exit_code_at_0(after_start_s, tmp_path):
+    async with running_process(tmp_path) as (instance, _, _):
+        if after_start_s is not None:
+            await instance.stop_with_signal(signal.SIGKILL)
+            await instance.start()
+            await instance.wait_until_handled(signal.SIGTERM)
+            await asyncio.sleep(after_start_s)
+        await send_until_exit(instance, signal.SIGTERM, 0.001)
+        assert instance.process.returncode == 0
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """Entry instances as processes; the store and servers run in the soak process."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -88,7 +89,9 @@
     def send_signal(self, number: int) -> None:
         """Send a signal if the process runs."""
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            # Process.send_signal would reap a process that has ended and lose its code.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def stop_with_signal(self, number: int) -> float:
         """Send a signal, wait for the process to exit and return the seconds taken."""
