--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -47,7 +47,7 @@
         shutdown = DirectShutdown(self.instance)
         await shutdown.run()
         await self.instance.stop(timeout_s=shutdown.remaining_s)
-        # The loop, as it closes, restores the default actions of the signals it handles.
+        # A loop that closes restores the default actions of the signals it handles.
         loop = asyncio.get_running_loop()
         for signum in STOP_SIGNALS:
             loop.remove_signal_handler(signum)
