Revert "Treat a server that lost a connection as one that may have restarted"

Read in the diff before the landing: a suspicion ended only with an answer, and an instance that has no share of the cold rate (six of 12 at 6.8 a second) sends nothing to a suspected server, so it would never have used a sound server again that lost one connection, until the server's row changed. This reverts.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -65,7 +65,6 @@
         "reported_in_flight",
         "reported_load",
         "sent_at_ms",
-        "suspected_since_ms",
     )
 
     def __init__(self, entry: BackendEntry, region: str, now_ms: int) -> None:
@@ -80,9 +79,6 @@
         self.reported_in_flight = 0
         self.reported_at_ms = -MAX_REPORT_AGE_MS
         self.cold_until_ms = now_ms + entry.cold_ms
-        # Time since which the server may have started again under its id, None if
-        # nothing suggests it.
-        self.suspected_since_ms: int | None = None
         self.ejected_until_ms = 0
         # End of the time for which the server asked for no requests.
         self.paused_until_ms = 0
@@ -114,29 +110,6 @@
         others = max(0, self.reported_load - self.reported_in_flight)
         return self.in_flight + weight * others + (1.0 - weight) * average
 
-    def is_cold(self, now_ms: int) -> bool:
-        """Return True if the server's caches are cold, or if it may have restarted."""
-        return self.suspected_since_ms is not None or self.cold_until_ms > now_ms
-
-    def suspect_restart(self, now_ms: int) -> None:
-        """Record a lost connection: the server may have started again under its id."""
-        self.suspected_since_ms = now_ms
-
-    def resolve_suspicion(
-        self, connected_ms: int | None, cold_start_ms: int, now_ms: int
-    ) -> None:
-        """Record an answer on a connection that was opened at connected_ms.
-
-        A connection from before the loss shows that the server has not restarted. If
-        only later ones answer, it counts as one that has just started.
-        """
-        since_ms = self.suspected_since_ms
-        if since_ms is None:
-            return
-        self.suspected_since_ms = None
-        if connected_ms is None or connected_ms >= since_ms:
-            self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_start_ms)
-
     def usable_slots(self, now_ms: int) -> float:
         """Return the slots divided by the slowness of the server; 0 while it is down.
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -25,7 +25,6 @@
 from rhubarbwell_core.direct.routes import RouteTable, WeightedSplits
 from rhubarbwell_core.direct.verdicts import AttemptResult, Verdict, attempt_verdict
 from rhubarbwell_core.hashing import weighted_rendezvous
-from rhubarbwell_core.model import Address
 
 __all__ = ["AttemptReport", "LoadBalancer", "LoadReport", "LoadBalancerRules"]
 
@@ -101,8 +100,6 @@
     server named with its answer, None if it named none. is_leaving is True if the
     answer said that its server is about to end. pause_ms is the time for which the
     server wants no requests from this instance, None if it asked for none.
-    connected_ms is the time at which the connection was opened; lost_connection is
-    True if it ended before the answer was complete.
     """
 
     result: AttemptResult
@@ -113,8 +110,6 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     pause_ms: int | None = None
-    connected_ms: int | None = None
-    lost_connection: bool = False
 
 
 class LoadBalancer:
@@ -319,12 +314,6 @@
             state.record_load_report(running, load.waiting, now_ms)
         if report.connect_ms is not None:
             self.zone_delays.record_connect_time(target.zone, report.connect_ms)
-        if report.lost_connection or report.result is AttemptResult.NOT_SENT:
-            state.suspect_restart(now_ms)
-        elif report.result.is_answer:
-            state.resolve_suspicion(
-                report.connected_ms, self._cold_start_ms(target.service), now_ms
-            )
         if report.cold_ms is not None:
             state.cold_until_ms = now_ms + report.cold_ms
         if report.pause_ms is not None:
@@ -353,12 +342,6 @@
             cold_ms = self._cold_start_ms(target.service)
             state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
 
-    def record_idle_connection_lost(self, address: Address, now_ms: int) -> None:
-        """Record that a server closed an idle connection before any idle timeout."""
-        for state in self.backends.rows.rows():
-            if state.entry.address == address:
-                state.suspect_restart(now_ms)
-
     def _set_rate_limit(
         self, state: BackendState, limit: float | None, now_ms: int
     ) -> None:
@@ -467,11 +450,12 @@
         """Return the ms until pause, cold start and rate limit allow a request."""
         backend_id, limit = state.entry.backend_id, state.rate_limit_per_s
         pause_ms = max(0, state.paused_until_ms - now_ms)
-        if state.is_cold(now_ms):
+        if state.cold_until_ms > now_ms:
             rate = self._cold_rate(state.entry.service)
-            cold_ms = self.cold_starts.pause_ms(backend_id, rate, now_ms)
-            if state.suspected_since_ms is None:
-                cold_ms = min(cold_ms, state.cold_until_ms - now_ms)
+            cold_ms = min(
+                self.cold_starts.pause_ms(backend_id, rate, now_ms),
+                state.cold_until_ms - now_ms,
+            )
             pause_ms = max(pause_ms, cold_ms)
         if limit is not None:
             pause_ms = max(
@@ -589,7 +573,7 @@
             processing_ms,
             load,
             state.report_age_ms(now_ms),
-            state.is_cold(now_ms),
+            state.cold_until_ms > now_ms,
             holds_object,
         )
         return cost, target
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -62,7 +62,6 @@
 # than they do.
 IDLE_TIMEOUT_FACTOR = 1.25
 MS_PER_S = 1_000
-MIN_IDLE_TIMEOUT_S = 1.0
 # Two heartbeat periods of 2 s and 0.4 s: one heartbeat may be missing and the next
 # one late.
 LIVENESS_TIMEOUT_MS = 4_400
@@ -142,7 +141,6 @@
             self.platform,
             self.clock_ms,
             max_answer_bytes=self.settings.max_answer_bytes,
-            on_idle_lost=self._on_idle_connection_lost,
         )
         forwarder = Forwarder(self.balancer, self._sender, self.metrics, self.clock_ms)
         self.handler = DirectHandler(
@@ -346,20 +344,6 @@
             lambda: [Observation(int(self._health.is_out))],
         )
 
-    def _on_idle_connection_lost(self, address: Address, idle_s: float) -> None:
-        # Servers state idle timeouts in whole seconds; a connection that ends sooner
-        # was not closed by one.
-        if idle_s < MIN_IDLE_TIMEOUT_S:
-            log_event(
-                _log,
-                logging.INFO,
-                "idle_connection_lost",
-                "a server closed an idle connection; it may have started again",
-                address=host_port(address),
-                idle_ms=round(idle_s * MS_PER_S),
-            )
-            self.balancer.record_idle_connection_lost(address, self.clock_ms())
-
     def _on_store_lost(self) -> None:
         self.balancer.backends.mark_store_lost(self.clock_ms())
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -28,7 +28,6 @@
 )
 from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
-from rhubarbwell_entry.proxy.protocols import IdleLostListener
 
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
@@ -71,15 +70,12 @@
         clock_ms: Callable[[], int],
         *,
         max_answer_bytes: int,
-        on_idle_lost: IdleLostListener | None = None,
     ) -> None:
         self._platform = platform
         self._names = names = platform.names
         self._clock_ms = clock_ms
         self._connector = VerifyingConnector(
-            attempt_header=names.request_id,
-            max_answer_bytes=max_answer_bytes,
-            on_idle_lost=on_idle_lost,
+            attempt_header=names.request_id, max_answer_bytes=max_answer_bytes
         )
         self._session = make_client_session(
             self._connector, connect_timeout_s=CONNECT_TIMEOUT_S
@@ -204,7 +200,6 @@
             backend_report.rate_limit_per_s,
             backend_report.is_leaving,
             backend_report.pause_ms if resp.status == UNAVAILABLE else None,
-            connected_ms=None if connection is None else connection.opened_ms,
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
@@ -241,19 +236,11 @@
         result = AttemptResult.BROKEN
         if self._connector.connection_of(req.request_id) is None:
             result = AttemptResult.NOT_SENT
-        return self._failed_outcome(
-            result, detail, started_ms, lost_connection=result is AttemptResult.BROKEN
-        )
+        return self._failed_outcome(result, detail, started_ms)
 
     def _failed_outcome(
-        self,
-        result: AttemptResult,
-        detail: str,
-        started_ms: int,
-        *,
-        lost_connection: bool = False,
+        self, result: AttemptResult, detail: str, started_ms: int
     ) -> AttemptOutcome:
-        latency_ms = self._clock_ms() - started_ms
         return AttemptOutcome(
-            AttemptReport(result, latency_ms, lost_connection=lost_connection), detail
+            AttemptReport(result, self._clock_ms() - started_ms), detail
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -4,7 +4,7 @@
 import time
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, cast
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakSet
 
 import aiohttp
 from aiohttp import hdrs
@@ -18,13 +18,8 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
-from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
-from rhubarbwell_entry.proxy.protocols import (
-    AnswerProtocol,
-    ExpectedAnswer,
-    IdleLostListener,
-)
+from rhubarbwell_entry.proxy.protocols import AnswerProtocol, ExpectedAnswer
 
 __all__ = [
     "AUTOMATIC_HEADERS",
@@ -64,7 +59,6 @@
     address: Address
     fresh: bool
     connect_ms: float = 0.0
-    opened_ms: int = 0
 
 
 class VerifyingConnector(aiohttp.TCPConnector):
@@ -81,18 +75,15 @@
         *,
         attempt_header: str = ATTEMPT_HEADER,
         max_answer_bytes: int | None = None,
-        on_idle_lost: IdleLostListener | None = None,
     ) -> None:
         super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S)
         # aiohttp has no parameter for the class of its client protocol.
         self._factory = cast(
-            "partial[ResponseHandler]",
-            partial(AnswerProtocol, loop=self._loop, on_idle_lost=on_idle_lost),
+            "partial[ResponseHandler]", partial(AnswerProtocol, loop=self._loop)
         )
         self._attempt_header = attempt_header
         self._max_answer_bytes = max_answer_bytes
-        # Times in ms at which the connections were opened.
-        self._opened = WeakKeyDictionary[ResponseHandler, int]()
+        self._opened = WeakSet[ResponseHandler]()
         self._verifications = WeakKeyDictionary[ResponseHandler, _Verification]()
         self._last_attempt_ids = WeakKeyDictionary[ResponseHandler, str]()
         self._max_ages_s: dict[str, float] = {}
@@ -186,7 +177,7 @@
         finally:
             for other in awaiting_verification:
                 other.release()
-        opened_ms = self._opened.setdefault(protocol, monotonic_ms())
+        self._opened.add(protocol)
         if fresh and (closed_future := protocol.closed) is not None:
             # Retrieves the exception, as asyncio logs one that nobody retrieves.
             closed_future.add_done_callback(_closing_error)
@@ -194,7 +185,7 @@
         address = Address(req.url.host or "", req.url.port or 0)
         connect_ms = (time.monotonic() - started_s) * MS_PER_S
         self._attempt_connections[attempt_id] = AttemptConnection(
-            protocol, address, fresh, connect_ms, opened_ms
+            protocol, address, fresh, connect_ms
         )
         self._last_attempt_ids[protocol] = attempt_id
         assert isinstance(protocol, AnswerProtocol)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -4,7 +4,6 @@
 import logging
 import socket
 import struct
-from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -16,14 +15,9 @@
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
 
-from rhubarbwell_core.model import Address
-
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer", "IdleLostListener"]
-
-# Gets the server's address and for how many seconds the connection was idle.
-IdleLostListener = Callable[[Address, float], None]
+__all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer"]
 
 _log = logging.getLogger(__name__)
 
@@ -71,14 +65,8 @@
     connection is closed after it.
     """
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        on_idle_lost: IdleLostListener | None = None,
-    ) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self._on_idle_lost = on_idle_lost
-        self._idle_since_s: float | None = None
         self._is_idle = True
         self._expected: ExpectedAnswer | None = None
         self._received_bytes = 0
@@ -88,7 +76,6 @@
     def expect_answer(self, expected: ExpectedAnswer) -> None:
         """Accept one answer, which names the expected request or none."""
         self._is_idle = False
-        self._idle_since_s = None
         self._expected = expected
         self._received_bytes = 0
         self._skipped_answers = 0
@@ -112,22 +99,6 @@
     def mark_idle(self) -> None:
         """Close the connection if bytes arrive before the next request."""
         self._is_idle = True
-        self._idle_since_s = self._loop.time()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Report a connection that the server closed while it was idle."""
-        transport = self.transport
-        if (
-            self._is_idle
-            and self._idle_since_s is not None
-            and transport is not None
-            and self._on_idle_lost is not None
-        ):
-            peer = transport.get_extra_info("peername")
-            idle_s = self._loop.time() - self._idle_since_s
-            if peer is not None:
-                self._on_idle_lost(Address(peer[0], peer[1]), idle_s)
-        super().connection_lost(exc)
 
     def close(self) -> None:
         """Close the connection; reset it if the answer is not complete."""
