Log what tells the causes of requests to servers that had left apart

Missing until now: whether a removed server stayed in use and until when (hypothesis B of docs/incidents/left-servers.md), whether the instance that reads the store found its own copies stale (A, C), and whether two attempts of a request used one address and one connection (D).

Change: backend_removed says is_kept, backend_expired follows when the server is no longer used, reader_is_stale tells the ages of a reader's copies, lines of attempts tell the address and whether the connection was new.

Conclusion: each hypothesis has a line of the log that shows it.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -174,9 +174,13 @@
         """Set the entry instances' total capacity in requests per second by region."""
         self._capacity_by_region = dict(capacity_by_region)
 
-    def advance(self, now_ms: int) -> None:
-        """Remove expired servers and update the usable slots and planned shares."""
-        for backend_id in self.backends.remove_expired(now_ms):
+    def advance(self, now_ms: int) -> Sequence[str]:
+        """Update the usable slots and planned shares; return the servers removed.
+
+        These are the ids of the servers whose grace period has ended.
+        """
+        expired = self.backends.remove_expired(now_ms)
+        for backend_id in expired:
             self.cold_starts.forget(backend_id)
             self.rate_limits.forget(backend_id)
         usable_slots = self.backends.usable_slots(now_ms)
@@ -185,6 +189,7 @@
             self.region, usable_slots, self._capacity_by_region
         )
         self.region_shares.set_planned(self._planned_shares)
+        return expired
 
     def set_evacuated_zones(self, zones: Collection[str], now_ms: int) -> None:
         """Set the zones whose backend servers get no requests."""
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
@@ -43,7 +43,7 @@
         if hint in entries and hint != self._own.instance_id:
             order.insert(0, hint)
         for instance_id in order:
-            if self._excluded_until_ms.get(instance_id, 0) > now_ms:
+            if self.is_excluded(instance_id, now_ms):
                 continue
             if instance_id == self._own.instance_id:
                 return None
@@ -56,6 +56,10 @@
             self._own.instance_id
         )
 
+    def is_excluded(self, instance_id: str, now_ms: int) -> bool:
+        """Return True if an instance is excluded."""
+        return self._excluded_until_ms.get(instance_id, 0) > now_ms
+
     def exclude(self, instance_id: str, now_ms: int) -> None:
         """Exclude an instance that failed or is out of date for EXCLUSION_MS."""
         self._excluded_until_ms[instance_id] = now_ms + EXCLUSION_MS
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -15,6 +15,7 @@
     Target,
     Verdict,
 )
+from rhubarbwell_core.model import host_port
 
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.sending import Answer, AttemptOutcome, DirectSender
@@ -149,6 +150,8 @@
             backend_id=target.backend_id,
             service=target.service,
             zone=target.zone,
+            address=host_port(target.address),
+            is_new_connection=outcome.is_new_connection,
             assigned_region=target.assigned_region,
             attempt=req.attempts,
             position=target.position,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -314,7 +314,14 @@
 
     def _advance(self, now_ms: int) -> Sequence[Action]:
         self.instances.own_is_busy = self._loop_lag.is_busy
-        self.balancer.advance(now_ms)
+        for backend_id in self.balancer.advance(now_ms):
+            log_event(
+                _log,
+                logging.INFO,
+                "backend_expired",
+                "a removed backend server is no longer used",
+                backend_id=backend_id,
+            )
         return ()
 
     def _add_gauges(self) -> None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -137,7 +137,7 @@
         while True:
             now_ms = self._clock_ms()
             if self._upstream.reads_store and self._has_stale_table(now_ms):
-                self._selector.exclude(self._own_entry.instance_id, now_ms)
+                self._exclude_itself(now_ms)
             others = self._instances.live()
             self._upstream.rank = self._selector.own_rank(others)
             hint = self._hint if now_ms < self._hint_end_ms else None
@@ -191,6 +191,21 @@
         self._hint = reader
         self._hint_end_ms = self._clock_ms() + HINT_MS
 
+    def _exclude_itself(self, now_ms: int) -> None:
+        own_id = self._own_entry.instance_id
+        if not self._selector.is_excluded(own_id, now_ms):
+            log_event(
+                _log,
+                logging.WARNING,
+                "reader_is_stale",
+                "this instance reads the store, but its copies are stale",
+                ages_ms={
+                    schedule.table: now_ms - self._state.synced_until_ms[schedule.table]
+                    for schedule in self._schedules
+                },
+            )
+        self._selector.exclude(own_id, now_ms)
+
     def _exclude_reader(self, reader: InstanceEntry, reason: str) -> None:
         self._selector.exclude(reader.instance_id, self._clock_ms())
         log_event(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -54,11 +54,15 @@
 
 
 class AttemptOutcome(NamedTuple):
-    """Hold the report of an attempt and, if it can be delivered, the answer."""
+    """Hold the report of an attempt and, if it can be delivered, the answer.
+
+    is_new_connection is None if the attempt got no connection.
+    """
 
     report: AttemptReport
     detail: str
     answer: Answer | None = None
+    is_new_connection: bool | None = None
 
 
 class DirectSender:
@@ -89,11 +93,22 @@
         self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
     ) -> AttemptOutcome:
         """Send a request once and return the outcome; raise only CancelledError."""
-        started_ms = self._clock_ms()
-        remaining_ms = req.expires_ms - started_ms
         self._connector.set_reuse_limit(
             req.request_id, idempotent=req.route.kind.is_idempotent, fresh=False
         )
+        try:
+            outcome = await self._send_in_time(req, target, request, body)
+            connection = self._connector.connection_of(req.request_id)
+            is_new = None if connection is None else connection.fresh
+            return outcome._replace(is_new_connection=is_new)
+        finally:
+            self._connector.forget(req.request_id)
+
+    async def _send_in_time(
+        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+    ) -> AttemptOutcome:
+        started_ms = self._clock_ms()
+        remaining_ms = req.expires_ms - started_ms
         try:
             async with asyncio.timeout(max(remaining_ms, 0) / 1_000):
                 return await self._exchange(req, target, request, body, started_ms)
@@ -122,8 +137,6 @@
                 address=host_port(target.address),
             )
             return self._interrupted_outcome(req, repr(exc), started_ms)
-        finally:
-            self._connector.forget(req.request_id)
 
     async def _exchange(
         self,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -195,7 +195,9 @@
         backends = self.balancer.backends
         if row.value is None:
             backends.remove(row.key, now_ms)
-            self._log_backend("backend_removed", row, "gone")
+            # A server may stay in use for a while, see BackendTable.remove.
+            is_kept = row.key in backends.rows
+            self._log_backend("backend_removed", row, "gone", is_kept=is_kept)
             return
         try:
             entry = self._platform.decode_backend(row.key, row.value)
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -13,6 +13,7 @@
 CONTEXT_EVENTS = frozenset(
     {
         "backend_changed",
+        "backend_expired",
         "backend_leaving",
         "backend_removed",
         "config_in_force",
@@ -21,6 +22,7 @@
         "instance_started",
         "lines_left_out",
         "reader_chosen",
+        "reader_is_stale",
         "reader_passed_over",
         "store_lost",
         "store_regained",
