Reject bytes behind an answer without a body without an exception

Cause: bytes behind a complete answer pause the reading of aiohttp's protocol, whose parser asserts that there is a body. Behind an answer without one the exception went through the event loop, which then ended the connection.

Change: the transport alone is paused, once per answer.

Conclusion: such bytes end the connection in the ordinary way now.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -68,6 +68,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._is_idle = True
+        self._has_rejected = False
         self._expected: ExpectedAnswer | None = None
         self._received_bytes = 0
         self._skipped_answers = 0
@@ -76,6 +77,7 @@
     def expect_answer(self, expected: ExpectedAnswer) -> None:
         """Accept one answer, which names the expected request or none."""
         self._is_idle = False
+        self._has_rejected = False
         self._expected = expected
         self._received_bytes = 0
         self._skipped_answers = 0
@@ -224,9 +226,12 @@
         if self._is_idle:
             self._log_rejected(message, size)
             self.abort()
-        elif not self._reading_paused:
+        elif not self._has_rejected:
+            self._has_rejected = True
             self._log_rejected(message, size)
-            self.pause_reading()
+            # The parser cannot be paused behind an answer without a body.
+            if self.transport is not None and not self._reading_paused:
+                self.transport.pause_reading()
 
     def _abort(self, exc: AnswerLimitError) -> None:
         payload = self._answer_payload
--- a/tests/entry/direct/test_other_answers.py
+++ b/tests/entry/direct/test_other_answers.py
@@ -105,3 +105,20 @@
         assert "X-Rhubarbwell-Server-Stamp" not in resp.headers
         state = fleet.instance.balancer.backends.rows["b-0"]
         await wait_until(lambda: state.failure_share > 0)
+
+
+# Guards against an exception in the protocol: the parser cannot pause behind an answer
+# without a body.
+@pytest.mark.parametrize("status", ["200 OK", "204 No Content"])
+async def test_bytes_behind_an_answer_without_a_body_are_rejected(status, caplog):
+    stray = HEAD.replace("200 OK", status).replace("{id}", "req-1")
+    stray += "Content-Length: 0\r\n\r\n" if "200" in status else "\r\n"
+    server = OtherAnswerServer(stray)
+    async with fleet_with_server(server) as fleet:
+        resp, body = await fleet.send_request("/pay/own", "POST")
+        assert (resp.status, body) == (int(status[:3]), b"")
+        resp, _ = await fleet.send_request("/pay/next", "POST")
+        assert server.connections == 2
+    events = [getattr(record, "event", "") for record in caplog.records]
+    assert "bytes_rejected" in events
+    assert not [r for r in caplog.records if r.name == "asyncio"]
