Let the soak remove servers without draining them and check each instance by itself

Servers always drained before they left; 421 came without the id of the request, so that it never proved anything.

Change: only faults of the instance itself, of the server and of the store excuse an arrival after the drain period; a path to the store is a fault of its instance alone. A planned fault removes an entry while its server serves on.

Conclusion: the check of drain periods is stricter, none is weaker.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import fire
+from soak.fleet import ROOT
 from soak.soak import run_soak
 
 
@@ -21,18 +22,20 @@
     planned_only: bool = False,
     hostile: bool = False,
     logs: str = "",
+    code: str = "",
 ) -> None:
     """Run one soak per seed, one after the other, with faults for `for_s` seconds.
 
     The logs of seeds with findings stay in the directory `logs`, which is made if it is
     missing, by default the system's temporary directory. Exits with status 1 if any
-    seed has findings.
+    seed has findings. `code` is another checkout whose instances to run.
     """
     # SIGTERM raises KeyboardInterrupt, so that the cleanup stops the processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     # Fire parses a single seed as an integer.
     first, _, last = str(seeds).partition("-")
     failed = 0
+    code_root = Path(code).resolve() if code else ROOT
     if logs:
         Path(logs).mkdir(parents=True, exist_ok=True)
     for seed in range(int(first), int(last or first) + 1):
@@ -45,6 +48,8 @@
                 instances=instances,
                 planned_only=planned_only,
                 hostile=hostile,
+                script=code_root / "platform/run_entry.py",
+                code=code_root,
             )
         )
         counts = f"{report.requests} requests, {len(report.faults)} faults"
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -37,6 +37,9 @@
         self._arrivals = fleet.request_log.arrivals
         self._injected_faults = injector.injected
         self._slow_shutdowns = injector.slow_shutdowns
+        self._instances_by_request = {
+            record.request_id: record.instance for record in callers.records
+        }
 
     def findings(self, *, planned_only: bool, settled_at: float) -> list[str]:
         """Return a line for each violation.
@@ -137,7 +140,8 @@
                 or arrival.received_at <= drain_started_at + MAX_DRAIN_S
             ):
                 continue
-            if self._is_undisturbed(arrival.received_at):
+            instance = self._instances_by_request.get(arrival.request_id, "")
+            if self._is_in_touch(instance, arrival.backend_id, arrival.received_at):
                 yield (
                     f"{arrival.request_id} reached {arrival.backend_id} "
                     "after its drain period"
@@ -217,6 +221,14 @@
     def _is_undisturbed(self, at: float) -> bool:
         return not any(self._affects(fault, at) for fault in self._injected_faults)
 
+    def _is_in_touch(self, instance: str, backend_id: str, at: float) -> bool:
+        """Return True if neither the instance, its server nor the store had a fault."""
+        return not any(
+            self._affects(fault, at)
+            for fault in self._injected_faults
+            if fault.target in (instance, backend_id, "store")
+        )
+
     def _affects(self, fault: InjectedFault, at: float) -> bool:
         is_restart = fault.name in ("SIGTERM", "SIGKILL", "SIGSTOP")
         if fault.planned and not is_restart:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,7 +15,7 @@
 DURATION_RANGE_S = (0.5, 3.0)
 DELAY_S = 0.4
 LOST_ANSWER_SHARE = 0.4
-SERVER_MODES = ("shed", "errors", "slow", "lost", "cut", "extra", "unsigned")
+SERVER_MODES = ("shed", "errors", "slow", "lost", "cut", "extra", "unsigned", "copy")
 # Rows of other writers: nested beyond what JSON readers accept, numbers beyond a float,
 # a host that no connection can be opened to, and no JSON.
 HOSTILE_KEYS = (
@@ -95,11 +95,12 @@
             (_no_target, self._reload_settings),
             (_no_target, self._publish_configurations),
             (self._free_servers, self._drain_server),
+            (self._free_servers, self._remove_server),
         ]
         faults = [
             (self._free_instances, self._kill_instance),
             (self._free_instances, self._suspend_instance),
-            (_no_target, self._disrupt_store_path),
+            (self._all_instances, self._disrupt_store_path),
             (self._free_store, self._fail_store),
             (self._free_servers, self._degrade_server),
             (self._free_servers, self._disrupt_server_path),
@@ -116,12 +117,15 @@
         if not targets:
             return
         key, target = targets[0] if len(targets) == 1 else self._rng.choice(targets)
-        self._busy_targets.add(key)
+        is_reserved = inject != self._disrupt_store_path
+        if is_reserved:
+            self._busy_targets.add(key)
         label = getattr(target, "backend_id", key)
         try:
             name = await inject(target)
         finally:
-            self._busy_targets.discard(key)
+            if is_reserved:
+                self._busy_targets.discard(key)
         ended_at = time.monotonic()
         self.injected.append(
             InjectedFault(name, label, started_at, ended_at, is_planned)
@@ -139,6 +143,9 @@
         free = [pair for pair in instances if pair[0] not in self._busy_targets]
         return free if len(free) > 1 else []
 
+    def _all_instances(self):
+        return [(i.name, i) for i in self._fleet.instances]
+
     def _free_servers(self):
         servers = [(f"slot-{n}", s) for n, s in enumerate(self._fleet.servers)]
         return [pair for pair in servers if pair[0] not in self._busy_targets]
@@ -201,6 +208,15 @@
         await self._register_again(server, server.replace_identity())
         return "drain"
 
+    async def _remove_server(self, server) -> str:
+        """Remove a server's entry while it serves on, without draining it."""
+        name, server.mode = server.backend_id, "unlisted"
+        await self._fleet.store.write("servers", name, None)
+        self._fleet.request_log.drain_started_at[name] = time.monotonic()
+        await asyncio.sleep(DRAIN_DURATION_S)
+        await self._register_again(server, server.replace_identity())
+        return "removal"
+
     async def _register_again(self, server, previous_id: str) -> None:
         await self._fleet.store.write("servers", previous_id, None)
         await self._fleet.register(server)
@@ -217,9 +233,8 @@
         instance.send_signal(signal.SIGCONT)
         return "SIGSTOP"
 
-    async def _disrupt_store_path(self, _target: None) -> str:
-        proxy = self._rng.choice(self._fleet.instances).store_proxy
-        await self._disrupt_path(proxy)
+    async def _disrupt_store_path(self, instance) -> str:
+        await self._disrupt_path(instance.store_proxy)
         return "path to the store"
 
     async def _disrupt_server_path(self, server) -> str:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -16,19 +16,21 @@
 from support.users_platform import StoreStandIn, config_body
 
 ROOT = Path(__file__).resolve().parents[2]
-PACKAGE_PATHS = [
-    ROOT / f"packages/rhubarbwell-{p}/src" for p in ("core", "platform", "entry")
-]
 ZONES = {"a-1": "a", "a-2": "a", "b-1": "b"}
 SHUTDOWN_GRACE_S = 6.0
 READY_TIMEOUT_S = 20.0
 SERVICES = ("svc", "other")
+PACKAGES = ("core", "platform", "entry")
+# Modes of servers that send no heartbeats.
+UNREGISTERED_MODES = ("crashed", "unlisted")
 
 
 class InstanceProcess:
     """Run one entry instance as a process that reaches the store through a proxy."""
 
-    def __init__(self, number: int, store: StoreStandIn, folder: Path, host: str):
+    def __init__(
+        self, number: int, store: StoreStandIn, folder: Path, host: str, code: Path
+    ):
         self.name = f"i-{number}"
         self.zone = sorted(ZONES)[number % len(ZONES)]
         self.host = host
@@ -38,6 +40,10 @@
         self.process: asyncio.subprocess.Process | None = None
         self.disturbed_at = 0.0
         self._folder = folder
+        self._code_paths = [
+            *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
+            code / "platform",
+        ]
 
     async def prepare(self, entry_script: Path) -> None:
         """Start the proxy, choose free ports and write the settings file."""
@@ -61,7 +67,7 @@
             env={
                 **os.environ,
                 "RHUBARBWELL_NODE_FILE": str(self._settings),
-                "PYTHONPATH": ":".join(map(str, [*PACKAGE_PATHS, ROOT / "platform"])),
+                "PYTHONPATH": ":".join(map(str, self._code_paths)),
             },
         )
         log.close()
@@ -138,9 +144,14 @@
 
 
 class SoakFleet:
-    """Run the store, the servers and the instances of one soak."""
+    """Run the store, the servers and the instances of one soak.
+
+    `code` is the checkout whose packages the instances run.
+    """
 
-    def __init__(self, seed: int, folder: Path, instances: int, script: Path) -> None:
+    def __init__(
+        self, seed: int, folder: Path, instances: int, script: Path, code: Path = ROOT
+    ) -> None:
         self.rng = Random(seed)
         self.store = StoreStandIn()
         self.request_log = RequestLog()
@@ -156,7 +167,7 @@
         subnet_rng = Random(os.getpid() * 1_000 + seed)
         prefix = f"127.{subnet_rng.randrange(1, 255)}.{subnet_rng.randrange(256)}"
         self.instances = [
-            InstanceProcess(n, self.store, folder, f"{prefix}.{n + 1}")
+            InstanceProcess(n, self.store, folder, f"{prefix}.{n + 1}", code)
             for n in range(instances)
         ]
         self.servers = [
@@ -246,7 +257,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             for server in self.servers:
-                if server.mode != "crashed":
+                if server.mode not in UNREGISTERED_MODES:
                     await self.register(server)
 
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -5,6 +5,7 @@
 from itertools import count
 from random import Random
 from typing import NamedTuple
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 from soak.proxy import FaultProxy
@@ -62,6 +63,7 @@
         self.proxy = FaultProxy(lambda: self.address)
         self._request_log = request_log
         self._rng = rng
+        self._copies = WeakKeyDictionary[asyncio.Transport, bytes]()
 
     async def start_with_proxy(self) -> None:
         """Start the server and its proxy."""
@@ -89,9 +91,9 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         expected = request.headers.get("X-Rhubarbwell-Expect-Instance")
-        if expected not in (None, self.backend_id):
-            return web.Response(status=421)
         request_id = request.headers[REQUEST_ID_HEADER]
+        if expected not in (None, self.backend_id):
+            return self._turn_away(request, request_id)
         arrival = self._make_record(request, request_id)
         self._request_log.arrivals.append(arrival)
         mode = self.mode if self._rng.random() < self.mode_probability else ""
@@ -103,6 +105,15 @@
         await asyncio.sleep(self._service_s(request.path, mode))
         return await self._respond(request, request_id, body, mode)
 
+    def _turn_away(self, request: web.BaseRequest, request_id: str) -> web.Response:
+        """Return 421; note a copy of it, which the next answer may come behind."""
+        if request.transport is not None:
+            self._copies[request.transport] = (
+                "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
+                f"{REQUEST_ID_HEADER}: {request_id}\r\n\r\n"
+            ).encode()
+        return web.Response(status=421, headers={REQUEST_ID_HEADER: request_id})
+
     def _service_s(self, path: str, mode: str) -> float:
         if path == LONG_PATH:
             return LONG_SERVICE_S
@@ -126,6 +137,9 @@
         text = f"{request_id} {request.raw_path} {len(body)}"
         status = 500 if mode == "errors" else 200
         transport = request.transport
+        copy = self._copies.pop(transport, b"") if transport is not None else b""
+        if mode == "copy" and transport is not None:
+            transport.write(copy)
         if mode == "lost" and transport is not None:
             transport.abort()
         elif mode in ("cut", "extra", "unsigned") and transport is not None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -37,15 +37,16 @@
     planned_only: bool = False,
     hostile: bool = False,
     server_mode: tuple[str, float] = ("", 0.0),
+    code: Path = ROOT,
 ) -> SoakReport:
     """Run a soak with the faults of a seed and return its report.
 
     `for_s` is the time in seconds for which faults start. With `hostile`, callers also
     send requests of some seconds, and FaultInjector injects further faults.
     `server_mode` is the initial fault of all servers with its probability, until a
-    fault changes it.
+    fault changes it. `code` is the checkout whose packages the instances run.
     """
-    fleet = SoakFleet(seed, folder, instances, script)
+    fleet = SoakFleet(seed, folder, instances, script, code)
     callers = Callers(fleet, Random(seed + 1), sends_long=hostile)
     injector = FaultInjector(
         fleet, Random(seed + 2), planned_only=planned_only, hostile=hostile
