Let the soak's callers send bodies with a content coding

Change: a tenth of the requests with a body carry it as gzip; the server tells the size that reached it, as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that keep connections open and record the answers they receive."""
 
 import asyncio
+import gzip
 import time
 from itertools import count
 from random import Random
@@ -15,6 +16,7 @@
 TIMEOUT_S = 4.0
 PAUSE_RANGE_S = (0.005, 0.05)
 BODY_BYTES_RANGE = (1, 150_000)
+CODED_SHARE = 0.1
 
 
 class CallerRecord(NamedTuple):
@@ -77,9 +79,11 @@
             kind, path, deadline_ms = "unsafe", LONG_PATH, LONG_DEADLINE_MS
         request_id = f"r-{next(self._ids)}"
         incarnation, sent_at = instance.incarnation, time.monotonic()
-        data = None
+        data, coding = None, {}
         if kind != "safe":
             data = bytes(self._rng.randrange(*BODY_BYTES_RANGE))
+            if self._rng.random() < CODED_SHARE:
+                data, coding = gzip.compress(data), {"Content-Encoding": "gzip"}
         status, error = 0, ""
         try:
             async with session.request(
@@ -91,6 +95,7 @@
                     REQUEST_ID_HEADER: request_id,
                     "X-Rhubarbwell-Request-Deadline": str(deadline_ms),
                     "Cookie": f"X-Rhubarbwell-Affinity-Key={self._rng.randrange(12)}",
+                    **coding,
                 },
             ) as resp:
                 text = await resp.text()
