--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,8 @@
 MAX_DRAIN_S = 2.5
 # Faults have effects for this long after their end; a restart takes as long.
 RECOVERY_TIME_S = 6.0
+# An instance without a fault for this time (stabilityWindow) keeps to drain periods.
+STABILITY_S = 4.0
 RETRY_BUDGET_WINDOW_S = 10.0
 RETRY_BUDGET_RATIO = 0.2
 RETRY_BUDGET_SLACK = 20
@@ -224,16 +226,18 @@
     def _is_in_touch(self, instance: str, backend_id: str, at: float) -> bool:
         """Return True if neither the instance, its server nor the store had a fault."""
         return not any(
-            self._affects(fault, at)
+            self._affects(fault, at, STABILITY_S)
             for fault in self._injected_faults
             if fault.target in (instance, backend_id, "store")
         )
 
-    def _affects(self, fault: InjectedFault, at: float) -> bool:
+    def _affects(
+        self, fault: InjectedFault, at: float, recovery_s: float = RECOVERY_TIME_S
+    ) -> bool:
         is_restart = fault.name in ("SIGTERM", "SIGKILL", "SIGSTOP")
         if fault.planned and not is_restart:
             return False
-        return fault.started_at <= at <= fault.ended_at + RECOVERY_TIME_S
+        return fault.started_at <= at <= fault.ended_at + recovery_s
 
 
 def _probed_version(record: CallerRecord) -> int:
