--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -29,7 +29,12 @@
     """Run one entry instance as a process that reaches the store through a proxy."""
 
     def __init__(
-        self, number: int, store: StoreStandIn, folder: Path, host: str, code: Path
+        self,
+        number: int,
+        store: StoreStandIn,
+        folder: Path,
+        host: str,
+        code: Path = ROOT,
     ):
         self.name = f"i-{number}"
         self.zone = sorted(ZONES)[number % len(ZONES)]
