--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -346,6 +346,12 @@
             "Version of the configuration in force, 0 before the first.",
             lambda: [Observation(self._config_version)],
         )
+        self.metrics.add_gauge(
+            "rhubarbwell.loop.lag",
+            "ms",
+            "Average delay of the event loop's timers.",
+            lambda: [Observation(self._loop_lag.average_ms)],
+        )
         self.metrics.add_gauge(
             "rhubarbwell.store.out",
             "1",
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -182,6 +182,7 @@
                 version=config.version,
                 row_version=row.version,
                 routes=len(config.routes),
+                split_routes=sum(len(route.parts) > 1 for route in config.routes),
             )
 
     def _apply_backend_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
