--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -47,7 +47,10 @@
 
 
 class OfferedLoad(NamedTuple):
-    """Hold the arrival rate of requests from a zone between two times in ms."""
+    """Hold the arrival rate of requests from a zone between two times in ms.
+
+    Each request names a random object, or object_key if that is given.
+    """
 
     zone: str
     rate_per_s: float
@@ -56,6 +59,7 @@
     route: str = "read"
     body_bytes: int = 0
     deadline_ms: int = 2_000
+    object_key: str | None = None
 
 
 class SimulatedServer:
@@ -251,7 +255,9 @@
         balancer = self.rng.choice(same_zone or self.balancers)
         route = next(r for r in self.routes if r.name == load.route)
         profile = next(iter(self.servers.values())).profile
-        key = str(self.rng.randrange(profile.object_count))
+        key = load.object_key
+        if key is None:
+            key = str(self.rng.randrange(profile.object_count))
         request_id = f"r-{next(self._ids)}"
         req = balancer.start_request(
             request_id,
