Start each instance's split routes at a random position

What callers of a split route saw: in a large fleet whose instances each get a few requests of the route, its parts get other shares than the operators' weights. Cause: all instances dealt their requests by the same smooth weighted round robin from the same start, so the first request of each went to the heaviest part. Evidence: the model of 195 instances, a part with a weight of 0.5 got 1.0 of the first requests and 0.67 of the first three.

Each instance starts at a random position and steps by the golden ratio, which spreads any number of requests evenly over the weights. The class: a deterministic choice that is even at each instance and adds up over all.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -134,7 +134,7 @@
         self.rate_limits = SharedRateLimiter(instance_id, probe_share=PROBE_SHARE)
         self.retry_budget = SharedRetryBudget(rules.retries)
         self.region_shares = RegionShares(rules.max_shift)
-        self._splits = WeightedSplits()
+        self._splits = WeightedSplits(rng)
         self._object_counters: dict[str, ObjectCounter] = {}
         self._orders = AffinityOrders(self.backends)
         self._regions = regions
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/routes.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/routes.py
@@ -1,11 +1,16 @@
 """Look up routes and distribute split routes over services."""
 
 from collections import defaultdict
+from math import sqrt
+from random import Random
 
 from rhubarbwell_core.direct.model import Route, RoutingConfig
 
 __all__ = ["RouteTable", "WeightedSplits"]
 
+# Multiples of it modulo 1 are spread evenly, whatever their number (Kronecker sequence).
+GOLDEN_RATIO = (sqrt(5) - 1) / 2
+
 
 class RouteTable:
     """Look up the route of a host with the longest matching path prefix.
@@ -35,32 +40,42 @@
 
 
 class WeightedSplits:
-    """Select the services of split routes by smooth weighted round robin.
+    """Distribute the requests of split routes over services by weight.
+
+    Each instance starts each split at a random position. Otherwise the first requests
+    of all instances would go to the heaviest part, and a large fleet in which each
+    instance gets a few requests would miss the weights.
 
     >>> from rhubarbwell_core.direct.model import RequestKind, SplitPart
     >>> parts = SplitPart("a", 3), SplitPart("b", 1)
     >>> route = Route("r", "h", "/", RequestKind.SAFE, parts, 9, 9)
-    >>> splits = WeightedSplits()
-    >>> [splits.next_service(route) for _ in range(4)]
-    ['a', 'a', 'b', 'a']
+    >>> splits = WeightedSplits(Random(1))
+    >>> services = [splits.next_service(route) for _ in range(100)]
+    >>> 73 <= services.count("a") <= 77
+    True
     """
 
-    def __init__(self) -> None:
-        self._credits: dict[tuple[str, tuple[object, ...]], list[float]] = {}
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._positions: dict[tuple[str, tuple[object, ...]], float] = {}
 
     def next_service(self, route: Route) -> str:
         """Return the service of the route's next request."""
         if len(route.parts) == 1:
             return route.parts[0].service
         key = (route.name, route.parts)
-        credit = self._credits.setdefault(key, [0.0] * len(route.parts))
-        for index, part in enumerate(route.parts):
-            credit[index] += part.weight
-        best = max(range(len(credit)), key=credit.__getitem__)
-        credit[best] -= sum(part.weight for part in route.parts)
-        return route.parts[best].service
+        position = self._positions.get(key)
+        if position is None:
+            position = self._rng.random()
+        self._positions[key] = (position + GOLDEN_RATIO) % 1.0
+        left = position * sum(part.weight for part in route.parts)
+        for part in route.parts:
+            left -= part.weight
+            if left < 0.0:
+                return part.service
+        return route.parts[-1].service
 
     def configure(self, config: RoutingConfig) -> None:
-        """Delete the credits of splits that are not in the configuration."""
+        """Delete the positions of splits that are not in the configuration."""
         kept = {(route.name, route.parts) for route in config.routes}
-        self._credits = {k: v for k, v in self._credits.items() if k in kept}
+        self._positions = {k: v for k, v in self._positions.items() if k in kept}
