Reserve memory for request bodies before they are read

What callers saw: uploads within the configuration's limits ended without an answer, as 30 of 16 MiB at once took the process over its memory. Cause: bodies were read without a common limit, joined to a second copy, and copied again by the transport.

A body has one buffer and is sent in pieces. The rest of a body that was refused is discarded, so that the caller reads the refusal; without it the connection was reset, and the test of that fails.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -19,6 +19,10 @@
 MAX_HEADER_BYTES = 64 << 10
 # A caller sends its request within some round trips after it has connected.
 MIN_IDLE_S = 0.3
+# Time to discard the rest of a body that was answered before it was read. Closing the
+# connection with unread bytes would reset it, and the caller would lose the answer.
+# The largest bodies of the deployments are sent within this time.
+MAX_DISCARD_S = 5.0
 
 
 class CallerConnection(web.RequestHandler):
@@ -107,8 +111,20 @@
             with contextlib.suppress(ConnectionError):
                 await resp.prepare(request)
                 await resp.write_eof()
-            return resp
         finally:
             self._open_requests[conn] -= 1
             if not self._open_requests[conn]:
                 del self._open_requests[conn]
+        await _discard_body(request)
+        return resp
+
+
+async def _discard_body(request: web.BaseRequest) -> None:
+    """Read what is left of a request's body for at most MAX_DISCARD_S."""
+    if request.content.is_eof() or request.content.exception() is not None:
+        return
+    # aiohttp closes the connection of a body that is malformed or breaks off.
+    with contextlib.suppress(TimeoutError, ConnectionError, web.HTTPException):
+        async with asyncio.timeout(MAX_DISCARD_S):
+            while not request.content.at_eof():
+                await request.content.readany()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -66,7 +66,7 @@
         self._clock_ms = clock_ms
 
     async def run(
-        self, req: ActiveRequest, request: web.BaseRequest, body: bytes
+        self, req: ActiveRequest, request: web.BaseRequest, body: bytes | bytearray
     ) -> RequestResult:
         """Return the result once an answer arrives or no more attempts are allowed.
 
@@ -86,7 +86,11 @@
                 last_error_result = _answered_result(outcome)
 
     async def _run_attempt(
-        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+        self,
+        req: ActiveRequest,
+        target: Target,
+        request: web.BaseRequest,
+        body: bytes | bytearray,
     ) -> tuple[AttemptOutcome, Verdict]:
         self._balancer.start_attempt(req, target, self._clock_ms())
         try:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -12,6 +12,12 @@
     ShutdownSchedule,
 )
 
+from rhubarbwell_entry.direct.bodies import (
+    BodyLease,
+    BodyMemory,
+    BodyTooLargeError,
+    NoBodyMemoryError,
+)
 from rhubarbwell_entry.direct.forwarding import Forwarder, RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.wire import WireNames
@@ -29,6 +35,10 @@
 MIN_NO_CONFIG_RETRY_AFTER_MS = 200
 # Another instance can serve the retry at once.
 STOPPING_RETRY_AFTER_MS = 20
+# A body waits for memory for at most this share of the request's time. Then the caller
+# still has time to turn to another instance.
+MAX_MEMORY_WAIT_SHARE = 0.3
+NO_MEMORY_RETRY_AFTER_MS = 100
 MS_PER_S = 1_000
 
 
@@ -45,6 +55,7 @@
         balancer: LoadBalancer,
         forwarder: Forwarder,
         metrics: DirectMetrics,
+        body_memory: BodyMemory,
         clock_ms: Callable[[], int],
     ) -> None:
         self.shutdown: ShutdownSchedule | None = None
@@ -52,6 +63,7 @@
         self._balancer = balancer
         self._forwarder = forwarder
         self._metrics = metrics
+        self._body_memory = body_memory
         self._clock_ms = clock_ms
         self._started_ms = clock_ms()
         self._open_ids = OpenRequestIds()
@@ -94,32 +106,44 @@
         expires_ms = route.expires_ms(arrived_ms, deadline_ms)
         if self._may_outlive_instance(expires_ms):
             return _stopping_result()
-        try:
-            async with asyncio.timeout(remaining_ms / MS_PER_S):
-                body = await _read_body(request, balancer.config.limits.max_body_bytes)
-        except TimeoutError:
-            return RequestResult(RequestOutcome.REFUSED, 408, "body came too slowly")
-        if body is None:
-            return RequestResult(RequestOutcome.REJECTED, 413, "body exceeds the limit")
-        # SIGTERM may have come while the body was read.
-        if self._may_outlive_instance(expires_ms):
-            return _stopping_result()
-        if not self._open_ids.try_add(request_id, idempotent=route.kind.is_idempotent):
-            detail = "another request with this id is in progress"
-            return RequestResult(RequestOutcome.UNKNOWN, 502, detail)
-        try:
-            return await self._send_request(
-                request_id, route, request, body, arrived_ms, deadline_ms
-            )
-        finally:
-            self._open_ids.remove(request_id)
+        max_wait_s = MAX_MEMORY_WAIT_SHARE * (expires_ms - arrived_ms) / MS_PER_S
+        with BodyLease(self._body_memory) as lease:
+            try:
+                async with asyncio.timeout(remaining_ms / MS_PER_S):
+                    max_bytes = balancer.config.limits.max_body_bytes
+                    body = await lease.read(request, max_bytes, max_wait_s)
+            except TimeoutError:
+                detail = "body came too slowly"
+                return RequestResult(RequestOutcome.REFUSED, 408, detail)
+            except BodyTooLargeError:
+                detail = "body exceeds the limit"
+                return RequestResult(RequestOutcome.REJECTED, 413, detail)
+            except NoBodyMemoryError:
+                detail = "no memory for the body"
+                return RequestResult(
+                    RequestOutcome.REFUSED, 503, detail, NO_MEMORY_RETRY_AFTER_MS
+                )
+            # SIGTERM may have come while the body was read.
+            if self._may_outlive_instance(expires_ms):
+                return _stopping_result()
+            if not self._open_ids.try_add(
+                request_id, idempotent=route.kind.is_idempotent
+            ):
+                detail = "another request with this id is in progress"
+                return RequestResult(RequestOutcome.UNKNOWN, 502, detail)
+            try:
+                return await self._send_request(
+                    request_id, route, request, body, arrived_ms, deadline_ms
+                )
+            finally:
+                self._open_ids.remove(request_id)
 
     async def _send_request(
         self,
         request_id: str,
         route: Route,
         request: web.BaseRequest,
-        body: bytes,
+        body: bytes | bytearray,
         arrived_ms: int,
         deadline_ms: int,
     ) -> RequestResult:
@@ -192,23 +216,3 @@
     return RequestResult(
         RequestOutcome.REFUSED, 503, "instance is stopping", STOPPING_RETRY_AFTER_MS
     )
-
-
-async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
-    """Return the body, or None if it exceeds max_bytes."""
-    if not request.can_read_body:
-        return b""
-    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
-        transport = request.transport
-        if transport is not None:
-            transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    if (request.content_length or 0) > max_bytes:
-        return None
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -23,6 +23,7 @@
 from rhubarbwell_core.model import Address, host_port
 
 from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.direct.bodies import BodyMemory
 from rhubarbwell_entry.direct.callers import CallerServer, Handler
 from rhubarbwell_entry.direct.changes import ChangesClient
 from rhubarbwell_entry.direct.follower import (
@@ -107,6 +108,7 @@
                 settings.processor_cores, settings.link_mbit_per_s
             ),
         )
+        self._body_memory = BodyMemory(settings.max_body_memory_bytes)
         self._loop_lag = LoopLag()
         self._followers = FollowerTracker()
         self.instances = InstanceTable(
@@ -150,6 +152,7 @@
             self.balancer,
             forwarder,
             self.metrics,
+            self._body_memory,
             self.clock_ms,
         )
         await self._start_listeners()
@@ -346,6 +349,12 @@
             "Version of the configuration in force, 0 before the first.",
             lambda: [Observation(self._config_version)],
         )
+        self.metrics.add_gauge(
+            "rhubarbwell.body.memory",
+            "By",
+            "Memory reserved for the bodies of open requests.",
+            lambda: [Observation(self._body_memory.used_bytes)],
+        )
         self.metrics.add_gauge(
             "rhubarbwell.loop.lag",
             "ms",
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -17,6 +17,7 @@
 from rhubarbwell_core.model import host_port
 from yarl import URL
 
+from rhubarbwell_entry.direct.bodies import BodyPayload
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_exception
 from rhubarbwell_entry.proxy.connections import (
@@ -90,7 +91,11 @@
         await self._session.close()
 
     async def send(
-        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+        self,
+        req: ActiveRequest,
+        target: Target,
+        request: web.BaseRequest,
+        body: bytes | bytearray,
     ) -> AttemptOutcome:
         """Send a request once and return the outcome; raise only CancelledError."""
         self._connector.set_reuse_limit(
@@ -105,7 +110,11 @@
             self._connector.forget(req.request_id)
 
     async def _send_in_time(
-        self, req: ActiveRequest, target: Target, request: web.BaseRequest, body: bytes
+        self,
+        req: ActiveRequest,
+        target: Target,
+        request: web.BaseRequest,
+        body: bytes | bytearray,
     ) -> AttemptOutcome:
         started_ms = self._clock_ms()
         remaining_ms = req.expires_ms - started_ms
@@ -143,7 +152,7 @@
         req: ActiveRequest,
         target: Target,
         request: web.BaseRequest,
-        body: bytes,
+        body: bytes | bytearray,
         started_ms: int,
     ) -> AttemptOutcome:
         url = URL(f"http://{host_port(target.address)}{request.raw_path}", encoded=True)
@@ -151,7 +160,7 @@
             request.method,
             url,
             headers=self._request_headers(req, target, request, started_ms),
-            data=body or None,
+            data=BodyPayload(body) if body else None,
             skip_auto_headers=AUTOMATIC_HEADERS,
             allow_redirects=False,
             middlewares=(send_once,),
