Prefer instances of high capacity as store readers

Cause: readers were chosen by hashing alone, so most often an instance of 0.43 cores and 20 Mbit/s passes each change on to a region, and to another region's instances too while that one looks for a reader.

Instances with at least half of the region's largest capacity go first, each group in the order of its hashes as before.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -7,7 +7,7 @@
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.model import Address
 
-__all__ = ["InstanceTable"]
+__all__ = ["InstanceTable", "high_capacity_entries"]
 
 MAX_OFFERED = 64
 # With fewer addresses, more instances of the caller's region are offered.
@@ -133,7 +133,7 @@
         for entry in self._sender_entries():
             by_region[entry.region].append(entry)
         high_capacity = [
-            _high_capacity_entries(entries) for entries in by_region.values()
+            high_capacity_entries(entries) for entries in by_region.values()
         ]
         return sorted(entry.instance_id for part in high_capacity for entry in part)
 
@@ -167,7 +167,7 @@
         in_region = [state for state in rows if state.entry.region == region] or rows
         names = {
             e.instance_id
-            for e in _high_capacity_entries([state.entry for state in in_region])
+            for e in high_capacity_entries([state.entry for state in in_region])
         }
         high_capacity = [
             state for state in in_region if state.entry.instance_id in names
@@ -223,6 +223,7 @@
     return True
 
 
-def _high_capacity_entries(entries: Sequence[InstanceEntry]) -> list[InstanceEntry]:
+def high_capacity_entries(entries: Sequence[InstanceEntry]) -> list[InstanceEntry]:
+    """Return the entries with at least MIN_CAPACITY_SHARE of the maximum capacity."""
     max_capacity = max((entry.capacity for entry in entries), default=0.0)
     return [e for e in entries if e.capacity >= MIN_CAPACITY_SHARE * max_capacity]
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/readers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from rhubarbwell_core.direct.instances import high_capacity_entries
 from rhubarbwell_core.direct.model import InstanceEntry
 from rhubarbwell_core.hashing import rendezvous
 
@@ -17,8 +18,9 @@
     """Select the instance to poll for changes of the metadata store's tables.
 
     One instance of a small fleet, or of each region of a large one, reads the store.
-    The others follow it, so that calls to the store do not grow with the fleet.
-    Instances that fail, including this one, are excluded for a while.
+    The others follow it, so that calls to the store do not grow with the fleet. Readers
+    are instances of high capacity: a change goes to all followers at once. Instances
+    that fail, including this one, are excluded for a while.
 
     >>> from rhubarbwell_core.model import Address
     >>> here = Address("127.0.0.1", 1)
@@ -71,11 +73,16 @@
 
     def _preference_order(self, entries: dict[str, InstanceEntry]) -> list[str]:
         if len(entries) <= MAX_SINGLE_READER_FLEET:
-            return rendezvous("store reader", entries, len(entries))
+            return _ranked_by_capacity(list(entries.values()))
         region = self._own.region
-        in_region = [name for name, entry in entries.items() if entry.region == region]
-        elsewhere = [name for name in entries if name not in in_region]
-        return [
-            *rendezvous("store reader", in_region, len(in_region)),
-            *rendezvous("store reader", elsewhere, len(elsewhere)),
-        ]
+        in_region = [entry for entry in entries.values() if entry.region == region]
+        elsewhere = [entry for entry in entries.values() if entry.region != region]
+        return [*_ranked_by_capacity(in_region), *_ranked_by_capacity(elsewhere)]
+
+
+def _ranked_by_capacity(entries: Sequence[InstanceEntry]) -> list[str]:
+    """Return the ids, those of high capacity first, else by rendezvous hashing."""
+    high = {entry.instance_id for entry in high_capacity_entries(entries)}
+    ids = [entry.instance_id for entry in entries]
+    ranked = rendezvous("store reader", ids, len(ids))
+    return sorted(ranked, key=lambda name: name not in high)
--- a/tests/core/direct/test_readers.py
+++ b/tests/core/direct/test_readers.py
@@ -31,6 +31,25 @@
     assert all(regions[min(names)] == r for r, names in readers.items())
 
 
+# Guards against changes that are late because a weak instance passes them on to many.
+def test_readers_are_instances_of_high_capacity():
+    fleet = [
+        entry(f"i-{n}", "abc"[n % 3], capacity=860.0 if n < 9 else 125.0)
+        for n in range(195)
+    ]
+    capacities = {e.instance_id: e.capacity for e in fleet}
+    assert {capacities[reader_of(own, fleet)] for own in fleet} == {860.0}
+
+
+def test_weak_instances_read_while_the_strong_ones_are_excluded():
+    own = entry("i-9", capacity=125.0)
+    strong = [entry(f"i-{n}", capacity=860.0) for n in range(3)]
+    selector = ReaderSelector(own)
+    for other in strong:
+        selector.exclude(other.instance_id, 0)
+    assert selector.choose(strong, 0) is None
+
+
 def test_a_failed_reader_is_passed_over_for_a_while():
     fleet = [entry(f"i-{n}") for n in range(6)]
     first = reader_of(fleet[0], fleet)
