Reserve log lines for rare events beside those of requests

The first five lines of each event in 5 s are logged in any case now. The test failed before: 0 of 3 lines of the rare event.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/logsink.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/logsink.py
@@ -19,17 +19,24 @@
 # Fraction of the buffer that lines below WARNING may fill.
 INFO_BUFFER_SHARE = 0.5
 SUMMARY_PERIOD_MS = 5_000
+# Lines of each event that are logged in any case in each period, so that rare events
+# are not lost among the lines of requests.
+RESERVED_LINES = 5
+RESERVE_PERIOD_MS = 5_000
 MS_PER_S = 1_000
 
 
 class LogRateLimiter:
     """Limit the rate of log lines; WARNING and above have their own bucket.
 
-    A full token bucket allows the lines of two seconds at once.
+    A full token bucket allows the lines of two seconds at once. The first
+    RESERVED_LINES of each event in a period need no token.
 
     >>> rates = LogRateLimiter(info_per_s=1, warning_per_s=2, now_ms=0)
-    >>> [rates.allow(logging.INFO, 0) for _ in range(3)]
-    [True, True, False]
+    >>> [rates.allow(logging.INFO, 0, "request") for _ in range(6)]
+    [True, True, True, True, True, False]
+    >>> rates.allow(logging.INFO, 0, "other")
+    True
     """
 
     def __init__(
@@ -38,18 +45,25 @@
         self._rates = {True: warning_per_s, False: info_per_s}
         self._tokens = {urgent: 2 * rate for urgent, rate in self._rates.items()}
         self._refilled_ms = now_ms
+        self._period = 0
+        self._counts = Counter[str]()
 
-    def allow(self, level: int, now_ms: int) -> bool:
-        """Return True and take a token if a line of this level may be logged."""
+    def allow(self, level: int, now_ms: int, event: str) -> bool:
+        """Return True and count a line of an event if it may be logged."""
         elapsed_s = (now_ms - self._refilled_ms) / MS_PER_S
         self._refilled_ms = now_ms
         for urgent, rate in self._rates.items():
             filled = self._tokens[urgent] + elapsed_s * rate
             self._tokens[urgent] = min(filled, 2 * rate)
+        if (period := now_ms // RESERVE_PERIOD_MS) != self._period:
+            self._period = period
+            self._counts.clear()
         urgent = level >= logging.WARNING
-        if self._tokens[urgent] < 1.0:
+        if self._tokens[urgent] >= 1.0:
+            self._tokens[urgent] -= 1.0
+        elif self._counts[event] >= RESERVED_LINES:
             return False
-        self._tokens[urgent] -= 1.0
+        self._counts[event] += 1
         return True
 
 
@@ -90,10 +104,11 @@
         now_ms = self._clock_ms()
         urgent = record.levelno >= logging.WARNING
         max_bytes = MAX_BUFFER_BYTES * (1.0 if urgent else INFO_BUFFER_SHARE)
+        event = getattr(record, "event", record.name)
         if len(self._buffer) > max_bytes or not self._rate_limiter.allow(
-            record.levelno, now_ms
+            record.levelno, now_ms, event
         ):
-            self._dropped_counts[getattr(record, "event", record.name)] += 1
+            self._dropped_counts[event] += 1
             return
         self._queue_line(record)
         self._queue_summary(now_ms)
--- a/tests/entry/direct/test_logsink.py
+++ b/tests/entry/direct/test_logsink.py
@@ -83,3 +83,17 @@
     events = [line["event"] for line in parse_json_lines(read_lines(reader))]
     assert events.count("request_refused") == 30
     assert events.count("request_ended") == 10
+
+
+# Guards against a change of the configuration that is missing in a busy instance's log.
+def test_rare_events_are_logged_beside_many_requests():
+    reader, writer = os.pipe()
+    rates = LogRateLimiter(info_per_s=5, warning_per_s=50, now_ms=0)
+    log, _, _ = make_logger(writer, rates)
+    for number in range(60):
+        log.info("answered", extra={"event": "request_ended"})
+        if number % 20 == 19:
+            log.info("in force", extra={"event": "config_in_force"})
+    events = [line["event"] for line in parse_json_lines(read_lines(reader))]
+    assert events.count("config_in_force") == 3
+    assert events.count("request_ended") == 10
