Log a body whose rest cannot be discarded, and answer its request once

Read in the diff: an exception while the rest of a refused body was discarded would have reached aiohttp's handler, which may write a second response. No caller saw that; only some exceptions were caught and none was logged. Now every exception is logged (body_not_discarded) and the connection is closed by aiohttp. A test sends a malformed rest behind a 404 and reads nothing more; it passes with the earlier code too, as aiohttp reports that rest only when the time is over. The two errors of the body account derive from RhubarbwellError like the others.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/bodies.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/bodies.py
@@ -10,6 +10,7 @@
 from aiohttp import hdrs, web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.payload import Payload
+from rhubarbwell_core.errors import RhubarbwellError
 
 from rhubarbwell_entry.logs import log_event
 
@@ -33,11 +34,11 @@
 SENT_PIECE_BYTES = 64 << 10
 
 
-class BodyTooLargeError(Exception):
+class BodyTooLargeError(RhubarbwellError):
     """Report a body that exceeds the limit on a single body."""
 
 
-class NoBodyMemoryError(Exception):
+class NoBodyMemoryError(RhubarbwellError):
     """Report that memory for a body did not become free in time."""
 
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -10,9 +11,12 @@
 from aiohttp import web
 
 from rhubarbwell_entry.listeners import LISTEN_BACKLOG, accept_established
+from rhubarbwell_entry.logs import log_event
 
 __all__ = ["CallerServer", "Handler"]
 
+_log = logging.getLogger(__name__)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 # Limits the request line and each header field.
@@ -21,7 +25,7 @@
 MIN_IDLE_S = 0.3
 # Time to discard the rest of a body that was answered before it was read. Closing the
 # connection with unread bytes would reset it, and the caller would lose the answer.
-# The largest bodies of the deployments are sent within this time.
+# The limit is for callers that send slowly or without end.
 MAX_DISCARD_S = 5.0
 
 
@@ -120,11 +124,23 @@
 
 
 async def _discard_body(request: web.BaseRequest) -> None:
-    """Read what is left of a request's body for at most MAX_DISCARD_S."""
-    if request.content.is_eof() or request.content.exception() is not None:
+    """Read what is left of a request's body for at most MAX_DISCARD_S.
+
+    aiohttp closes the connection of a body that has not ended by then.
+    """
+    content = request.content
+    if content.is_eof() or content.exception() is not None:
         return
-    # aiohttp closes the connection of a body that is malformed or breaks off.
-    with contextlib.suppress(TimeoutError, ConnectionError, web.HTTPException):
+    try:
         async with asyncio.timeout(MAX_DISCARD_S):
-            while not request.content.at_eof():
-                await request.content.readany()
+            while not content.at_eof():
+                await content.readany()
+    except Exception as exc:
+        # The response has been written; a second one must not follow.
+        log_event(
+            _log,
+            logging.INFO,
+            "body_not_discarded",
+            "the rest of an answered request's body could not be read",
+            error=repr(exc),
+        )
--- a/tests/entry/direct/test_bodies.py
+++ b/tests/entry/direct/test_bodies.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from rhubarbwell_entry.direct import callers
 from rhubarbwell_entry.direct.bodies import (
     SMALL_BODY_BYTES,
     BodyMemory,
@@ -146,3 +147,20 @@
         )
         assert [resp.status for resp, _ in results] == [200] * 4
         assert fleet.instance._body_memory.used_bytes == 0
+
+
+# Guards against a second answer behind one that was sent before its body was read.
+async def test_malformed_rest_of_an_answered_body_gets_no_second_answer(monkeypatch):
+    monkeypatch.setattr(callers, "MAX_DISCARD_S", 0.3)
+    head = (
+        "POST /nowhere/x HTTP/1.1\r\nHost: h.example\r\n"
+        "X-Rhubarbwell-Request-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    async with running_fleet() as fleet:
+        reader, writer = await raw_request(fleet, head)
+        answer = await reader.readuntil(b"no route")
+        assert answer.startswith(b"HTTP/1.1 404")
+        writer.write(b"5\r\nhello\r\nnot a chunk\r\n")
+        async with asyncio.timeout(2.0):
+            assert await reader.read() == b""
+        writer.close()
