Keep memory for small bodies whatever limit the settings name

Read in the diff: with memoryMb = 0, or one of a few MB, the account of bodies would have refused every request with a body; answers had such a minimum already. Nobody saw it; no deployment names such a limit. The test of the share failed for 0 before.

--- a/tests/wire/test_settings.py
+++ b/tests/wire/test_settings.py
@@ -67,6 +67,14 @@
     assert read_settings_text(tmp_path, text).max_answer_bytes == max_bytes
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "max_bytes"), [(0, 16 << 20), (200, 100 << 20), (552, 276 << 20)]
+)
+def test_bodies_are_limited_to_half_of_the_memory(tmp_path, memory_mb, max_bytes):
+    text = GOOD.replace("memoryMb = 300", f"memoryMb = {memory_mb}")
+    assert read_settings_text(tmp_path, text).max_body_memory_bytes == max_bytes
+
+
 def test_seeds(tmp_path):
     text = 'seeds = ["10.1.0.15:8649", "10.2.0.42:8649"]\nbootstrap = true\n' + GOOD
     cfg = read_settings_text(tmp_path, text)
