--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -21,7 +21,7 @@
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 500
 # From the second failure on, the retry delay doubles with each instance ranked before
-# this one, up to this rank, so that an unavailable store is not called by the whole fleet
+# this one, up to this rank, so that the whole fleet does not call an unavailable store
 # at once. A single failed call must not make a stale copy older than its bound.
 MAX_RANK = 3
 UPSTREAM_CHECK_S = 0.1
