Tell requests that the instance cuts off from those whose callers leave

Operators saw one line for both: request_ended, caller_gone, "caller left". Change: a connection records who ended it. A request that the instance ends is logged as request_cut_off, with its own share of lines and whether the instance stops, and requests_finished counts connections that were closed as idle and those of them with unread bytes. No decision changes.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -13,7 +14,7 @@
 from rhubarbwell_entry.listeners import LISTEN_BACKLOG, accept_established
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["CallerServer", "Handler"]
+__all__ = ["CallerConnection", "CallerServer", "Handler"]
 
 _log = logging.getLogger(__name__)
 
@@ -30,9 +31,12 @@
 
 
 class CallerConnection(web.RequestHandler):
-    """Record when a caller last sent data."""
+    """Record when a caller last sent data and who ended the connection."""
 
     last_data_s = 0.0
+    # True if the caller or the network ended the connection, not this instance.
+    is_lost = False
+    _is_closed_here = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the start of the connection."""
@@ -44,6 +48,16 @@
         self.last_data_s = self._loop.time()
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record who ended the connection, and cancel its request."""
+        self.is_lost = not self._is_closed_here
+        super().connection_lost(exc)
+
+    def force_close(self) -> None:
+        """Close the connection, whatever is in progress on it."""
+        self._is_closed_here = not self.is_lost
+        super().force_close()
+
 
 class CallerServer(web.Server):
     """Serve HTTP; a connection keeps the idle timeout in force when it was opened."""
@@ -53,6 +67,9 @@
         self._handle = handle
         self._idle_timeout_s = idle_timeout_s
         self._open_requests = Counter[web.RequestHandler]()
+        # Connections that were closed as idle, and those of them with unread bytes.
+        self.closed_idle = 0
+        self.closed_unread = 0
         self._sock: socket.socket | None = None
         self._site: web.SockSite | None = None
 
@@ -101,7 +118,10 @@
         for conn in self.connections:
             is_idle = not self._open_requests[conn]
             assert isinstance(conn, CallerConnection)
-            if is_idle and conn.last_data_s <= oldest_s:
+            is_open = conn.transport is not None
+            if is_idle and is_open and conn.last_data_s <= oldest_s:
+                self.closed_idle += 1
+                self.closed_unread += _has_unread_bytes(conn)
                 conn.force_close()
         return len(self.connections)
 
@@ -123,6 +143,16 @@
         return resp
 
 
+def _has_unread_bytes(conn: web.RequestHandler) -> bool:
+    """Return True if bytes of the caller, or its end, wait to be read."""
+    sock = None if conn.transport is None else conn.transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def _discard_body(request: web.BaseRequest) -> None:
     """Read what is left of a request's body for at most MAX_DISCARD_S.
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -38,6 +38,7 @@
     TIMED_OUT = "timed_out"
     REJECTED = "rejected"
     CALLER_GONE = "caller_gone"
+    CUT_OFF = "cut_off"
 
 
 class RequestResult(NamedTuple):
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -18,6 +18,7 @@
     BodyTooLargeError,
     NoBodyMemoryError,
 )
+from rhubarbwell_entry.direct.callers import CallerConnection
 from rhubarbwell_entry.direct.forwarding import Forwarder, RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.wire import WireNames
@@ -75,7 +76,7 @@
         try:
             result = await self._forward_request(request, arrived_ms)
         except asyncio.CancelledError:
-            result = RequestResult(RequestOutcome.CALLER_GONE, 0, "caller left")
+            result = self._cancelled_result(request, arrived_ms)
             raise
         finally:
             self._log_result(request, result, arrived_ms)
@@ -183,6 +184,24 @@
             resp.force_close()
         return resp
 
+    def _cancelled_result(
+        self, request: web.BaseRequest, arrived_ms: int
+    ) -> RequestResult:
+        conn = request.protocol
+        if isinstance(conn, CallerConnection) and conn.is_lost:
+            return RequestResult(RequestOutcome.CALLER_GONE, 0, "caller left")
+        detail = "the instance ended the request without an answer"
+        log_event(
+            _log,
+            logging.WARNING,
+            "request_cut_off",
+            detail,
+            request_id=request.headers.get(self._names.request_id, ""),
+            is_stopping=self.shutdown is not None,
+            latency_ms=self._clock_ms() - arrived_ms,
+        )
+        return RequestResult(RequestOutcome.CUT_OFF, 0, detail)
+
     def _may_outlive_instance(self, expires_ms: int) -> bool:
         return self.shutdown is not None and not self.shutdown.can_finish(expires_ms)
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -58,5 +58,7 @@
             "requests_finished",
             "entry instance no longer waits for callers",
             open_requests=callers.open_requests,
+            closed_idle=callers.closed_idle,
+            closed_unread=callers.closed_unread,
             elapsed_ms=self._clock_ms() - schedule.started_ms,
         )
