Look for unread bytes before the idle timeout closes a connection

Cause: as in the stop, the timer runs before the socket is read. Evidence: test_request_that_arrives_before_a_late_idle_timeout_is_answered, an empty answer before, 200 now. Change: the timeout asks the socket first and comes back after 20 ms.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -27,6 +27,8 @@
 MAX_HEADER_BYTES = 64 << 10
 # A caller sends its request within some round trips after it has connected.
 MIN_IDLE_S = 0.3
+# Time in which a connection with unread bytes is read.
+RECHECK_S = 0.02
 # Time to discard the rest of a body that was answered before it was read. Closing the
 # connection with unread bytes would reset it, and the caller would lose the answer.
 # The limit is for callers that send slowly or without end.
@@ -56,6 +58,18 @@
         self.is_lost = not self._is_closed_here
         super().connection_lost(exc)
 
+    def _process_keepalive(self) -> None:
+        """Close the connection if it is idle and holds no unread bytes.
+
+        aiohttp calls this when the idle timeout is over.
+        """
+        if has_unread_bytes(self.transport):
+            self._keepalive_handle = self._loop.call_later(
+                RECHECK_S, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def force_close(self) -> None:
         """Close the connection, whatever is in progress on it."""
         self._is_closed_here = not self.is_lost
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -8,7 +8,8 @@
 import pytest
 import uvloop
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
-from support.running_fleet import WAIT_S, running_fleet
+from support.running_fleet import WAIT_S, running_fleet, wait_until
+from support.users_platform import config_body
 
 
 def request_bytes(request_id):
@@ -98,3 +99,35 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status = runner.run(status_of_request_in_a_stall(opened_s, from_s, until_s))
     assert " 503 " in status or " 200 " in status
+
+
+def idle_limit(version, limit):
+    """Return a configuration with another idle limit of callers' connections."""
+    body = config_body(version)
+    body["resources"][-1]["spec"]["idleTimeout"] = limit
+    return body
+
+
+async def status_of_request_at_the_idle_timeout():
+    """Return the status of a request sent as the loop is late for the idle timeout.
+
+    The limit is 0.4 s, so that the instance closes after 0.5 s.
+    """
+    async with running_fleet(1, config=False) as fleet:
+        await fleet.store.write("op", "config", idle_limit(1, "400ms"))
+        await wait_until(lambda: fleet.instance.is_ready)
+        await wait_until(lambda: fleet.instance.balancer.backends.rows)
+        conn, stall = KeptConnection(fleet), Stall()
+        conn.send(request_bytes("first"))
+        assert " 200 " in await conn.read_status()
+        await asyncio.sleep(0.3)
+        stall.start(0.4, lambda: conn.send(request_bytes("second")))
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        conn.close()
+        return status
+
+
+# The idle timeout was checked before the request that had ended the idle time was read.
+def test_request_that_arrives_before_a_late_idle_timeout_is_answered():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert " 200 " in runner.run(status_of_request_at_the_idle_timeout())
