Keep idle connections of callers for a limit that has grown

Cause: aiohttp takes the idle timeout once, as the connection opens. Evidence: test_idle_connection_stays_open_for_a_longer_limit_that_came_later: no answer before, 200 now, and the connection closes when the longer limit is over. Change: when the timeout is over, the connection stays for the rest of the limit in force if that is longer. A shorter one does not cut connections that were opened before it. Failed try: a first form of the test slept through the change, which was not in force yet.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -43,6 +43,12 @@
     is_lost = False
     _is_closed_here = False
 
+    def __init__(
+        self, server: web.Server, idle_timeout_s: Callable[[], float], **options: Any
+    ) -> None:
+        super().__init__(server, keepalive_timeout=idle_timeout_s(), **options)
+        self._idle_timeout_s = idle_timeout_s
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the start of the connection."""
         self.last_data_s = self._loop.time()
@@ -61,11 +67,15 @@
     def _process_keepalive(self) -> None:
         """Close the connection if it is idle and holds no unread bytes.
 
-        aiohttp calls this when the idle timeout is over.
+        aiohttp calls this when the idle timeout that was in force when the connection
+        was opened is over. Callers keep to the one in force now.
         """
-        if has_unread_bytes(self.transport):
-            self._keepalive_handle = self._loop.call_later(
-                RECHECK_S, self._process_keepalive
+        longer_s = self._idle_timeout_s() - self._keepalive_timeout
+        due_s = self._next_keepalive_close_time + max(longer_s, 0.0)
+        now_s = self._loop.time()
+        if due_s > now_s or has_unread_bytes(self.transport):
+            self._keepalive_handle = self._loop.call_at(
+                max(due_s, now_s + RECHECK_S), self._process_keepalive
             )
             return
         super()._process_keepalive()
@@ -77,7 +87,11 @@
 
 
 class CallerServer(web.Server):
-    """Serve HTTP; a connection keeps the idle timeout in force when it was opened."""
+    """Serve HTTP.
+
+    An idle connection closes after the timeout in force when it was opened or the
+    current one, whichever is longer.
+    """
 
     def __init__(self, handle: Handler, idle_timeout_s: Callable[[], float]) -> None:
         super().__init__(self._serve, handler_cancellation=True)
@@ -94,14 +108,13 @@
         """Return the protocol handler of a new connection."""
         options: dict[str, Any] = {
             "access_log": None,
-            "keepalive_timeout": self._idle_timeout_s(),
             "max_line_size": MAX_HEADER_BYTES,
             "max_field_size": MAX_HEADER_BYTES,
             "lingering_time": 0.0,
             # The body is the backend server's to decode.
             "auto_decompress": False,
         }
-        return CallerConnection(self, loop=self._loop, **options)
+        return CallerConnection(self, self._idle_timeout_s, loop=self._loop, **options)
 
     @property
     def open_requests(self) -> int:
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -131,3 +131,26 @@
 def test_request_that_arrives_before_a_late_idle_timeout_is_answered():
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert " 200 " in runner.run(status_of_request_at_the_idle_timeout())
+
+
+# Connections kept the limit of their start, and callers that of the configuration.
+async def test_idle_connection_stays_open_for_a_longer_limit_that_came_later():
+    async with running_fleet(1, config=False) as fleet:
+        balancer = fleet.instance.balancer
+        await fleet.store.write("op", "config", idle_limit(1, "400ms"))
+        await wait_until(lambda: fleet.instance.is_ready)
+        await wait_until(lambda: balancer.backends.rows)
+        conn = KeptConnection(fleet)
+        conn.send(request_bytes("first"))
+        assert " 200 " in await conn.read_status()
+        await fleet.store.write("op", "config", idle_limit(2, "1500ms"))
+        while balancer.config.version == 1:
+            await asyncio.sleep(0.1)
+            conn.send(request_bytes(f"r-{fleet.store.version}"))
+            assert " 200 " in await conn.read_status()
+        await asyncio.sleep(1.0)
+        conn.send(request_bytes("second"))
+        assert " 200 " in await asyncio.wait_for(conn.read_status(), WAIT_S)
+        # It closes once the longer limit is over, too.
+        assert await asyncio.wait_for(conn.read_status(), WAIT_S) == ""
+        conn.close()
