Reuse no pooled connection that holds unread bytes

Callers saw: an unsafe request that is sent on a pooled connection whose server has just closed it, or has sent bytes that belong to no request, ends with 502 and may have run (the class of docs/incidents/lost-requests.md on the side of the servers). Cause: whether a connection is open was taken from what the loop had read of it. Evidence: test_pooled_connection_whose_end_is_unread_is_not_reused, 2 of 2 failed before (the request went to the ended connection), pass now; 47 tests of answers and connections pass. Change: the socket is asked before a connection is reused. It costs one call of poll for each reuse.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -18,6 +18,7 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
+from rhubarbwell_entry.listeners import has_unread_bytes
 from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
 from rhubarbwell_entry.proxy.protocols import AnswerProtocol, ExpectedAnswer
 
@@ -213,6 +214,8 @@
             return False
         if self._last_attempt_ids.get(protocol) == attempt_id:
             return False
+        if has_unread_bytes(protocol.transport):
+            return False
         return time.monotonic() - verification.verified_at_s <= max_age_s
 
 
--- a/tests/entry/proxy/test_connections.py
+++ b/tests/entry/proxy/test_connections.py
@@ -1,9 +1,11 @@
 """Check which connections to backend servers are reused."""
 
 import asyncio
+import socket
 
 import pytest
 from rhubarbwell_entry.proxy import connections
+from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
 from rhubarbwell_platform.standins import Fault, FaultScript, FaultyBackend
 from support.entries import RunningEntry, make_configuration
 
@@ -78,3 +80,56 @@
     finally:
         await server.stop()
     assert script.runs == ["GET /page", "PUT /clips/1"]
+
+
+class BlockingServer:
+    """Accept connections and answer on them without the event loop."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
+
+    def accept(self):
+        self._listener.settimeout(1.0)
+        return self._listener.accept()[0]
+
+    def close(self):
+        self._listener.close()
+
+
+async def send_and_answer(session, server, conn, attempt_id):
+    """Send a request, answer it on `conn`, or a new connection, and return that."""
+    headers = {ATTEMPT_HEADER: attempt_id}
+    session.connector.set_reuse_limit(attempt_id, idempotent=False, fresh=False)
+    sending = asyncio.create_task(session.post(server.url, headers=headers))
+    # A reused connection gets the request before this task runs again.
+    await asyncio.sleep(0.05)
+    conn = conn or server.accept()
+    conn.recv(4096)
+    conn.sendall(
+        f"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{ATTEMPT_HEADER}: {attempt_id}"
+        "\r\n\r\n".encode()
+    )
+    resp = await sending
+    session.connector.mark_verified(attempt_id)
+    await resp.read()
+    session.connector.forget(attempt_id)
+    return conn
+
+
+# The end of a connection that the loop had not read yet was met by the next request.
+@pytest.mark.parametrize("end", ["closed", "written to"])
+async def test_pooled_connection_whose_end_is_unread_is_not_reused(end):
+    server = BlockingServer()
+    connector = connections.VerifyingConnector()
+    async with connections.make_client_session(connector) as session:
+        first = await send_and_answer(session, server, None, "1")
+        if end == "closed":
+            first.close()
+        else:
+            first.sendall(b"HTTP/1.1 408 Request Timeout\r\n\r\n")
+        async with asyncio.timeout(5):
+            second = await send_and_answer(session, server, None, "2")
+        second.close()
+        first.close()
+    server.close()
