Read answers that have arrived before an attempt times out

Cause: the timer of the attempt runs before the socket is read. Change: read_timeout asks the connection's socket when the time is over, and comes back up to three times after 20 ms while there are unread bytes, so that a server that sends without end holds up a timeout by 60 ms at most.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from rhubarbwell_entry.direct.timeouts import RECHECK_S
 from rhubarbwell_entry.listeners import (
     LISTEN_BACKLOG,
     accept_established,
@@ -27,8 +28,6 @@
 MAX_HEADER_BYTES = 64 << 10
 # A caller sends its request within some round trips after it has connected.
 MIN_IDLE_S = 0.3
-# Time in which a connection with unread bytes is read.
-RECHECK_S = 0.02
 # Time to discard the rest of a body that was answered before it was read. Closing the
 # connection with unread bytes would reset it, and the caller would lose the answer.
 # The limit is for callers that send slowly or without end.
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -18,6 +18,7 @@
 from yarl import URL
 
 from rhubarbwell_entry.direct.bodies import BodyPayload
+from rhubarbwell_entry.direct.timeouts import read_timeout
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_exception
 from rhubarbwell_entry.proxy.connections import (
@@ -119,7 +120,9 @@
         started_ms = self._clock_ms()
         remaining_ms = req.expires_ms - started_ms
         try:
-            async with asyncio.timeout(max(remaining_ms, 0) / 1_000):
+            async with read_timeout(
+                max(remaining_ms, 0) / 1_000, lambda: self._transport_of(req)
+            ):
                 return await self._exchange(req, target, request, body, started_ms)
         except TimeoutError:
             result, detail = AttemptResult.TIMED_OUT, "no answer in time"
@@ -182,6 +185,10 @@
         finally:
             resp.close()
 
+    def _transport_of(self, req: ActiveRequest) -> asyncio.BaseTransport | None:
+        connection = self._connector.connection_of(req.request_id)
+        return None if connection is None else connection.protocol.transport
+
     def _request_headers(
         self,
         req: ActiveRequest,
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -7,9 +7,10 @@
 
 import pytest
 import uvloop
+from rhubarbwell_core.model import Address
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from support.running_fleet import WAIT_S, running_fleet, wait_until
-from support.users_platform import config_body
+from support.users_platform import UsersBackend, config_body
 
 
 def request_bytes(request_id):
@@ -46,6 +47,27 @@
         self._sock.close()
 
 
+class BlockingServer:
+    """Answer a request of a backend server's connection without the event loop."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+
+    def answer(self, request_id):
+        self._conn = self._listener.accept()[0]
+        self._conn.recv(4096)
+        self._conn.sendall(
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+            f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
+            "X-Rhubarbwell-Server-Stamp: s\r\n\r\n".encode()
+        )
+
+    def close(self):
+        self._conn.close()
+        self._listener.close()
+
+
 class Stall:
     """Hold up the event loop in a callback for received data, as a slow parser does."""
 
@@ -154,3 +176,30 @@
         # It closes once the longer limit is over, too.
         assert await asyncio.wait_for(conn.read_status(), WAIT_S) == ""
         conn.close()
+
+
+async def status_of_answer_that_arrives_in_a_stall():
+    """Return the status of a request that is answered before its route's timeout.
+
+    The event loop is late for the timeout of 1 s and for the answer at 0.5 s.
+    """
+    async with running_fleet(0) as fleet:
+        server = BlockingServer()
+        entry = UsersBackend("b-0")
+        entry.address = server.address
+        await fleet.store.write("servers", "b-0", entry.registry_entry())
+        await wait_until(lambda: "b-0" in fleet.instance.balancer.backends.rows)
+        conn, stall = KeptConnection(fleet), Stall()
+        conn.send(request_bytes("r-1"))
+        await asyncio.sleep(0.4)
+        stall.start(1.0, lambda: server.answer("r-1"))
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        conn.close()
+        server.close()
+        return status
+
+
+# The deadline of an attempt was checked before an answer that had arrived was read.
+def test_answer_that_arrives_before_a_late_deadline_is_delivered():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert " 200 " in runner.run(status_of_answer_that_arrives_in_a_stall())
