--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -49,7 +49,7 @@
         await self.instance.stop(timeout_s=shutdown.remaining_s)
         # A loop that closes restores the default actions of the signals it handles.
         loop = asyncio.get_running_loop()
-        for signum in STOP_SIGNALS:
+        for signum in (*STOP_SIGNALS, signal.SIGHUP):
             loop.remove_signal_handler(signum)
             signal.signal(signum, signal.SIG_IGN)
 
--- a/tests/entry/direct/test_main.py
+++ b/tests/entry/direct/test_main.py
@@ -99,3 +99,11 @@
             await asyncio.sleep(after_start_s)
         await send_until_exit(instance, signal.SIGTERM, 0.001)
         assert instance.process.returncode == 0
+
+
+# A SIGHUP after the event loop had closed ended the process like a crash.
+async def test_reloads_until_the_exit_leave_the_exit_code_at_0(tmp_path):
+    async with running_process(tmp_path) as (instance, _, _):
+        instance.send_signal(signal.SIGTERM)
+        await send_until_exit(instance, signal.SIGHUP, 0.001)
+        assert instance.process.returncode == 0
