Tell whether the kernel holds unread bytes of a connection

A stop that closes idle connections has to know which of them hold a request that the event loop has not read yet: libuv runs due timers and woken tasks before it polls sockets.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import ssl
 
@@ -16,6 +17,7 @@
     "Listener",
     "accept_established",
     "bound_address",
+    "has_unread_bytes",
     "open_listening_socket",
     "peer_tls_context",
     "tls_context",
@@ -71,6 +73,20 @@
         accepted.append(conn)
 
 
+def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
+    """Return True if the kernel holds bytes of a connection, or its end, unread.
+
+    An event loop that comes late runs its due timers before it reads its sockets. For
+    a transport that is closed or has no socket, False is returned.
+    """
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
     """Return a server's TLS context, None without settings.
 
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -3,11 +3,13 @@
 import socket
 
 import pytest
+import uvloop
 from aiohttp import web
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.listeners import (
     Listener,
     accept_established,
+    has_unread_bytes,
     open_listening_socket,
 )
 
@@ -75,3 +77,44 @@
     assert accept_established(FullSocket(left, ours, full)) == [ours]
     ours.close()
     theirs.close()
+
+
+async def unread_bytes_seen(do, *, close=False):
+    """Return whether unread bytes are seen after `do` with the other end's socket."""
+    ours, theirs = socket.socketpair()
+    transport, _ = await asyncio.get_running_loop().create_connection(
+        asyncio.Protocol, sock=ours
+    )
+    with theirs:
+        do(theirs)
+        if close:
+            transport.abort()
+            await asyncio.sleep(0.05)
+        seen = has_unread_bytes(transport)
+        transport.abort()
+        await asyncio.sleep(0)
+        return seen
+
+
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+@pytest.mark.parametrize(
+    ("do", "close", "expected"),
+    [
+        (lambda sock: None, False, False),
+        (lambda sock: sock.send(b"x"), False, True),
+        (lambda sock: sock.shutdown(socket.SHUT_WR), False, True),
+        (lambda sock: sock.send(b"x"), True, False),
+    ],
+    ids=["nothing sent", "sent", "ended", "closed here"],
+)
+def test_unread_bytes_are_seen_before_the_event_loop_reads_them(
+    loop_factory, do, close, expected
+):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(unread_bytes_seen(do, close=close)) is expected
+
+
+def test_connection_without_a_transport_has_no_unread_bytes():
+    assert not has_unread_bytes(None)
