Close callers' connections only after a look at what has arrived

Callers saw: requests on kept connections without an answer as a stop of the stand-alone product ends; the connection was closed, the request unread. Cause: the stop waited until no request was open, and then aiohttp closed all connections, without a look whether the kernel held a request on them or an answer was still being written. A check alone is not enough: a transport's close takes effect an iteration of the event loop later, and what arrives meanwhile is lost too. Evidence: tests/entry/test_lost_requests.py, whole product on uvloop, a loop that is busy for 2 ms an iteration, one request an iteration on a connection that is not yet closed. Change: the callers' server (proxy/callers.py, with what was caller_runner) tells which connections are idle: no request open, parsed or answered, no rest of a body being discarded, nothing left to be written, no data for 0.3 s, nothing in the kernel. The stop closes these, and shuts their write side in the same step; it ends once none is left, or the rest made no use of 5 s without an open request. Left: with TLS the end takes effect an iteration later, as before. Also: benchmarks/request_path imported two names that the package does not export. Conclusion: kept connections that end with a stop lose no request that has arrived.

--- a/benchmarks/request_path/instances.py
+++ b/benchmarks/request_path/instances.py
@@ -24,7 +24,8 @@
 )
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.keystore import KeyStore
-from rhubarbwell_entry.proxy import CallerHandler, caller_runner
+from rhubarbwell_entry.proxy.callers import CallerRunner
+from rhubarbwell_entry.proxy.handler import CallerHandler
 from rhubarbwell_platform import MemoryTableService
 
 __all__ = ["Proxy", "run_bare_proxy", "run_entry_instance"]
@@ -65,7 +66,7 @@
     store = KeyStore(driver, MemoryTableService())
     app = web.Application(client_max_size=0)
     app.router.add_route("*", "/{service}/{rest:.*}", handler.handle)
-    runner = caller_runner(app)
+    runner = CallerRunner(app)
     address = await _listen(runner)
     task = asyncio.create_task(driver.run())
     yield Proxy(f"http://{HOST}:{address.port}/slotsvc", core, store)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -33,7 +33,8 @@
 from rhubarbwell_entry.monitor import BackendMonitor
 from rhubarbwell_entry.operators import OperatorHandler
 from rhubarbwell_entry.peers import PeerKeys, PeerNode
-from rhubarbwell_entry.proxy.handler import CallerHandler, caller_runner
+from rhubarbwell_entry.proxy.callers import CallerRunner
+from rhubarbwell_entry.proxy.handler import CallerHandler
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.shutdown import GracefulShutdown
 from rhubarbwell_entry.slotstore import SlotStore
@@ -149,6 +150,7 @@
             max_ms=round(self.settings.stop_max_s * MS_PER_S),
             announce=lambda: self.driver.handle(ShutdownRequested()),
             stop_listening=self._callers_listener.stop_accepting,
+            close_idle_connections=self._caller_runner.close_idle_connections,
         )
         graceful = await self._shutdown.run()
         await self.stop()
@@ -174,8 +176,9 @@
 
     async def _start_listeners(self) -> None:
         tls = tls_context(self.settings.tls)
+        self._caller_runner = CallerRunner(self._caller_app())
         self._callers_listener = Listener(
-            caller_runner(self._caller_app()), self._sockets.callers, tls=tls
+            self._caller_runner, self._sockets.callers, tls=tls
         )
         operators = web.AppRunner(
             self._operator_app(),
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -1,7 +1,9 @@
 """Open listening sockets and serve HTTP on them."""
 
 import asyncio
+import contextlib
 import logging
+import os
 import select
 import socket
 import ssl
@@ -17,6 +19,7 @@
     "Listener",
     "accept_established",
     "bound_address",
+    "end_connection",
     "has_unread_bytes",
     "open_listening_socket",
     "peer_tls_context",
@@ -87,6 +90,24 @@
     return bool(poll.poll(0))
 
 
+def end_connection(transport: asyncio.Transport) -> None:
+    """Close a connection on which nothing is left to be written.
+
+    The other end learns of it at once. A transport's close takes effect an iteration
+    of the event loop later, and what arrives meanwhile would be lost.
+    """
+    sock = transport.get_extra_info("socket")
+    is_encrypted = transport.get_extra_info("sslcontext") is not None
+    # With TLS, the end of the connection is a message of its own.
+    if sock is not None and sock.fileno() >= 0 and not is_encrypted:
+        with (
+            contextlib.suppress(OSError),
+            socket.socket(fileno=os.dup(sock.fileno())) as same,
+        ):
+            same.shutdown(socket.SHUT_WR)
+    transport.close()
+
+
 def tls_context(settings: TlsSettings | None) -> ssl.SSLContext | None:
     """Return a server's TLS context, None without settings.
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/handler.py
@@ -26,22 +26,18 @@
 from rhubarbwell_entry.proxy.peers import ForgedHopError, HopKeys, PeerHop, read_hop
 from rhubarbwell_entry.proxy.problems import problem_response
 
-__all__ = ["CallerHandler", "caller_runner"]
+__all__ = ["CallerHandler"]
 
 _log = logging.getLogger(__name__)
 
-KEEPALIVE_S = 75.0
-LINGERING_S = 1.0
-SHUTDOWN_TIMEOUT_S = 1.0
 MAX_KEY_CHARS = 256
-IDLE_POLL_MS = 20
 
 
 class CallerHandler:
     """Handle callers' requests to `/{service}/{rest}` for one core.
 
     Construct it with a CoreDriver inside the running loop, route `/{service}/{rest:.*}`
-    of every method to `handle`, serve it with `caller_runner` and await `close` at
+    of every method to `handle`, serve it with a CallerRunner and await `close` at
     the end. Without hop_keys, requests are neither forwarded to nor accepted from
     other entry instances; peer_tls is required if the other instances' caller
     listeners use TLS. While leaving is set, responses to new requests close their
@@ -75,12 +71,6 @@
         finally:
             self.open_requests -= 1
 
-    async def wait_until_idle(self, timeout_ms: int) -> None:
-        """Wait until no request is open or timeout_ms have passed."""
-        until_ms = self._driver.clock_ms() + timeout_ms
-        while self.open_requests and self._driver.clock_ms() < until_ms:
-            await asyncio.sleep(IDLE_POLL_MS / 1_000)
-
     async def close(self) -> None:
         """Cancel the running attempts and close every connection."""
         await self.attempts.close()
@@ -200,20 +190,6 @@
     hop: PeerHop | None
 
 
-def caller_runner(app: web.Application) -> web.AppRunner:
-    """Return a runner that cancels a request's handler if its caller disconnects."""
-    return web.AppRunner(
-        app,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=KEEPALIVE_S,
-        lingering_time=LINGERING_S,
-        # The body is the backend server's to decode.
-        auto_decompress=False,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-    )
-
-
 def _caller_identity(request: web.Request) -> str:
     credentials = request.headers.get("Authorization")
     if credentials is None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -28,9 +28,10 @@
     New requests are served for the time to live of look-up answers plus margin_ms, at
     most for max_ms, if their deadline leaves them time to end before the instance.
     Requests still open max_ms after the start are cut. announce tells peers that the
-    instance is leaving; stop_listening closes the callers' listeners. `run` returns
-    once the process may exit; `force`, for a second signal, ends the open requests
-    with the outcome unknown.
+    instance is leaving; stop_listening closes the callers' listeners;
+    close_idle_connections returns the number of connections that are left. `run`
+    returns once the process may exit; `force`, for a second signal, ends the open
+    requests with the outcome unknown.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         max_ms: int,
         announce: Callable[[], None],
         stop_listening: Callable[[], Awaitable[None]],
+        close_idle_connections: Callable[[], int],
         margin_ms: int = TTL_MARGIN_MS,
     ) -> None:
         self._driver = driver
@@ -48,7 +50,9 @@
         self._max_ms = max_ms
         self._announce = announce
         self._stop_listening = stop_listening
+        self._close_idle_connections = close_idle_connections
         self._margin_ms = margin_ms
+        self._last_open_ms = 0
         self._forced = asyncio.Event()
 
     def force(self) -> None:
@@ -82,9 +86,9 @@
         # Requests may still arrive on the connections that were accepted last.
         arrival_end_ms = min(self._driver.clock_ms() + ARRIVAL_MS, deadline_ms)
         await self._wait_until(lambda: False, arrival_end_ms)
-        graceful = await self._wait_until(
-            lambda: self._handler.open_requests == 0, deadline_ms
-        )
+        self._last_open_ms = self._driver.clock_ms()
+        await self._wait_until(self._is_finished, deadline_ms)
+        graceful = self._handler.open_requests == 0
         if not graceful:
             log_event(
                 _log,
@@ -94,7 +98,7 @@
                 open_requests=self._handler.open_requests,
             )
             self._driver.handle(ShutdownForced())
-            await self._handler.wait_until_idle(FLUSH_TIMEOUT_MS)
+            await self._flush_answers()
         await self._wait_until_outcomes_recorded()
         return graceful
 
@@ -110,6 +114,20 @@
                 continue
         return True
 
+    def _is_finished(self) -> bool:
+        """Return True once callers have their answers, or do not take them in time."""
+        now_ms = self._driver.clock_ms()
+        connections = self._close_idle_connections()
+        if self._handler.open_requests:
+            self._last_open_ms = now_ms
+            return False
+        return not connections or now_ms - self._last_open_ms >= FLUSH_TIMEOUT_MS
+
+    async def _flush_answers(self) -> None:
+        until_ms = self._driver.clock_ms() + FLUSH_TIMEOUT_MS
+        while not self._is_finished() and self._driver.clock_ms() < until_ms:
+            await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
+
     async def _wait_until_outcomes_recorded(self) -> None:
         until_ms = self._driver.clock_ms() + FLUSH_TIMEOUT_MS
         outcomes = self._driver.core.keys.outcomes
--- /dev/null
+++ b/tests/entry/proxy/test_idle_connections.py
@@ -0,0 +1,136 @@
+"""Tests which connections of callers count as idle."""
+
+import asyncio
+
+import pytest
+import uvloop
+from aiohttp import web
+from rhubarbwell_core.model import Address
+from rhubarbwell_entry.listeners import Listener, open_listening_socket
+from rhubarbwell_entry.proxy.callers import CallerRunner
+from support.late_loops import KeptConnection
+
+WAIT_S = 10.0
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+CHUNK = bytes(16 << 10)
+LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
+
+
+async def answer(request):
+    return web.Response()
+
+
+async def answer_at_length(request):
+    """Write an answer until a part of it waits for the caller to read."""
+    resp = web.StreamResponse()
+    await resp.prepare(request)
+    while not request.transport.get_write_buffer_size():
+        await resp.write(CHUNK)
+    await resp.write_eof()
+    return resp
+
+
+async def start_listener():
+    app = web.Application()
+    app.router.add_get("/", answer)
+    app.router.add_get("/long", answer_at_length)
+    runner = CallerRunner(app)
+    listener = Listener(runner, open_listening_socket(Address("127.0.0.1", 0)))
+    await listener.start()
+    return runner, listener
+
+
+async def close_idle_for(runner, seconds):
+    """Close idle connections as a stop does; return the number of the others."""
+    until_s = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < until_s:
+        left = runner.close_idle_connections()
+        await asyncio.sleep(0.02)
+    return left
+
+
+async def read_all(conn):
+    loop, data = asyncio.get_running_loop(), bytearray()
+    async with asyncio.timeout(WAIT_S):
+        while chunk := await loop.sock_recv(conn.socket, 1 << 20):
+            data += chunk
+    return data
+
+
+async def close_around_a_request_in_two_parts():
+    runner, listener = await start_listener()
+    conn = KeptConnection(listener.address)
+    await asyncio.sleep(0.4)
+    conn.send(REQUEST[:10])
+    await asyncio.sleep(0.05)
+    await close_idle_for(runner, 0.1)
+    conn.send(REQUEST[10:])
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    conn.close()
+    await listener.stop()
+    return status
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_connection_on_which_a_request_arrives_is_not_idle(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        status = runner.run(close_around_a_request_in_two_parts())
+    assert status == "HTTP/1.1 200 OK"
+
+
+async def close_around_an_answer_that_is_read_late():
+    runner, listener = await start_listener()
+    conn = KeptConnection(listener.address)
+    conn.send(REQUEST.replace(b"/", b"/long", 1))
+    left = await close_idle_for(runner, 0.8)
+    closing = asyncio.create_task(close_idle_for(runner, 1.0))
+    data = await read_all(conn)
+    await closing
+    conn.close()
+    await listener.stop()
+    return left, data
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_connection_whose_answer_is_not_written_is_not_idle(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        left, data = runner.run(close_around_an_answer_that_is_read_late())
+    assert left == 1
+    assert data.endswith(b"\r\n0\r\n\r\n")
+
+
+async def close_unused_connections():
+    runner, listener = await start_listener()
+    conns = [KeptConnection(listener.address) for _ in range(5)]
+    await asyncio.sleep(0.05)
+    fresh = runner.close_idle_connections()
+    left = await close_idle_for(runner, 0.5)
+    closed = sum(conn.is_closed_there() for conn in conns)
+    for conn in conns:
+        conn.close()
+    await listener.stop()
+    return fresh, left, closed
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_connections_without_a_request_are_closed_after_some_time(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(close_unused_connections()) == (5, 0, 5)
+
+
+async def end_and_look():
+    runner, listener = await start_listener()
+    conn = KeptConnection(listener.address)
+    await asyncio.sleep(0.4)
+    runner.close_idle_connections()
+    closed = conn.is_closed_there()
+    conn.close()
+    await listener.stop()
+    return closed
+
+
+# What arrives between the look for unread bytes and the end would be lost.
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_caller_learns_at_once_that_its_connection_is_closed(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(end_and_look())
--- /dev/null
+++ b/tests/entry/test_lost_requests.py
@@ -0,0 +1,71 @@
+"""Tests that a stop of the stand-alone product loses no request that has arrived."""
+
+import asyncio
+import time
+
+import uvloop
+from rhubarbwell_core.messages import ConfigReceived
+from rhubarbwell_core.model import Address
+from rhubarbwell_entry.instance import EntryInstance
+from rhubarbwell_entry.settings import Settings
+from rhubarbwell_platform.memory import memory_platform
+from support.entries import make_configuration
+from support.late_loops import KeptConnection
+
+WAIT_S = 10.0
+REQUEST = b"GET /slotsvc/page/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+async def start_instance(ttl_ms):
+    """Return a started instance whose only server does not answer."""
+    settings = Settings(
+        *("i", "r-a", "r", ANY_PORT, ANY_PORT, ANY_PORT, "http://platform"),
+        peer_keys=("0123456789abcdef0123456789abcdef",),
+        stop_max_s=20.0,
+    )
+    instance = EntryInstance(settings, memory_platform())
+    await instance.start()
+    cfg = make_configuration([Address("127.0.0.1", 9)], ttl_ms=ttl_ms)
+    instance.driver.handle(ConfigReceived(cfg))
+    return instance
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def statuses_of_requests_while_connections_close():
+    """Return the statuses of requests sent as the event loop of a stop is busy.
+
+    Each iteration of the loop holds the work of 2 ms. A request arrives on a kept
+    connection in each of them, as long as the instance has not closed that one.
+    """
+    instance = await start_instance(ttl_ms=100)
+    conns = [KeptConnection(instance.callers) for _ in range(150)]
+    stop = asyncio.create_task(instance.shut_down())
+    await wait_until(lambda: instance._handler.refusing)
+    await asyncio.sleep(0.25)
+    used = []
+    for conn in conns:
+        if not conn.is_closed_there():
+            conn.send(REQUEST)
+            used.append(conn)
+        time.sleep(0.002)
+        await asyncio.sleep(0)
+    statuses = [await asyncio.wait_for(c.read_status(), WAIT_S) for c in used]
+    await stop
+    for conn in conns:
+        conn.close()
+    return statuses
+
+
+# Kept connections were closed without a look at what had arrived on them.
+def test_requests_that_arrive_while_kept_connections_close_are_answered():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        statuses = runner.run(statuses_of_requests_while_connections_close())
+    lost = statuses.count("")
+    assert statuses and not lost, f"{lost} of {len(statuses)} lost"
+    assert set(statuses) == {"HTTP/1.1 503 Service Unavailable"}
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -30,6 +30,7 @@
         max_ms=max_ms,
         announce=lambda: None if announced is None else announced.append(True),
         stop_listening=entry.site.stop,
+        close_idle_connections=entry.runner.close_idle_connections,
         margin_ms=50,
     )
 
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -22,7 +22,8 @@
 from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import peer_tls_context, tls_context
 from rhubarbwell_entry.peers.keys import PeerKeys
-from rhubarbwell_entry.proxy.handler import CallerHandler, caller_runner
+from rhubarbwell_entry.proxy.callers import CallerRunner
+from rhubarbwell_entry.proxy.handler import CallerHandler
 
 PEER_KEYS = PeerKeys([b"a shared test key"])
 WORK_KINDS = (
@@ -82,7 +83,7 @@
         self.store = KeyStore(self.driver, self.tables) if self.tables else None
         app = web.Application()
         app.router.add_route("*", "/{service}/{rest:.*}", self.handler.handle)
-        self.runner = caller_runner(app)
+        self.runner = CallerRunner(app)
         await self.runner.setup()
         self.site = web.TCPSite(
             self.runner, "127.0.0.1", 0, ssl_context=tls_context(self.tls)
--- /dev/null
+++ b/tests/support/late_loops.py
@@ -0,0 +1,66 @@
+"""Callers' connections and an event loop that comes late."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+__all__ = ["KeptConnection", "Stall"]
+
+
+class KeptConnection:
+    """Hold a caller's connection whose socket is written to at once."""
+
+    def __init__(self, address):
+        self.socket = socket.create_connection(address)
+        self.socket.setblocking(False)
+        self._loop = asyncio.get_running_loop()
+
+    def send(self, data):
+        """Pass bytes to the kernel."""
+        self.socket.sendall(data)
+
+    async def read_status(self):
+        """Return the status line of the next answer, empty if the connection ends."""
+        data = b""
+        with contextlib.suppress(OSError):
+            while b"\r\n\r\n" not in data:
+                chunk = await self._loop.sock_recv(self.socket, 4096)
+                if not chunk:
+                    break
+                data += chunk
+        return data.partition(b"\r\n")[0].decode()
+
+    def is_closed_there(self):
+        """Return True if the other end has closed the connection."""
+        try:
+            return not self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def close(self):
+        """Close the socket."""
+        self.socket.close()
+
+
+class Stall:
+    """Hold up the event loop in a callback for received data, as a slow parser does."""
+
+    def __init__(self):
+        self._ours, self._theirs = socket.socketpair()
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._theirs, self._hold_up)
+
+    def start(self, for_s, then):
+        """Call `then` and hold up the loop for some seconds in its next iteration."""
+        self._for_s, self._then = for_s, then
+        self._ours.send(b"x")
+
+    def _hold_up(self):
+        self._loop.remove_reader(self._theirs)
+        self._then()
+        time.sleep(self._for_s)
+        self._ours.close()
+        self._theirs.close()
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -224,6 +224,7 @@
             max_ms=30_000,
             announce=lambda: None,
             stop_listening=entry.site.stop,
+            close_idle_connections=entry.runner.close_idle_connections,
             margin_ms=20,
         )
         await shutdown.run()
