Take refused bodies for as long as direct forwarding does

Callers saw: a caller that was still sending the body of a request which a stop had refused got its connection reset; clients that give up at that never see the 503. Cause: the rest of a body was discarded for 1 s, and less when the stop ended. Left: uploads of more than 5 s beyond a refusal are still reset. Conclusion: callers that are refused in the middle of a body get the answer.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
@@ -11,7 +11,10 @@
 __all__ = ["CallerConnection", "CallerRunner"]
 
 KEEPALIVE_S = 75.0
-LINGERING_S = 1.0
+# Time to discard the rest of a body that was answered before it was read. Closing the
+# connection with unread bytes would reset it, and the caller would lose the answer.
+# The limit is for callers that send slowly or without end.
+LINGERING_S = 5.0
 SHUTDOWN_TIMEOUT_S = 1.0
 # A caller sends its request within some round trips after it has connected, and the
 # rest of one within some after its first bytes.
--- a/tests/entry/test_lost_requests.py
+++ b/tests/entry/test_lost_requests.py
@@ -69,3 +69,27 @@
     lost = statuses.count("")
     assert statuses and not lost, f"{lost} of {len(statuses)} lost"
     assert set(statuses) == {"HTTP/1.1 503 Service Unavailable"}
+
+
+async def status_of_refused_upload():
+    """Return the status of a request that a stop refuses while its body arrives."""
+    instance = await start_instance(ttl_ms=100)
+    conn = KeptConnection(instance.callers)
+    stop = asyncio.create_task(instance.shut_down())
+    await wait_until(lambda: instance._handler.refusing)
+    head = b"PUT /slotsvc/notes/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n"
+    conn.send(head)
+    for _ in range(20):
+        conn.send(bytes(1_000))
+        await asyncio.sleep(0.1)
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    await stop
+    conn.close()
+    return status
+
+
+# The connection was reset while the caller was still sending.
+def test_request_that_a_stop_refuses_before_its_body_arrived_gets_the_answer():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        status = runner.run(status_of_refused_upload())
+    assert status == "HTTP/1.1 503 Service Unavailable"
