Read what has arrived before a connection's idle timeout closes it

Callers saw: a request on a kept connection without an answer, at any time. Cause: after a stall, uvloop runs the timer of the idle timeout (75 s) before it reads its sockets; aiohttp closes the connection with the request in the kernel. Evidence: tests/entry/proxy/test_idle_connections.py, timeout 0.5 s, a request that arrives at 0.3 s, a stall until 0.7 s: closed unread with uvloop (asyncio's loop, which reads first, passed). Change: the timeout looks for unread bytes and waits 0.3 s more if there are some; the caller learns of the end in the same step. The connection still closes. After: 10 passed in the file, both loops.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
@@ -19,7 +19,7 @@
 # A caller sends its request within some round trips after it has connected, and the
 # rest of one within some after its first bytes.
 MIN_IDLE_S = 0.3
-_OPTIONS: dict[str, Any] = {
+CONNECTION_OPTIONS: dict[str, Any] = {
     "access_log": None,
     "keepalive_timeout": KEEPALIVE_S,
     "lingering_time": LINGERING_S,
@@ -56,6 +56,19 @@
             and not has_unread_bytes(self.transport)
         )
 
+    def _process_keepalive(self) -> None:
+        """Close the connection at its idle timeout, unless there is data to read."""
+        # A late event loop runs its timers before it reads.
+        if has_unread_bytes(self.transport):
+            self._keepalive_handle = self._loop.call_later(
+                MIN_IDLE_S, self._process_keepalive
+            )
+            return
+        now_s = self._loop.time()
+        if now_s >= self._next_keepalive_close_time and self.is_idle(now_s):
+            self.end()
+        super()._process_keepalive()
+
     def end(self) -> None:
         """Close an idle connection."""
         if self.transport is not None:
@@ -105,7 +118,7 @@
         conn = CallerConnection(
             self,
             loop=self._loop,
-            **_OPTIONS,
+            **CONNECTION_OPTIONS,
         )
         self.opening.add(conn)
         return conn
--- a/tests/entry/proxy/test_idle_connections.py
+++ b/tests/entry/proxy/test_idle_connections.py
@@ -7,8 +7,9 @@
 from aiohttp import web
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.listeners import Listener, open_listening_socket
+from rhubarbwell_entry.proxy import callers
 from rhubarbwell_entry.proxy.callers import CallerRunner
-from support.late_loops import KeptConnection
+from support.late_loops import KeptConnection, Stall
 
 WAIT_S = 10.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -134,3 +135,32 @@
 def test_caller_learns_at_once_that_its_connection_is_closed(loop_factory):
     with asyncio.Runner(loop_factory=loop_factory) as runner:
         assert runner.run(end_and_look())
+
+
+async def status_of_request_in_a_stall_over_the_idle_timeout():
+    _, listener = await start_listener()
+    conn, stall = KeptConnection(listener.address), Stall()
+    conn.send(REQUEST)
+    await asyncio.wait_for(conn.read_status(), WAIT_S)
+    await asyncio.sleep(0.3)
+    stall.start(0.4, lambda: conn.send(REQUEST))
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    await asyncio.sleep(0.7)
+    closed = conn.is_closed_there()
+    conn.close()
+    await listener.stop()
+    return status, closed
+
+
+# A late event loop ran the timer first and closed the connection unread.
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_request_that_arrives_before_the_idle_timeout_is_answered(
+    loop_factory, monkeypatch
+):
+    monkeypatch.setitem(callers.CONNECTION_OPTIONS, "keepalive_timeout", 0.5)
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        status, closed = runner.run(
+            status_of_request_in_a_stall_over_the_idle_timeout()
+        )
+    assert status == "HTTP/1.1 200 OK"
+    assert closed
