--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -12,13 +12,13 @@
     ShutdownSchedule,
 )
 
+from rhubarbwell_entry.caller_connections import CallerConnection
 from rhubarbwell_entry.direct.bodies import (
     BodyLease,
     BodyMemory,
     BodyTooLargeError,
     NoBodyMemoryError,
 )
-from rhubarbwell_entry.direct.callers import CallerConnection
 from rhubarbwell_entry.direct.forwarding import Forwarder, RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.wire import WireNames
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -59,6 +59,5 @@
             "entry instance no longer waits for callers",
             open_requests=callers.open_requests,
             closed_idle=callers.closed_idle,
-            kept_unread=callers.kept_unread,
             elapsed_ms=self._clock_ms() - schedule.started_ms,
         )
