Ignore further signals to the stand-alone product once a stop has begun

Callers saw: a second SIGTERM ended all open requests as unknown, or broke their connections off; SIGHUP did so at any time, without a stop; a request still open at stop_max_s got no answer. Cause: the stop took a second SIGTERM as a wish to end at once. aiomisc, too, starts a second stop for a second signal that its handler has caught, and cancels the stop after stop_max_s (exit code 70), before the instance tells callers. SIGHUP had its default action. Evidence: tests/entry/test_signals.py, real processes, SIGTERM, SIGTERM, SIGHUP, SIGTERM without a pause and with pauses of 2 and 300 ms during a booking of 0.8 s; the same without end until the exit; SIGHUP alone; the series as soon as the program handles SIGTERM; a booking of 20 s at stop_max_s = 1. Change: the program catches SIGTERM and SIGINT itself, from before its settings are read until its exit, as on the users' platform; SIGHUP is ignored. The first one starts the stop, further SIGTERMs have no effect. Replaced: test_shutdown.py keeps its case of a forced stop, now by SIGINT. Left: a signal before the interpreter runs the program's first line ends it. Conclusion: a series of signals changes nothing.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
@@ -12,6 +12,7 @@
 from rhubarbwell_entry.service import EntryService
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.settings_files import SettingsError, read_settings
+from rhubarbwell_entry.signals import StopSignals
 
 __all__ = ["main", "run"]
 
@@ -20,23 +21,29 @@
 
 
 def run(settings: str) -> None:
-    """Run an entry instance until SIGTERM.
+    """Run an entry instance until SIGTERM or SIGINT.
 
-    settings is the path of the settings file. Exits with 2 if the file is invalid or
-    unreadable, and with 3 if an address is in use or a TLS file is unreadable.
+    A second SIGINT ends open requests with the outcome unknown. settings is the path
+    of the settings file. Exits with 2 if the file is invalid or unreadable, and with 3
+    if an address is in use or a TLS file is unreadable.
     """
+    signals = StopSignals()
+    signals.install()
     loaded = _read_or_exit(Path(settings))
-    service = EntryService(settings=loaded)
+    service = EntryService(settings=loaded, signals=signals)
     try:
+        # aiomisc's own handlers end the process at a second signal, and after the
+        # longest stop before callers are told.
         with entrypoint(
             service,
             log_level=loaded.log_level,
             log_format=loaded.log_format,
             log_buffering=False,
-            shutdown_timeout=loaded.stop_max_s,
+            catch_signals=(),
         ) as loop:
             _limit_log_rates()
-            loop.run_forever()
+            loop.run_until_complete(signals.wait())
+        signals.ignore()
     except OSError as exc:
         _exit_with_message(EXIT_CANNOT_START, f"cannot start: {exc}")
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -1,7 +1,6 @@
 """Run one entry instance as an aiomisc service."""
 
 import asyncio
-import signal
 from random import SystemRandom
 from typing import Any
 
@@ -11,6 +10,7 @@
 
 from rhubarbwell_entry.instance import EntryInstance
 from rhubarbwell_entry.settings import Settings
+from rhubarbwell_entry.signals import StopSignals
 
 __all__ = ["EntryService"]
 
@@ -21,6 +21,7 @@
     """Start and stop an entry instance with the process."""
 
     settings: Settings
+    signals: StopSignals
 
     async def start(self) -> None:
         """Start the instance; raise OSError if one of its addresses is taken."""
@@ -34,14 +35,17 @@
         self._rate_update_task = asyncio.create_task(self._update_rate_limits())
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Shut the instance down gracefully; a second SIGTERM or SIGINT forces it."""
-        loop = asyncio.get_running_loop()
-        for signum in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signum, self._instance.force_shutdown)
+        """Shut the instance down gracefully; a second SIGINT forces it."""
+        force_task = asyncio.create_task(self._force_on_signal())
         await self._instance.shut_down()
+        force_task.cancel()
         self._rate_update_task.cancel()
         await self._session.close()
 
+    async def _force_on_signal(self) -> None:
+        await self.signals.forced.wait()
+        self._instance.force_shutdown()
+
     async def _update_rate_limits(self) -> None:
         """Keep the rate limits of platform calls at this instance's share."""
         while True:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -30,8 +30,8 @@
     Requests still open max_ms after the start are cut. announce tells peers that the
     instance is leaving; stop_listening closes the callers' listeners;
     close_idle_connections returns the number of connections that are left. `run`
-    returns once the process may exit; `force`, for a second signal, ends the open
-    requests with the outcome unknown.
+    returns once the process may exit; `force` ends the open requests with the outcome
+    unknown.
     """
 
     def __init__(
