--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -145,6 +145,7 @@
             self.platform,
             self.clock_ms,
             max_answer_bytes=self.settings.max_answer_bytes,
+            max_pause_ms=self.settings.max_pause_ms,
         )
         forwarder = Forwarder(self.balancer, self._sender, self.metrics, self.clock_ms)
         self.handler = DirectHandler(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -19,7 +19,7 @@
 
 from rhubarbwell_entry.direct.bodies import BodyPayload
 from rhubarbwell_entry.direct.wire import DirectPlatform
-from rhubarbwell_entry.logs import log_exception
+from rhubarbwell_entry.logs import log_event, log_exception
 from rhubarbwell_entry.proxy.connections import (
     AUTOMATIC_HEADERS,
     AttemptError,
@@ -75,10 +75,12 @@
         clock_ms: Callable[[], int],
         *,
         max_answer_bytes: int,
+        max_pause_ms: int,
     ) -> None:
         self._platform = platform
         self._names = names = platform.names
         self._clock_ms = clock_ms
+        self._max_pause_ms = max_pause_ms
         self._connector = VerifyingConnector(
             attempt_header=names.request_id, max_answer_bytes=max_answer_bytes
         )
@@ -103,6 +105,7 @@
         )
         try:
             outcome = await self._send_in_time(req, target, request, body)
+            outcome = self._with_pause_cut(outcome, target.backend_id)
             connection = self._connector.connection_of(req.request_id)
             is_new = None if connection is None else connection.fresh
             return outcome._replace(is_new_connection=is_new)
@@ -231,6 +234,25 @@
             report, detail, Answer(resp.status, answer_headers, payload)
         )
 
+    def _with_pause_cut(
+        self, outcome: AttemptOutcome, backend_id: str
+    ) -> AttemptOutcome:
+        """Return the outcome with a pause of at most max_pause_ms; log a cut."""
+        asked_ms = outcome.report.pause_ms
+        if asked_ms is None or asked_ms <= self._max_pause_ms:
+            return outcome
+        log_event(
+            _log,
+            logging.WARNING,
+            "pause_cut",
+            "a backend server asked for a longer pause than the settings allow",
+            backend_id=backend_id,
+            asked_ms=asked_ms,
+            pause_ms=self._max_pause_ms,
+        )
+        report = outcome.report._replace(pause_ms=self._max_pause_ms)
+        return outcome._replace(report=report)
+
     def _classify(self, resp: aiohttp.ClientResponse) -> tuple[AttemptResult, str]:
         names, headers = self._names, resp.headers
         status = resp.status
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/settings.py
@@ -20,7 +20,8 @@
 
     regions maps each availability zone to its region; stop_max_ms is the time from
     SIGTERM to SIGKILL. config_apply_ms and drain_ms limit the time until a change of
-    the configuration or the draining of a backend server is in force. max_shift is the
+    the configuration or the draining of a backend server is in force. max_pause_ms is
+    the longest pause that a server may ask for. max_shift is the
     largest fraction of a region's requests that may move to servers of another region
     within two seconds. max_answer_bytes limits the head and body of an answer, which
     are held in memory, max_body_memory_bytes the bodies of all open requests. seeds
@@ -43,6 +44,7 @@
     stop_max_ms: int = 6_000
     config_apply_ms: int = 2_000
     drain_ms: int = 2_000
+    max_pause_ms: int = 86_400_000
     max_shift: float = 0.15
     processor_cores: float = 1.0
     link_mbit_per_s: float = 1_000.0
--- a/tests/entry/direct/test_pauses.py
+++ b/tests/entry/direct/test_pauses.py
@@ -56,3 +56,30 @@
         for _ in range(3):
             resp, _ = await fleet.send_request()
             assert resp.status == 200
+
+
+async def pause_after(retry_after, **settings):
+    """Return the pause in ms of a server that named one in s."""
+    async with running_fleet(1, **settings) as fleet:
+        (server,) = fleet.backends
+        server.custom_handler = turn_away(server, retry_after)
+        await fleet.send_request()
+        server.custom_handler = None
+        assert (await fleet.send_request())[0].status == 503
+        assert len(server.received) == 1
+        instance = fleet.instance
+        state = instance.balancer.backends.rows[server.backend_id]
+        return state.paused_until_ms - instance.clock_ms()
+
+
+# Above 60 s the word of the server was cut, and it was asked before its time.
+async def test_long_pause_is_kept_to(caplog):
+    assert await pause_after("7200") > 7_190_000
+    assert "pause_cut" not in [getattr(r, "event", "") for r in caplog.records]
+
+
+async def test_pause_above_the_setting_is_cut_and_logged(caplog):
+    assert 290_000 < await pause_after("7200", max_pause_ms=300_000) < 310_000
+    (cut,) = [r for r in caplog.records if getattr(r, "event", "") == "pause_cut"]
+    assert (cut.asked_ms, cut.pause_ms) == (7_200_000, 300_000)
+    assert cut.backend_id
--- a/tests/wire/test_settings.py
+++ b/tests/wire/test_settings.py
@@ -75,6 +75,19 @@
     assert read_settings_text(tmp_path, text).max_body_memory_bytes == max_bytes
 
 
+def test_longest_pause(tmp_path):
+    assert read_settings_text(tmp_path, GOOD).max_pause_ms == 86_400_000
+    text = GOOD.replace("retrySlack = 62", 'maxPause = "300s"')
+    assert read_settings_text(tmp_path, text).max_pause_ms == 300_000
+
+
+@pytest.mark.parametrize("value", ["0s", "-5s", "999ms", "soon"])
+def test_longest_pause_below_a_second_is_reported(tmp_path, value):
+    text = GOOD.replace("retrySlack = 62", f'maxPause = "{value}"')
+    with pytest.raises(SettingsError, match=r"bounds\.maxPause"):
+        read_settings_text(tmp_path, text)
+
+
 def test_seeds(tmp_path):
     text = 'seeds = ["10.1.0.15:8649", "10.2.0.42:8649"]\nbootstrap = true\n' + GOOD
     cfg = read_settings_text(tmp_path, text)
