Reproduce look-ups that name a dead instance after a late heartbeat

Cause: InstanceTable.put counts the time at which a row arrives as the last sign of life of its writer. A store may perform a write after its writer has lost power.

--- a/tests/core/direct/test_instances.py
+++ b/tests/core/direct/test_instances.py
@@ -1,5 +1,6 @@
 """Test which instances are live and which are offered to callers."""
 
+import pytest
 from rhubarbwell_core.direct import InstanceEntry, InstanceTable
 from rhubarbwell_core.model import Address
 
@@ -178,3 +179,20 @@
     table = make_table()
     table.confirm_follower("i-9", False, 0)
     assert table.live_ids() == ["i-1"]
+
+
+# The store performed a heartbeat late, after its writer had lost power.
+@pytest.mark.known_red
+@pytest.mark.parametrize("late_ms", [3_000, 4_400, 5_800])
+def test_late_heartbeat_of_a_dead_instance_does_not_keep_it_in_look_ups(late_ms):
+    lost_ms = 2_000
+    table = InstanceTable(entry("i-1"), liveness_timeout_ms=4_400)
+    table.put(entry("i-2", beat=1), 0)
+    table.put(entry("i-3", beat=1), 0)
+    for now_ms in range(400, lost_ms + 7_001, 400):
+        table.put(entry("i-3", beat=1 + now_ms), now_ms)
+        if now_ms == lost_ms + late_ms // 400 * 400:
+            table.put(entry("i-2", beat=2), now_ms)
+        table.mark_synced(now_ms)
+    table.mark_synced(lost_ms + 7_000)
+    assert offered_hosts(table) == ["10.0.0.3", "10.0.0.1"]
