--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 import uvloop
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.caller_connections import CallerConnection
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from support.late_loops import KeptConnection, Stall
 from support.running_fleet import WAIT_S, running_fleet, wait_until
@@ -76,6 +78,36 @@
     assert " 503 " in status or " 200 " in status
 
 
+async def status_of_request_read_before_a_stall():
+    """Return the status of a request after whose bytes are read the loop is late.
+
+    It is read 1.0 s after SIGTERM; idle connections close from 1.2 s on.
+    """
+    async with running_fleet(1, stop_max_ms=2_000) as fleet:
+        stopping = asyncio.create_task(DirectShutdown(fleet.instance).run())
+        conn = KeptConnection(fleet.instance.settings.callers)
+        await asyncio.sleep(1.0)
+        conn.send(request_bytes("r-1"))
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        await stopping
+        conn.close()
+        return status
+
+
+# The handler of a request that had been read had not run when its connection closed.
+def test_request_that_was_read_before_a_stall_is_answered(monkeypatch):
+    receive = CallerConnection.data_received
+
+    def receive_and_stall(conn, data):
+        receive(conn, data)
+        time.sleep(0.5)
+
+    monkeypatch.setattr(CallerConnection, "data_received", receive_and_stall)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        status = runner.run(status_of_request_read_before_a_stall())
+    assert " 503 " in status or " 200 " in status
+
+
 def idle_limit(version, limit):
     """Return a configuration with another idle limit of callers' connections."""
     body = config_body(version)
