--- a/tests/entry/proxy/test_idle_connections.py
+++ b/tests/entry/proxy/test_idle_connections.py
@@ -1,14 +1,21 @@
 """Tests which connections of callers count as idle."""
 
 import asyncio
+import ssl
 
 import pytest
+import trustme
 import uvloop
 from aiohttp import web
 from rhubarbwell_core.model import Address
-from rhubarbwell_entry.listeners import Listener, open_listening_socket
+from rhubarbwell_entry.listeners import (
+    Listener,
+    open_listening_socket,
+    tls_context,
+)
 from rhubarbwell_entry.proxy import callers
 from rhubarbwell_entry.proxy.callers import CallerRunner
+from rhubarbwell_entry.settings import TlsSettings
 from support.late_loops import KeptConnection, Stall
 
 WAIT_S = 10.0
@@ -31,12 +38,13 @@
     return resp
 
 
-async def start_listener():
+async def start_listener(tls=None):
     app = web.Application()
     app.router.add_get("/", answer)
     app.router.add_get("/long", answer_at_length)
     runner = CallerRunner(app)
-    listener = Listener(runner, open_listening_socket(Address("127.0.0.1", 0)))
+    sock = open_listening_socket(Address("127.0.0.1", 0))
+    listener = Listener(runner, sock, tls=tls)
     await listener.start()
     return runner, listener
 
@@ -164,3 +172,32 @@
         )
     assert status == "HTTP/1.1 200 OK"
     assert closed
+
+
+async def answer_of_a_handshake_that_a_stop_meets(tmp_path):
+    """Return what a caller reads whose TLS handshake ends late, and what is left."""
+    certificate = trustme.CA().issue_cert("entry.example")
+    files = str(tmp_path / "certificate.pem"), str(tmp_path / "key.pem")
+    certificate.cert_chain_pems[0].write_to_path(files[0])
+    certificate.private_key_pem.write_to_path(files[1])
+    runner, listener = await start_listener(tls_context(TlsSettings(*files)))
+    context = ssl.create_default_context()
+    context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+    conn = KeptConnection(listener.address)
+    left = await close_idle_for(runner, 0.5)
+    reader, writer = await asyncio.open_connection(
+        sock=conn.socket, ssl=context, server_hostname="entry.example"
+    )
+    writer.write(REQUEST)
+    status = await asyncio.wait_for(reader.readline(), WAIT_S)
+    writer.transport.abort()
+    await listener.stop()
+    return left, status
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_connection_on_which_tls_begins_is_not_idle(loop_factory, tmp_path):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        left, status = runner.run(answer_of_a_handshake_that_a_stop_meets(tmp_path))
+    assert left == 1
+    assert status == b"HTTP/1.1 200 OK\r\n"
