Let the soak see all four clauses of LOST, and overlap planned work

Callers saw requests of processes lost; the soak could not see most of them. Its callers used aiohttp's client, which repeats an idempotent request when a kept connection breaks; only requests that had reached a server counted, only in planned runs; an answer of the instance's own counted as an answer; configurations never changed a timeout or a limit. Change: callers have connections of their own that send each request once, some idle for seconds, some with a pause amid the request. LossChecker finds, in all runs, requests that were passed on and cut off, that were cut off later than lossSlack after their last byte, less the measured lag of the loop that callers and servers share, and that were broken off at work after SIGTERM. Only what the rule names excuses. Each version draws idle timeout, header timeout, body limit and routes' timeouts anew. _cut_requests stays as it was, without excuses, in planned runs. Also: ports of an instance differ, as two calls for a free port may return the same; a process that ends while its status is read counts as ended (ProcessLookupError ended a run). Evidence: three broken programs (close_passed_on, close_held, break_off) are found.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,7 @@
     instances: int = 3,
     planned_only: bool = False,
     hostile: bool = False,
+    series: bool = False,
     logs: str = "",
     code: str = "",
 ) -> None:
@@ -48,6 +49,7 @@
                 instances=instances,
                 planned_only=planned_only,
                 hostile=hostile,
+                series=series,
                 script=code_root / "platform/run_entry.py",
                 code=code_root,
             )
--- a/tests/soak/broken_entry.py
+++ b/tests/soak/broken_entry.py
@@ -1,15 +1,26 @@
-"""Start an entry instance with the built-in fault that SOAK_VARIANT names."""
+"""Start an entry instance with the built-in fault or stalls that SOAK_VARIANT names."""
 
 import asyncio
+import functools
 import os
+import random
+import time
 
+from aiohttp import web
 from rhubarbwell_core.direct import AttemptResult, LoadBalancer
 from rhubarbwell_entry.direct import forwarding
 from rhubarbwell_entry.direct.forwarding import RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.main import run
+from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from rhubarbwell_wire.adapter import UsersPlatform
 
 REVERT_DELAY_S = 0.7
+LOST_SHARE = 0.05
+HOLD_S = 0.5
+MAX_STOPPING_S = 0.3
+IDLE_CLOSE_RANGE_S = (3.2, 3.5)
+STALL_RANGE_S = (0.3, 0.5)
+STALL_SHARE = 0.005
 
 
 def treat_broken_as_not_run() -> None:
@@ -51,10 +62,82 @@
     LoadBalancer.configure = configure_and_revert  # type: ignore[method-assign]
 
 
+def lose_requests(*, passed_on: bool) -> None:
+    """Close some connections, once requests have been passed on or held HOLD_S."""
+    forward = forwarding.Forwarder.run
+
+    async def forward_or_close(forwarder, req, request, body):  # type: ignore[no-untyped-def]
+        is_lost = random.random() < LOST_SHARE
+        if is_lost and not passed_on:
+            await asyncio.sleep(HOLD_S)
+            request.transport.abort()
+        result = await forward(forwarder, req, request, body)
+        if is_lost and passed_on:
+            request.transport.abort()
+        return result
+
+    forwarding.Forwarder.run = forward_or_close  # type: ignore[method-assign]
+
+
+def break_off_when_stopping() -> None:
+    """Answer 502 to requests that last MAX_STOPPING_S after SIGTERM."""
+    forward, shut_down = forwarding.Forwarder.run, DirectShutdown.run
+    stopping = asyncio.Event()
+
+    async def note_and_shut_down(shutdown):  # type: ignore[no-untyped-def]
+        stopping.set()
+        await shut_down(shutdown)
+
+    async def wait_and_sleep() -> None:
+        await stopping.wait()
+        await asyncio.sleep(MAX_STOPPING_S)
+
+    async def forward_or_break_off(forwarder, req, request, body):  # type: ignore[no-untyped-def]
+        forwarding_task = asyncio.ensure_future(forward(forwarder, req, request, body))
+        limit = asyncio.ensure_future(wait_and_sleep())
+        try:
+            await asyncio.wait(
+                (forwarding_task, limit), return_when=asyncio.FIRST_COMPLETED
+            )
+            if forwarding_task.done():
+                return forwarding_task.result()
+            return RequestResult(RequestOutcome.UNKNOWN, 502, "stopping")
+        finally:
+            forwarding_task.cancel()
+            limit.cancel()
+
+    forwarding.Forwarder.run = forward_or_break_off  # type: ignore[method-assign]
+    DirectShutdown.run = note_and_shut_down  # type: ignore[method-assign]
+
+
+def stall_when_stopping() -> None:
+    """Block the event loop while the stop closes idle connections, and at times."""
+    shut_down, receive = DirectShutdown.run, web.RequestHandler.data_received
+    next_stalls_at: list[float] = []
+
+    async def note_and_shut_down(shutdown):  # type: ignore[no-untyped-def]
+        next_stalls_at.append(time.monotonic() + random.uniform(*IDLE_CLOSE_RANGE_S))
+        await shut_down(shutdown)
+
+    def receive_and_stall(connection, data):  # type: ignore[no-untyped-def]
+        receive(connection, data)
+        is_due = next_stalls_at and time.monotonic() >= next_stalls_at[0]
+        if is_due or random.random() < STALL_SHARE:
+            del next_stalls_at[: int(bool(is_due))]
+            time.sleep(random.uniform(*STALL_RANGE_S))
+
+    DirectShutdown.run = note_and_shut_down  # type: ignore[method-assign]
+    web.RequestHandler.data_received = receive_and_stall  # type: ignore[method-assign]
+
+
 VARIANTS = {
     "send_twice": treat_broken_as_not_run,
     "refuse_falsely": refuse_unknown_outcomes,
     "go_back": revert_configurations,
+    "close_passed_on": functools.partial(lose_requests, passed_on=True),
+    "close_held": functools.partial(lose_requests, passed_on=False),
+    "break_off": break_off_when_stopping,
+    "stall": stall_when_stopping,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,18 +3,32 @@
 import asyncio
 import gzip
 import time
+from collections.abc import Coroutine
 from itertools import count
 from random import Random
 from typing import NamedTuple
 
-import aiohttp
-from soak.servers import LONG_PATH, REQUEST_ID_HEADER, STAMP_HEADER
+from soak.connection import CallerAnswer, CallerConnection
+from soak.lag import LoopLag
+from soak.servers import LONG_PATH, LONGER_PATH, REQUEST_ID_HEADER, STAMP_HEADER
 
 DEADLINE_MS = 1_500
 LONG_DEADLINE_MS = 3_000
 LONG_SHARE = 0.08
-TIMEOUT_S = 4.0
+LONGER_DEADLINE_MS = 9_000
+LONGER_SHARE = 0.05
+# A caller waits for this time at least, and for some time beyond its deadline.
+MIN_WAIT_S = 4.0
+PATIENCE_S = 1.0
 PAUSE_RANGE_S = (0.005, 0.05)
+# Connections of patient callers are idle for long.
+PATIENT_PAUSE_RANGE_S = (0.3, 6.0)
+PATIENT_WORKERS = 24
+# Patient callers pause for a time amid some requests.
+SLOW_SHARE = 0.15
+MAX_SENDING_PAUSE_S = 1.0
+# Callers also open new connections, at all times.
+CLOSING_SHARE = 0.05
 BODY_BYTES_RANGE = (1, 150_000)
 CODED_SHARE = 0.1
 
@@ -26,7 +40,9 @@
     exception. Otherwise it is "crossed" for another request's answer, "altered" for
     one with other content, "failed" for a 500 that no server gave and empty for all
     other answers.
-    Times are seconds of the monotonic clock.
+    Times are seconds of the monotonic clock; `whole_sent_at` is 0.0 if the last byte
+    could not be sent. `is_kept` tells that the connection had carried an answer before,
+    `is_stamped` that the answer is a server's.
     """
 
     request_id: str
@@ -36,7 +52,11 @@
     incarnation: int
     status: int
     sent_at: float
+    whole_sent_at: float
     ended_at: float
+    deadline_s: float
+    is_kept: bool
+    is_stamped: bool = False
     error: str = ""
 
 
@@ -44,8 +64,15 @@
     """Send requests of all kinds from concurrent workers until stopped."""
 
     def __init__(
-        self, fleet, rng: Random, workers: int = 10, *, sends_long: bool = False
+        self,
+        fleet,
+        rng: Random,
+        lag: LoopLag,
+        workers: int = 10,
+        *,
+        sends_long: bool = False,
     ) -> None:
+        self._lag = lag
         self._sends_long = sends_long
         self.records: list[CallerRecord] = []
         self._fleet = fleet
@@ -56,70 +83,116 @@
 
     async def run(self) -> None:
         """Send requests until `stop` and return once the last one has ended."""
-        await asyncio.gather(*(self._run_worker() for _ in range(self._worker_count)))
+        pauses = [PAUSE_RANGE_S] * self._worker_count
+        pauses += [PATIENT_PAUSE_RANGE_S] * PATIENT_WORKERS
+        await asyncio.gather(*(self._run_worker(pause) for pause in pauses))
 
     def stop(self) -> None:
         """Start no more requests."""
         self._stopped = True
 
-    async def _run_worker(self) -> None:
-        async with aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
-            connector=aiohttp.TCPConnector(limit_per_host=1),
-        ) as session:
-            while not self._stopped:
-                self.records.append(await self._send_request(session))
-                await asyncio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
-
-    async def _send_request(self, session: aiohttp.ClientSession) -> CallerRecord:
+    async def _run_worker(self, pause_range_s: tuple[float, float]) -> None:
+        connections: dict[str, CallerConnection] = {}
+        while not self._stopped:
+            is_patient = pause_range_s == PATIENT_PAUSE_RANGE_S
+            self.records.append(await self._send_request(connections, is_patient))
+            await asyncio.sleep(self._rng.uniform(*pause_range_s))
+        for connection in connections.values():
+            connection.close()
+
+    async def _send_request(
+        self, connections: dict[str, CallerConnection], is_patient: bool
+    ) -> CallerRecord:
         instance = self._rng.choice(self._fleet.instances)
         kind, path = self._rng.choice(self._fleet.request_paths)
-        deadline_ms = DEADLINE_MS
-        if self._sends_long and self._rng.random() < LONG_SHARE:
+        deadline_ms, sending_pause_s = DEADLINE_MS, 0.0
+        if is_patient and self._rng.random() < SLOW_SHARE:
+            sending_pause_s = self._rng.uniform(0.0, MAX_SENDING_PAUSE_S)
+        share = LONGER_SHARE if is_patient else LONG_SHARE
+        if self._sends_long and self._rng.random() < share:
             kind, path, deadline_ms = "unsafe", LONG_PATH, LONG_DEADLINE_MS
+            if is_patient:
+                path, deadline_ms = LONGER_PATH, LONGER_DEADLINE_MS
         request_id = f"r-{next(self._ids)}"
         incarnation, sent_at = instance.incarnation, time.monotonic()
-        data, coding = None, {}
+        data, coding = b"", {}
         if kind != "safe":
             data = bytes(self._rng.randrange(*BODY_BYTES_RANGE))
             if self._rng.random() < CODED_SHARE:
                 data, coding = gzip.compress(data), {"Content-Encoding": "gzip"}
-        status, error = 0, ""
+        headers = {
+            "Host": "h.example",
+            REQUEST_ID_HEADER: request_id,
+            "X-Rhubarbwell-Request-Deadline": str(deadline_ms),
+            "Cookie": f"X-Rhubarbwell-Affinity-Key={self._rng.randrange(12)}",
+            **coding,
+        }
+        request = _encode_request(path, headers, None if kind == "safe" else data)
+        connection = connections.get(instance.name)
+        if connection is None or not connection.is_usable():
+            connection = connections[instance.name] = CallerConnection()
+        is_kept = connection.answers > 0
+        status, error, is_stamped = 0, "", False
         try:
-            async with session.request(
-                "GET" if data is None else "POST",
-                f"http://{instance.callers.host}:{instance.callers.port}{path}",
-                data=data,
-                headers={
-                    "Host": "h.example",
-                    REQUEST_ID_HEADER: request_id,
-                    "X-Rhubarbwell-Request-Deadline": str(deadline_ms),
-                    "Cookie": f"X-Rhubarbwell-Affinity-Key={self._rng.randrange(12)}",
-                    **coding,
-                },
-            ) as resp:
-                text = await resp.text()
-                status = resp.status
-                error = _answer_error(resp, text, request_id, path, len(data or b""))
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            status, error = 0, type(exc).__name__
+            if not is_kept:
+                await connection.connect(instance.callers)
+            sending = connection.exchange(request, sending_pause_s)
+            wait_s = max(MIN_WAIT_S, deadline_ms / 1_000 + PATIENCE_S)
+            answer = await self._wait_for(sending, wait_s)
+            status, is_stamped = answer.status, STAMP_HEADER.lower() in answer.headers
+            error = _answer_error(answer, request_id, path, len(data))
+        except (OSError, TimeoutError) as exc:
+            error = type(exc).__name__
+        except (KeyError, ValueError):
+            error = "altered"
+        ended_at = time.monotonic()
+        if not status or self._rng.random() < CLOSING_SHARE:
+            connection.close()
         return CallerRecord(
             *(request_id, kind, path, instance.name, incarnation, status),
-            *(sent_at, time.monotonic(), error),
+            *(sent_at, connection.whole_sent_at, ended_at, deadline_ms / 1_000),
+            *(is_kept, is_stamped, error),
         )
 
-
-def _answer_error(
-    resp: aiohttp.ClientResponse, text: str, request_id: str, path: str, size: int
-) -> str:
+    async def _wait_for(
+        self, sending: Coroutine[None, None, CallerAnswer], wait_s: float
+    ) -> CallerAnswer:
+        """Return an answer; raise TimeoutError if it takes longer.
+
+        The time in which the event loop is late does not count: an answer may have
+        arrived in it.
+        """
+        started_at = time.monotonic()
+        task = asyncio.ensure_future(sending)
+        await asyncio.wait([task], timeout=wait_s)
+        late_s = self._lag.between(started_at, time.monotonic())
+        await asyncio.wait([task], timeout=late_s)
+        if not task.done():
+            task.cancel()
+            await asyncio.wait([task])
+            raise TimeoutError
+        return task.result()
+
+
+def _encode_request(path: str, headers: dict[str, str], body: bytes | None) -> bytes:
+    if body is not None:
+        headers = {**headers, "Content-Length": str(len(body))}
+    lines = [f"{'GET' if body is None else 'POST'} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
+
+
+def _answer_error(answer: CallerAnswer, request_id: str, path: str, size: int) -> str:
     """Return what is wrong with an answer, else an empty text."""
-    stamp = resp.headers.get(STAMP_HEADER)
-    if resp.status == 500 and stamp is None:
+    status, headers, body = answer
+    stamp = headers.get(STAMP_HEADER.lower())
+    if status == 500 and stamp is None:
         return "failed"
-    if resp.headers.get(REQUEST_ID_HEADER, request_id) != request_id:
+    if headers.get(REQUEST_ID_HEADER.lower(), request_id) != request_id:
         return "crossed"
     if stamp is not None and stamp != f"s-{request_id}":
         return "crossed"
-    if resp.status == 200 and (stamp is None or text != f"{request_id} {path} {size}"):
+    text = body.decode(errors="replace")
+    if status == 200 and (stamp is None or text != f"{request_id} {path} {size}"):
         return "altered"
     return ""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,8 @@
 from soak.callers import CallerRecord, Callers
 from soak.faults import FaultInjector, InjectedFault
 from soak.fleet import SoakFleet
+from soak.lag import LoopLag
+from soak.losses import STABILITY_S, LossChecker
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 ALLOWED_EXIT_CODES = frozenset({0, -9})
@@ -18,8 +20,6 @@
 MAX_DRAIN_S = 2.5
 # Faults have effects for this long after their end; a restart takes as long.
 RECOVERY_TIME_S = 6.0
-# An instance without a fault for this time (stabilityWindow) keeps to drain periods.
-STABILITY_S = 4.0
 RETRY_BUDGET_WINDOW_S = 10.0
 RETRY_BUDGET_RATIO = 0.2
 RETRY_BUDGET_SLACK = 20
@@ -31,8 +31,9 @@
     """Find violated guarantees in the records of a soak."""
 
     def __init__(
-        self, fleet: SoakFleet, callers: Callers, injector: FaultInjector
+        self, fleet: SoakFleet, callers: Callers, injector: FaultInjector, lag: LoopLag
     ) -> None:
+        self._losses = LossChecker(fleet, callers, injector, lag)
         self._fleet = fleet
         self._records = callers.records
         self._runs = fleet.request_log.runs
@@ -51,6 +52,7 @@
         that reached a server must also receive a complete answer.
         """
         findings = [
+            *self._losses.findings(),
             *(self._duplicate_runs() or ()),
             *self._false_refusals(),
             *self._wrong_answers(),
--- /dev/null
+++ b/tests/soak/connection.py
@@ -0,0 +1,130 @@
+"""One caller's connection to an instance, which never repeats a request."""
+
+import asyncio
+import socket
+import time
+from typing import NamedTuple
+
+from rhubarbwell_core.model import Address
+
+READ_BYTES = 64 << 10
+FINAL_STATUS_MIN = 200
+BODILESS_STATUSES = (204, 304)
+
+
+class CallerAnswer(NamedTuple):
+    """Hold a complete answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerConnection:
+    """Exchange requests and answers on one TCP connection.
+
+    `whole_sent_at` is the monotonic time in seconds at which the kernel had taken the
+    last byte of the current request, 0.0 until then.
+    """
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.whole_sent_at = 0.0
+        self._sock: socket.socket | None = None
+        self._buffer = bytearray()
+
+    async def connect(self, address: Address) -> None:
+        """Open the connection; raise OSError if that fails."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+        await asyncio.get_running_loop().sock_connect(sock, address)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+
+    def is_usable(self) -> bool:
+        """Return True if the connection is open and nothing waits to be read."""
+        if self._sock is None or self._buffer:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    async def exchange(self, request: bytes, pause_s: float = 0.0) -> CallerAnswer:
+        """Send a request once, with a pause amid it, and return its complete answer.
+
+        Raises OSError if the connection ends before that, ValueError for bytes that
+        are no answer.
+        """
+        self.whole_sent_at = 0.0
+        # The answer may arrive before the body is sent.
+        sending = asyncio.create_task(self._send(request, pause_s))
+        try:
+            answer = await self._read_answer()
+        finally:
+            is_sent = sending.done()
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+        self.answers += 1
+        if not is_sent or answer.headers.get("connection", "").lower() == "close":
+            self.close()
+        return answer
+
+    async def _send(self, request: bytes, pause_s: float) -> None:
+        assert self._sock is not None
+        loop = asyncio.get_running_loop()
+        half = len(request) // 2 if pause_s else 0
+        await loop.sock_sendall(self._sock, request[:half])
+        await asyncio.sleep(pause_s)
+        await loop.sock_sendall(self._sock, request[half:])
+        self.whole_sent_at = time.monotonic()
+
+    async def _read_answer(self) -> CallerAnswer:
+        status = 0
+        while status < FINAL_STATUS_MIN:
+            first, *lines = (await self._read_until(b"\r\n\r\n")).split("\r\n")
+            status = int(first.removeprefix("HTTP/1.1 ")[:3])
+        fields = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in fields}
+        return CallerAnswer(status, headers, await self._read_body(status, headers))
+
+    async def _read_body(self, status: int, headers: dict[str, str]) -> bytes:
+        if status in BODILESS_STATUSES:
+            return b""
+        if headers.get("transfer-encoding", "").lower() == "chunked":
+            body = b""
+            while size := int(await self._read_until(b"\r\n"), 16):
+                body += (await self._read_exactly(size + 2))[:-2]
+            await self._read_exactly(2)
+            return body
+        return await self._read_exactly(int(headers["content-length"]))
+
+    async def _read_until(self, end: bytes) -> str:
+        while end not in self._buffer:
+            await self._receive()
+        size = self._buffer.index(end) + len(end)
+        return (await self._read_exactly(size))[: -len(end)].decode("latin-1")
+
+    async def _read_exactly(self, size: int) -> bytes:
+        while len(self._buffer) < size:
+            await self._receive()
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+    async def _receive(self) -> None:
+        assert self._sock is not None
+        loop = asyncio.get_running_loop()
+        data = await loop.sock_recv(self._sock, READ_BYTES)
+        if not data:
+            raise ConnectionResetError("the connection ended before the answer")
+        self._buffer += data
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,17 @@
     {"Retry-After": "9" * 400, "Server-Limit": "none"},
 )
 MAX_REPEATED_SIGNALS = 3
+# How many times as often as each other planned fault a series occurs, and the time
+# in which its stops begin.
+SERIES_WEIGHT = 3
+SERIES_STOPS_S = 1.0
+MAX_SERIES_REPEATS = 3
+STORE_PATH_SHARE = 0.3
+# A stalled event loop is no excuse for a loss; the time of a stall during a stop.
+STALL_RANGE_S = (0.2, 0.45)
+MAX_STALL_DELAY_S = 3.0
+IDLE_STALL_SHARE = 0.7
+IDLE_CLOSE_RANGE_S = (3.3, 3.6)
 STORE_FAULTS = ("busy", "silent", "reset", "slow", "lost", "forgets")
 
 
@@ -54,6 +65,11 @@
     ended_at: float
     planned: bool
 
+    @property
+    def is_of_store(self) -> bool:
+        """Return True if the fault disturbs the store or the path to it alone."""
+        return self.name.startswith("store ") or self.name == "path to the store"
+
 
 class FaultInjector:
     """Inject randomly chosen faults, a few at a time.
@@ -61,7 +77,9 @@
     Planned faults are restarts, reloads, new configurations and drains; with
     `planned_only`, no others are injected. With `hostile`, stopping instances get
     further signals, another writer puts unreadable rows, and servers send unreadable
-    headers.
+    headers. With `series`, several instances stop at once amid reloads, configurations
+    and faults of the store, also with `planned_only`, and stall for less than half a
+    second.
     """
 
     def __init__(
@@ -71,8 +89,10 @@
         *,
         planned_only: bool = False,
         hostile: bool = False,
+        series: bool = False,
     ) -> None:
         self._hostile = hostile
+        self._series = series
         self.injected: list[InjectedFault] = []
         self.slow_shutdowns: list[str] = []
         self._fleet = fleet
@@ -110,18 +130,27 @@
         if self._hostile:
             planned += [(_no_target, self._put_hostile_row)]
             faults += [(self._free_servers, self._send_hostile_headers)]
+        if self._series:
+            planned += [(_no_target, self._stop_in_series)] * SERIES_WEIGHT
         is_planned = self._planned_only or self._rng.random() < 0.3
         free_targets, inject = self._rng.choice(planned if is_planned else faults)
-        started_at = time.monotonic()
         targets = free_targets()
         if not targets:
             return
         key, target = targets[0] if len(targets) == 1 else self._rng.choice(targets)
-        is_reserved = inject != self._disrupt_store_path
+        await self._inject(inject, key, target, is_planned=is_planned)
+
+    async def _inject(
+        self, inject, key: str, target, *, is_planned: bool, delay_s: float = 0.0
+    ) -> None:
+        """Reserve a target, inject a fault into it after a delay and record it."""
+        is_reserved = inject not in (self._disrupt_store_path, self._stall_instance)
         if is_reserved:
             self._busy_targets.add(key)
         label = getattr(target, "backend_id", key)
         try:
+            await asyncio.sleep(delay_s)
+            started_at = time.monotonic()
             name = await inject(target)
         finally:
             if is_reserved:
@@ -165,6 +194,45 @@
         await instance.start()
         return "SIGTERM"
 
+    async def _stop_in_series(self, _target: None) -> str:
+        """Restart some instances at once amid reloads, configurations and outages."""
+        free, rng = self._free_instances(), self._rng
+        chosen = rng.sample(free, rng.randrange(1, len(free))) if free else []
+        # The time in which each begins, the method, its target, whether it is planned.
+        works = [(SERIES_STOPS_S, self._restart_instance, p, True) for p in chosen]
+        works += [(MAX_STALL_DELAY_S, self._stall_instance, p, False) for p in chosen]
+        for method in (self._reload_settings, self._publish_configurations):
+            number = rng.randrange(MAX_SERIES_REPEATS + 1)
+            works += [(SHUTDOWN_GRACE_S, method, *_no_target(), True)] * number
+        works += [
+            (SHUTDOWN_GRACE_S, self._fail_store, p, False) for p in self._free_store()
+        ]
+        works += [
+            (SHUTDOWN_GRACE_S, self._disrupt_store_path, p, False)
+            for p in chosen
+            if rng.random() < STORE_PATH_SHARE
+        ]
+        await asyncio.gather(
+            *(
+                self._inject(
+                    inject, *pair, is_planned=is_planned, delay_s=rng.uniform(0, span_s)
+                )
+                for span_s, inject, pair, is_planned in works
+            )
+        )
+        return "series"
+
+    async def _stall_instance(self, instance) -> str:
+        """Let an instance stall, often while its stop closes idle connections."""
+        stops = [s.at for s in instance.signals if s.number == signal.SIGTERM]
+        if stops and self._rng.random() < IDLE_STALL_SHARE:
+            at = max(stops) + self._rng.uniform(*IDLE_CLOSE_RANGE_S)
+            await asyncio.sleep(at - time.monotonic())
+        instance.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(*STALL_RANGE_S))
+        instance.send_signal(signal.SIGCONT)
+        return "stall"
+
     async def _repeat_signals(self, instance) -> None:
         """Send further signals to an instance that has just got SIGTERM."""
         if not self._hostile:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
+import socket
 import sys
 import time
 from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
 import aiohttp
 from rhubarbwell_core.model import Address, host_port
 from soak.proxy import FaultProxy
-from soak.servers import HEARTBEAT_INTERVAL_S, LONG_PATH, RequestLog, SoakServer
+from soak.servers import (
+    HEARTBEAT_INTERVAL_S,
+    LONG_PATH,
+    LONGER_PATH,
+    RequestLog,
+    SoakServer,
+)
 from support.users_platform import StoreStandIn, config_body
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -20,11 +29,49 @@
 SHUTDOWN_GRACE_S = 6.0
 READY_TIMEOUT_S = 20.0
 SERVICES = ("svc", "other")
+# Values from which each version of the configuration takes one.
+IDLE_TIMEOUTS_MS = (400, 1_500, 15_000)
+HEADER_TIMEOUTS_MS = (1_000, 3_000)
+BODY_LIMITS_BYTES = (200 << 10, 1 << 20)
+ROUTE_TIMEOUTS_MS = (700, 1_000, 1_400)
+LONG_TIMEOUTS_MS = (2_700, 3_000, 4_000)
+LONGER_TIMEOUT_MS = 9_000
+# An instance that cannot reach the store may keep an older version for this time.
+MAX_SUPERSEDED_S = 9.5
 PACKAGES = ("core", "platform", "entry")
 # Modes of servers that send no heartbeats.
 UNREGISTERED_MODES = ("crashed", "unlisted")
 
 
+class SentSignal(NamedTuple):
+    """Record a signal that an incarnation of a process got, in monotonic seconds."""
+
+    number: int
+    incarnation: int
+    at: float
+
+
+class RouteTimeouts(NamedTuple):
+    """Hold the timeouts in seconds that a version gives its routes.
+
+    The version is in force from `from_s` to `until_s` at most, in monotonic seconds.
+    """
+
+    short_s: float
+    long_s: float
+    from_s: float
+    until_s: float = math.inf
+
+    def of(self, path: str) -> float:
+        """Return the timeout of a path's route."""
+        named = {LONG_PATH: self.long_s, LONGER_PATH: LONGER_TIMEOUT_MS / 1_000}
+        return named.get(path, self.short_s)
+
+    def may_be_in_force(self, start: float, end: float) -> bool:
+        """Return True if an instance may use the version between two times."""
+        return self.from_s <= end and start <= self.until_s
+
+
 class InstanceProcess:
     """Run one entry instance as a process that reaches the store through a proxy."""
 
@@ -43,7 +90,7 @@
         self.exit_codes: list[int] = []
         self.store_proxy = FaultProxy(lambda: store.address)
         self.process: asyncio.subprocess.Process | None = None
-        self.disturbed_at = 0.0
+        self.signals: list[SentSignal] = []
         self._folder = folder
         self._code_paths = [
             *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
@@ -54,7 +101,7 @@
         """Start the proxy, choose free ports and write the settings file."""
         self._script = entry_script
         await self.store_proxy.start()
-        ports = [free_port(self.host) for _ in range(4)]
+        ports = free_ports(self.host, 4)
         self.callers, self.ready, self.control, self.directory = (
             Address(self.host, port) for port in ports
         )
@@ -90,7 +137,7 @@
         assert self.process is not None
         try:
             status = Path(f"/proc/{self.process.pid}/status").read_text()
-        except FileNotFoundError:
+        except (FileNotFoundError, ProcessLookupError):
             # The process has exited.
             return True
         fields = dict(line.split(":\t", 1) for line in status.splitlines())
@@ -103,6 +150,8 @@
             # Process.send_signal would reap a process that has ended and lose its code.
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
+                sent = SentSignal(number, self.incarnation, time.monotonic())
+                self.signals.append(sent)
 
     async def stop_with_signal(self, number: int) -> float:
         """Send a signal, wait for the process to exit and return the seconds taken."""
@@ -167,6 +216,8 @@
         ]
         self.version = 0
         self.publications: list[tuple[int, float]] = []
+        self.timeouts: list[RouteTimeouts] = []
+        self._config_rng = Random(seed + 3)
         self._script = script
         self._folder = folder
         subnet_rng = Random(os.getpid() * 1_000 + seed)
@@ -219,24 +270,28 @@
 
         It has a route /v<number>/ for itself and for each of up to three versions
         before it. The route /old/ alternates between the two services from version to
-        version.
+        version. Timeouts and limits become shorter and longer again.
         """
         self.version += 1
-        body = config_body(self.version)
+        rng = self._config_rng
+        timeout_ms, long_ms = map(rng.choice, (ROUTE_TIMEOUTS_MS, LONG_TIMEOUTS_MS))
+        body = config_body(self.version, timeout=f"{timeout_ms}ms")
+        limits = next(r for r in body["resources"] if r["resourceKind"] == "limits")
+        limits["spec"] |= {
+            "idleTimeout": f"{rng.choice(IDLE_TIMEOUTS_MS)}ms",
+            "headerTimeout": f"{rng.choice(HEADER_TIMEOUTS_MS)}ms",
+            "maxBodyBytes": rng.choice(BODY_LIMITS_BYTES),
+        }
         (template, *_) = body["resources"]
         for number in range(max(1, self.version - 3), self.version + 1):
             spec = {**template["spec"], "prefix": f"/v{number}/"}
             name = {"name": f"v{number}"}
             body["resources"].append({**template, "metadata": name, "spec": spec})
-        spec = {
-            **template["spec"],
-            "prefix": LONG_PATH,
-            "kind": "unsafe",
-            "timeout": "3s",
-        }
-        body["resources"].append(
-            {**template, "metadata": {"name": "long"}, "spec": spec}
-        )
+        for prefix, ms in ((LONG_PATH, long_ms), (LONGER_PATH, LONGER_TIMEOUT_MS)):
+            fields = {"prefix": prefix, "kind": "unsafe", "timeout": f"{ms}ms"}
+            name = {"name": prefix.strip("/")}
+            spec = {**template["spec"], **fields}
+            body["resources"].append({**template, "metadata": name, "spec": spec})
         old_route_service = SERVICES[self.version % 2]
         spec = {
             **template["spec"],
@@ -247,11 +302,19 @@
         body["resources"].append(
             {**template, "metadata": {"name": "old"}, "spec": spec}
         )
+        self._note_timeouts(timeout_ms / 1_000, long_ms / 1_000)
         await self.store.write("op", "config", body)
         self.publications.append((self.version, time.monotonic()))
         self.request_paths.append(("probe", f"/v{self.version}/"))
         self.request_paths = self.request_paths[:3] + self.request_paths[-3:]
 
+    def _note_timeouts(self, short_s: float, long_s: float) -> None:
+        now = time.monotonic()
+        if self.timeouts:
+            last = self.timeouts[-1]
+            self.timeouts[-1] = last._replace(until_s=now + MAX_SUPERSEDED_S)
+        self.timeouts.append(RouteTimeouts(short_s, long_s, now))
+
     async def register(self, server: SoakServer) -> None:
         """Write the server's registry entry to the store."""
         self._sequence += 1
@@ -266,10 +329,10 @@
                     await self.register(server)
 
 
-def free_port(host: str) -> int:
-    """Return a free TCP port of the host."""
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def free_ports(host: str, number: int) -> list[int]:
+    """Return free TCP ports of the host, all different."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(number)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -17,8 +17,13 @@
 SLOW_SERVICE_S = 0.6
 LONG_PATH = "/long/"
 LONG_SERVICE_S = 2.4
+# A request that was sent before SIGTERM ends before the last sixth of the grace time.
+LONGER_PATH = "/longer/"
+LONGER_SERVICE_S = 4.6
 HEARTBEAT_INTERVAL_S = 1.0
 DRAIN_DURATION_S = 4.0
+# Modes in which a server ends the connection before its answer is complete.
+BREAKING_MODES = ("lost", "cut")
 
 
 class ServerRequest(NamedTuple):
@@ -32,16 +37,27 @@
     received_at: float
 
 
+class ServerWork(NamedTuple):
+    """Record the time in which a server worked on a request; monotonic seconds."""
+
+    request_id: str
+    backend_id: str
+    started_at: float
+    ended_at: float
+    broke_off: bool
+
+
 class RequestLog:
     """Hold the requests of all servers and when each server began to drain.
 
     `arrivals` holds all requests but those that expected another server (421),
-    `runs` those on which a server began to work.
+    `runs` those on which a server began to work, `works` the time in which it did.
     """
 
     def __init__(self) -> None:
         self.runs: list[ServerRequest] = []
         self.arrivals: list[ServerRequest] = []
+        self.works: list[ServerWork] = []
         self.drain_started_at: dict[str, float] = {}
 
 
@@ -102,7 +118,12 @@
             headers = {REQUEST_ID_HEADER: request_id, "X-Rhubarbwell-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
         self._request_log.runs.append(arrival)
+        started_at = time.monotonic()
         await asyncio.sleep(self._service_s(request.path, mode))
+        span = (started_at, time.monotonic(), mode in BREAKING_MODES)
+        self._request_log.works.append(
+            ServerWork(request_id, arrival.backend_id, *span)
+        )
         return await self._respond(request, request_id, body, mode)
 
     def _turn_away(self, request: web.BaseRequest, request_id: str) -> web.Response:
@@ -117,6 +138,8 @@
     def _service_s(self, path: str, mode: str) -> float:
         if path == LONG_PATH:
             return LONG_SERVICE_S
+        if path == LONGER_PATH:
+            return LONGER_SERVICE_S
         if mode == "slow":
             return SLOW_SERVICE_S
         return self._rng.uniform(*SERVICE_TIME_RANGE_S)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 from soak.checks import GuaranteeChecker
 from soak.faults import FaultInjector, InjectedFault
 from soak.fleet import ROOT, SoakFleet
+from soak.lag import LoopLag
 
 ENTRY_SCRIPT = ROOT / "platform/run_entry.py"
 # After this time, every instance knows the current configuration and registry again,
@@ -36,21 +37,29 @@
     script: Path = ENTRY_SCRIPT,
     planned_only: bool = False,
     hostile: bool = False,
+    series: bool = False,
     server_mode: tuple[str, float] = ("", 0.0),
     code: Path = ROOT,
 ) -> SoakReport:
     """Run a soak with the faults of a seed and return its report.
 
-    `for_s` is the time in seconds for which faults start. With `hostile`, callers also
-    send requests of some seconds, and FaultInjector injects further faults.
+    `for_s` is the time in seconds for which faults start. With `hostile` and with
+    `series`, callers also send requests of some seconds, and FaultInjector injects
+    further faults.
     `server_mode` is the initial fault of all servers with its probability, until a
     fault changes it. `code` is the checkout whose packages the instances run.
     """
     fleet = SoakFleet(seed, folder, instances, script, code)
-    callers = Callers(fleet, Random(seed + 1), sends_long=hostile)
+    lag = LoopLag()
+    callers = Callers(fleet, Random(seed + 1), lag, sends_long=hostile or series)
     injector = FaultInjector(
-        fleet, Random(seed + 2), planned_only=planned_only, hostile=hostile
+        fleet,
+        Random(seed + 2),
+        planned_only=planned_only,
+        hostile=hostile,
+        series=series,
     )
+    lag_task = asyncio.create_task(lag.run())
     try:
         await fleet.start()
         for server in fleet.servers:
@@ -62,9 +71,10 @@
         await asyncio.sleep(RECOVERY_CHECK_S)
         callers.stop()
         await callers_task
-        checker = GuaranteeChecker(fleet, callers, injector)
+        checker = GuaranteeChecker(fleet, callers, injector, lag)
         findings = checker.findings(planned_only=planned_only, settled_at=settled_at)
     finally:
+        lag_task.cancel()
         await fleet.stop()
     return SoakReport(
         findings, len(callers.records), len(fleet.request_log.runs), injector.injected
--- a/tests/soak/test_broken_programs.py
+++ b/tests/soak/test_broken_programs.py
@@ -20,6 +20,30 @@
     assert any(finding in line for line in report.findings)
 
 
+@pytest.mark.parametrize(
+    "variant, finding",
+    [
+        ("close_passed_on", "was passed on and cut off"),
+        ("close_held", "after its last byte"),
+        ("break_off", "was broken off at work and answered 502"),
+    ],
+)
+async def test_program_that_loses_requests_is_caught(
+    variant, finding, tmp_path, monkeypatch
+):
+    monkeypatch.setenv("SOAK_VARIANT", variant)
+    report = await run_soak(
+        3,
+        tmp_path,
+        for_s=4.0,
+        script=BROKEN_ENTRY,
+        planned_only=True,
+        hostile=True,
+        series=True,
+    )
+    assert any(finding in line for line in report.findings)
+
+
 async def test_program_that_returns_to_old_configurations_is_caught(
     tmp_path, monkeypatch
 ):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,5 +1,7 @@
 """Short soaks with seeds that failed in the past."""
 
+from pathlib import Path
+
 import pytest
 from soak.soak import run_soak
 
@@ -18,7 +20,10 @@
     403: "planned hostile",
     # Callers got 500 because of a header of an answer.
     451: "hostile",
+    # A stop cut off requests at work that it had accepted in its last seconds.
+    3: "planned series",
 }
+STALLING_ENTRY = Path(__file__).with_name("broken_entry.py")
 
 
 @pytest.mark.parametrize("seed", REGRESSIONS)
@@ -30,6 +35,15 @@
         for_s=6.0,
         planned_only="planned" in kinds,
         hostile="hostile" in kinds,
+        series="series" in kinds,
     )
     assert report.findings == []
     assert report.runs > 100
+
+
+async def test_program_whose_event_loop_stalls_loses_nothing(tmp_path, monkeypatch):
+    monkeypatch.setenv("SOAK_VARIANT", "stall")
+    report = await run_soak(
+        1, tmp_path, for_s=6.0, script=STALLING_ENTRY, planned_only=True, series=True
+    )
+    assert [line for line in report.findings if "LOST" in line] == []
