Bound a stand-alone stop that waits for TLS handshakes

Change: they run side by side, with 5 s each, and the stop goes on at stop_max_s or when it is forced.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -29,6 +29,8 @@
 _log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1_024
+# Time for the TLS handshake of a connection that is accepted as its listener closes.
+HANDSHAKE_TIMEOUT_S = 5.0
 
 
 def open_listening_socket(address: Address) -> socket.socket:
@@ -171,15 +173,19 @@
         accepted = accept_established(self._sock)
         await self._site.stop()
         self._site = None
+        await asyncio.gather(*map(self._serve_accepted, accepted))
+
+    async def _serve_accepted(self, sock: socket.socket) -> None:
         server = self._runner.server
         assert server is not None
-        loop = asyncio.get_running_loop()
-        for sock in accepted:
-            try:
-                await loop.connect_accepted_socket(server, sock, ssl=self._tls)
-            except OSError as exc:
-                # The caller may have left, or its TLS handshake failed.
-                _log_lost_connection(exc)
+        limits = {"ssl_handshake_timeout": HANDSHAKE_TIMEOUT_S} if self._tls else {}
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                server, sock, ssl=self._tls, **limits
+            )
+        except OSError as exc:
+            # The caller may have left, or its TLS handshake failed.
+            _log_lost_connection(exc)
 
     async def stop(self) -> None:
         """Close the socket and every connection."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/shutdown.py
@@ -75,7 +75,11 @@
         cache_ttl_ms = min(self._cached_answer_ttl_ms() + self._margin_ms, self._max_ms)
         await self._wait_until(lambda: False, self._driver.clock_ms() + cache_ttl_ms)
         self._handler.refusing = True
-        await self._stop_listening()
+        # TLS handshakes of the last connections may take longer than the stop.
+        stopping = asyncio.ensure_future(self._stop_listening())
+        await self._wait_until(stopping.done, deadline_ms)
+        if not stopping.cancel():
+            stopping.result()
         log_event(
             _log,
             logging.INFO,
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -23,13 +23,13 @@
         yield running
 
 
-def make_shutdown(entry, announced=None, *, max_ms=10_000):
+def make_shutdown(entry, announced=None, *, max_ms=10_000, stop_listening=None):
     return GracefulShutdown(
         entry.driver,
         entry.handler,
         max_ms=max_ms,
         announce=lambda: None if announced is None else announced.append(True),
-        stop_listening=entry.site.stop,
+        stop_listening=stop_listening or entry.site.stop,
         close_idle_connections=entry.runner.close_idle_connections,
         margin_ms=50,
     )
@@ -158,3 +158,22 @@
     assert refused[1] == "not_run"
     assert (await upload)[:2] == (200, "answered")
     assert backend.runs[-1].body_bytes == 200_000
+
+
+# A connection without a TLS handshake held a stop that nothing else ended.
+@pytest.mark.parametrize("is_forced", [False, True])
+async def test_listener_that_does_not_close_does_not_hold_a_stop(entry, is_forced):
+    closing = asyncio.Event()
+
+    async def hang():
+        closing.set()
+        await asyncio.Event().wait()
+
+    max_ms = 60_000 if is_forced else 400
+    shutdown = make_shutdown(entry, max_ms=max_ms, stop_listening=hang)
+    stop = asyncio.create_task(shutdown.run())
+    async with asyncio.timeout(10):
+        await closing.wait()
+        if is_forced:
+            shutdown.force()
+        await stop
