Count a TLS handshake in progress for a second at most

Cause: connections on which HTTP has not begun counted as left until they were garbage-collected, as a protocol whose handshake fails is told nothing. Change: they count for 1 s after they were accepted. Tests: test_connection_that_ends_before_its_handshake_does_not_hold_a_stop, 2 of 2 failed before (1 left), pass now; that of a handshake that ends late passes as before.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from typing import Any
-from weakref import WeakSet
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 
@@ -16,6 +16,8 @@
 # The limit is for callers that send slowly or without end.
 LINGERING_S = 5.0
 SHUTDOWN_TIMEOUT_S = 1.0
+# A caller completes its TLS handshake within this time; a check of the port never does.
+MAX_HANDSHAKE_S = 1.0
 CONNECTION_OPTIONS: dict[str, Any] = {
     "access_log": None,
     "lingering_time": LINGERING_S,
@@ -42,7 +44,7 @@
         for conn in server.connections:
             if isinstance(conn, CallerConnection) and conn.is_idle(now_s):
                 conn.end()
-        return len(server.connections) + len(server.opening)
+        return len(server.connections) + server.count_opening(now_s)
 
     async def _make_server(self) -> web.Server:
         server = await super()._make_server()
@@ -58,20 +60,25 @@
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        # Accepted connections on which HTTP has not begun.
-        self.opening = WeakSet[web.RequestHandler]()
+        # When connections were accepted on which HTTP has not begun, in s.
+        self._opening = WeakKeyDictionary[web.RequestHandler, float]()
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol handler of a new connection."""
         conn = CallerConnection(
             self, lambda: KEEPALIVE_S, loop=self._loop, **CONNECTION_OPTIONS
         )
-        self.opening.add(conn)
+        self._opening[conn] = self._loop.time()
         return conn
 
+    def count_opening(self, now_s: float) -> int:
+        """Return the number of connections whose TLS handshake may be in progress."""
+        oldest_s = now_s - MAX_HANDSHAKE_S
+        return sum(accepted_s > oldest_s for accepted_s in self._opening.values())
+
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
     ) -> None:
         """Record a connection on which HTTP begins."""
-        self.opening.discard(handler)
+        self._opening.pop(handler, None)
         super().connection_made(handler, transport)
--- a/tests/entry/proxy/test_idle_connections.py
+++ b/tests/entry/proxy/test_idle_connections.py
@@ -1,6 +1,7 @@
 """Tests which connections of callers count as idle."""
 
 import asyncio
+import gc
 import ssl
 
 import pytest
@@ -174,13 +175,18 @@
     assert closed
 
 
-async def answer_of_a_handshake_that_a_stop_meets(tmp_path):
-    """Return what a caller reads whose TLS handshake ends late, and what is left."""
+def make_context(folder):
+    """Return the TLS context of a listener with a certificate of its own."""
     certificate = trustme.CA().issue_cert("entry.example")
-    files = str(tmp_path / "certificate.pem"), str(tmp_path / "key.pem")
+    files = str(folder / "certificate.pem"), str(folder / "key.pem")
     certificate.cert_chain_pems[0].write_to_path(files[0])
     certificate.private_key_pem.write_to_path(files[1])
-    runner, listener = await start_listener(tls_context(TlsSettings(*files)))
+    return tls_context(TlsSettings(*files))
+
+
+async def answer_of_a_handshake_that_a_stop_meets(tmp_path):
+    """Return what a caller reads whose TLS handshake ends late, and what is left."""
+    runner, listener = await start_listener(make_context(tmp_path))
     context = ssl.create_default_context()
     context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
     conn = KeptConnection(listener.address)
@@ -201,3 +207,27 @@
         left, status = runner.run(answer_of_a_handshake_that_a_stop_meets(tmp_path))
     assert left == 1
     assert status == b"HTTP/1.1 200 OK\r\n"
+
+
+async def connections_left_after_a_check(tmp_path):
+    """Return how many connections are left after one was closed without TLS."""
+    runner, listener = await start_listener(make_context(tmp_path))
+    conn = KeptConnection(listener.address)
+    await asyncio.sleep(0.05)
+    conn.close()
+    left = await close_idle_for(runner, callers.MAX_HANDSHAKE_S + 0.5)
+    await listener.stop()
+    return left
+
+
+# Checks of the port counted as connections until they were garbage-collected.
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_connection_that_ends_before_its_handshake_does_not_hold_a_stop(
+    loop_factory, tmp_path
+):
+    gc.disable()
+    try:
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            assert runner.run(connections_left_after_a_check(tmp_path)) == 0
+    finally:
+        gc.enable()
