Send a server that may have restarted its cold rate until evidence ends it

Cause: only a connection that could not be opened counted as a sign of a restart, not one that broke off or ended while idle. New is how the suspicion ends: by a connection from before the loss that is still open 0.1 s later; without one, by a connection that is opened at once, without a request, and stands within 40 ms; else by one trial request of an instance without a share, spread so that all of them send half the cold rate, and the cold start after the first answer. A failed connect alone no longer means cold for 3 s if older connections are open.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
@@ -14,6 +14,7 @@
 from rhubarbwell_core.direct.regions import *
 from rhubarbwell_core.direct.replica import *
 from rhubarbwell_core.direct.requests import *
+from rhubarbwell_core.direct.restarts import *
 from rhubarbwell_core.direct.routes import *
 from rhubarbwell_core.direct.shutdown import *
 from rhubarbwell_core.direct.verdicts import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -5,6 +5,7 @@
 from math import exp2
 
 from rhubarbwell_core.direct.model import BackendEntry
+from rhubarbwell_core.direct.restarts import RestartSuspicion
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.model import Address
 
@@ -65,6 +66,7 @@
         "reported_in_flight",
         "reported_load",
         "sent_at_ms",
+        "suspicion",
     )
 
     def __init__(self, entry: BackendEntry, region: str, now_ms: int) -> None:
@@ -79,6 +81,8 @@
         self.reported_in_flight = 0
         self.reported_at_ms = -MAX_REPORT_AGE_MS
         self.cold_until_ms = now_ms + entry.cold_ms
+        # None unless a lost connection suggests that the server has restarted.
+        self.suspicion: RestartSuspicion | None = None
         self.ejected_until_ms = 0
         # End of the time for which the server asked for no requests.
         self.paused_until_ms = 0
@@ -110,6 +114,31 @@
         others = max(0, self.reported_load - self.reported_in_flight)
         return self.in_flight + weight * others + (1.0 - weight) * average
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Return True if the server's caches are cold, or if it may have restarted."""
+        return self.suspicion is not None or self.cold_until_ms > now_ms
+
+    def resolve_suspicion(
+        self, opened_ms: int | None, cold_start_ms: int, now_ms: int
+    ) -> None:
+        """Record an answer on a connection that was opened at opened_ms.
+
+        A connection from before the suspicion shows that the server has not restarted.
+        If only later ones answer, it counts as one that has just started.
+        """
+        suspicion = self.suspicion
+        if suspicion is None:
+            return
+        self.suspicion = None
+        if opened_ms is None or opened_ms >= suspicion.opened_before_ms:
+            self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_start_ms)
+
+    def record_open_connection(self, opened_ms: int, now_ms: int) -> None:
+        """Record that a connection that was opened at opened_ms has not ended."""
+        suspicion = self.suspicion
+        if suspicion is not None and suspicion.is_disproved(opened_ms, now_ms):
+            self.suspicion = None
+
     def usable_slots(self, now_ms: int) -> float:
         """Return the slots divided by the slowness of the server; 0 while it is down.
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -22,9 +22,11 @@
     RefusalReason,
     Target,
 )
+from rhubarbwell_core.direct.restarts import RestartSuspicion, trial_spread_ms
 from rhubarbwell_core.direct.routes import RouteTable, WeightedSplits
 from rhubarbwell_core.direct.verdicts import AttemptResult, Verdict, attempt_verdict
 from rhubarbwell_core.hashing import weighted_rendezvous
+from rhubarbwell_core.model import Address
 
 __all__ = ["AttemptReport", "LoadBalancer", "LoadReport", "LoadBalancerRules"]
 
@@ -103,6 +105,8 @@
     server named with its answer, None if it named none. is_leaving is True if the
     answer said that its server is about to end. pause_ms is the time for which the
     server wants no requests from this instance, None if it asked for none.
+    opened_ms is the time at which the connection was opened; lost_connection is
+    True if it ended before the answer was complete.
     """
 
     result: AttemptResult
@@ -113,6 +117,8 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     pause_ms: int | None = None
+    opened_ms: int | None = None
+    lost_connection: bool = False
 
 
 class LoadBalancer:
@@ -145,6 +151,8 @@
         self._rng = rng
         self._instance_id = instance_id
         self._senders = 1
+        # Number of the instances that share the cold rates.
+        self._sharing = 1
         # Share of the retry budget's slack, 0 until the registrations are known.
         self._slack_share = 0.0
         self._capacity_by_region: dict[str, float] = {}
@@ -167,6 +175,7 @@
         self._senders = max(senders, 1)
         is_sharing = self._instance_id in budget_instance_ids
         self._slack_share = 1.0 / len(budget_instance_ids) if is_sharing else 0.0
+        self._sharing = max(len(budget_instance_ids), 1)
         self.cold_starts.configure(budget_instance_ids)
         self.rate_limits.configure(budget_instance_ids)
         self.region_shares.set_instances(
@@ -279,6 +288,7 @@
         if target.is_cold:
             rate = self._cold_rate(target.service)
             self.cold_starts.try_send(target.backend_id, rate, now_ms)
+            self._postpone_trial(state, now_ms)
         if state.rate_limit_per_s is not None:
             self.rate_limits.try_send(target.backend_id, state.rate_limit_per_s, now_ms)
 
@@ -328,6 +338,14 @@
             state.record_load_report(running, load.waiting, now_ms)
         if report.connect_ms is not None:
             self.zone_delays.record_connect_time(target.zone, report.connect_ms)
+        if report.lost_connection or report.result is AttemptResult.NOT_SENT:
+            self._suspect_restart(
+                state, now_ms, was_connected=report.result is not AttemptResult.NOT_SENT
+            )
+        elif report.result.is_answer:
+            state.resolve_suspicion(
+                report.opened_ms, self._cold_start_ms(target.service), now_ms
+            )
         if report.cold_ms is not None:
             state.cold_until_ms = now_ms + report.cold_ms
         if report.pause_ms is not None:
@@ -352,9 +370,49 @@
             slots = state.entry.slots
             turns = 1.0 + max(0.0, target.load + 1.0 - slots) / slots
             state.record_timeout(report.latency_ms / (turns * cold_ms), now_ms)
-        elif result is AttemptResult.NOT_SENT:
-            cold_ms = self._cold_start_ms(target.service)
-            state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
+
+    def record_idle_connection_lost(self, address: Address, now_ms: int) -> None:
+        """Record that a server closed an idle connection before any idle timeout."""
+        for state in self.backends.rows.rows():
+            if state.entry.address == address:
+                self._suspect_restart(state, now_ms, was_connected=True)
+
+    def record_open_connection(
+        self, address: Address, opened_ms: int, now_ms: int
+    ) -> None:
+        """Record that a connection that was opened at opened_ms has not ended."""
+        for state in self.backends.rows.rows():
+            if state.entry.address == address:
+                state.record_open_connection(opened_ms, now_ms)
+
+    def _suspect_restart(
+        self, state: BackendState, now_ms: int, *, was_connected: bool
+    ) -> None:
+        """Record a sign that a server has ended, and may start again under its id."""
+        service = state.entry.service
+        if not self._cold_start_ms(service):
+            return
+        if state.suspicion is not None:
+            state.suspicion = state.suspicion.renewed(now_ms)
+            return
+        # Trials that are due at the same time at all instances would be a burst.
+        due_ms = now_ms + self._random_trial_delay_ms(service, 0.0)
+        if was_connected:
+            state.suspicion = RestartSuspicion.of_loss(now_ms, due_ms)
+        else:
+            state.suspicion = RestartSuspicion.of_failed_connect(now_ms, due_ms)
+
+    def _postpone_trial(self, state: BackendState, now_ms: int) -> None:
+        """Set the time of the trial that follows one without a result."""
+        if state.suspicion is not None:
+            delay_ms = self._random_trial_delay_ms(state.entry.service, 0.5)
+            due_ms = now_ms + delay_ms
+            state.suspicion = state.suspicion._replace(trial_due_ms=due_ms)
+
+    def _random_trial_delay_ms(self, service: str, min_share: float) -> int:
+        """Return a random time of min_share to 1 + min_share of the spread in ms."""
+        spread_ms = trial_spread_ms(self._sharing, self._cold_rate(service))
+        return round(spread_ms * self._rng.uniform(min_share, 1.0 + min_share))
 
     def _set_rate_limit(
         self, state: BackendState, limit: float | None, now_ms: int
@@ -464,19 +522,25 @@
         """Return the ms until pause, cold start and rate limit allow a request."""
         backend_id, limit = state.entry.backend_id, state.rate_limit_per_s
         pause_ms = max(0, state.paused_until_ms - now_ms)
-        if state.cold_until_ms > now_ms:
-            rate = self._cold_rate(state.entry.service)
-            cold_ms = min(
-                self.cold_starts.pause_ms(backend_id, rate, now_ms),
-                state.cold_until_ms - now_ms,
-            )
-            pause_ms = max(pause_ms, cold_ms)
+        if state.is_cold(now_ms):
+            pause_ms = max(pause_ms, self._cold_pause_ms(state, now_ms))
         if limit is not None:
             pause_ms = max(
                 pause_ms, self.rate_limits.pause_ms(backend_id, limit, now_ms)
             )
         return pause_ms
 
+    def _cold_pause_ms(self, state: BackendState, now_ms: int) -> int:
+        """Return the ms until a server that is or may be cold may get a request."""
+        backend_id = state.entry.backend_id
+        rate = self._cold_rate(state.entry.service)
+        pause_ms = self.cold_starts.pause_ms(backend_id, rate, now_ms)
+        if state.suspicion is None:
+            return min(pause_ms, state.cold_until_ms - now_ms)
+        if self.cold_starts.has_share(backend_id, rate):
+            return pause_ms
+        return max(0, state.suspicion.trial_due_ms - now_ms)
+
     def _prefers_own_zone(
         self, req: ActiveRequest, order: Sequence[RankedBackend]
     ) -> bool:
@@ -587,7 +651,7 @@
             processing_ms,
             load,
             state.report_age_ms(now_ms),
-            state.cold_until_ms > now_ms,
+            state.is_cold(now_ms),
             holds_object,
         )
         return cost, target
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/rates.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/rates.py
@@ -88,6 +88,10 @@
             return 0
         return self._sent[backend_id].oldest_ms + round(share.window_ms) + 1 - now_ms
 
+    def has_share(self, backend_id: str, rate_per_s: float) -> bool:
+        """Return True if this instance ever sends a part of a server's rate."""
+        return self._share(backend_id, rate_per_s).requests > 0
+
     def forget(self, backend_id: str) -> None:
         """Delete what is known of a removed backend server."""
         self._sent.pop(backend_id, None)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/forwarding.py
@@ -17,6 +17,7 @@
 )
 from rhubarbwell_core.model import host_port
 
+from rhubarbwell_entry.direct.losses import LossChecks
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.sending import Answer, AttemptOutcome, DirectSender
 from rhubarbwell_entry.logs import log_event
@@ -58,11 +59,13 @@
         self,
         balancer: LoadBalancer,
         sender: DirectSender,
+        losses: LossChecks,
         metrics: DirectMetrics,
         clock_ms: Callable[[], int],
     ) -> None:
         self._balancer = balancer
         self._sender = sender
+        self._losses = losses
         self._metrics = metrics
         self._clock_ms = clock_ms
 
@@ -101,6 +104,8 @@
             raise
         report = outcome.report
         verdict = self._balancer.end_attempt(req, target, report, self._clock_ms())
+        if report.lost_connection or report.result is AttemptResult.NOT_SENT:
+            self._losses.start(target.address, was_connected=report.lost_connection)
         self._metrics.record_attempt(target, report.result, verdict, report.latency_ms)
         self._log_attempt(req, target, outcome, verdict)
         if report.is_leaving:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -35,6 +35,7 @@
 from rhubarbwell_entry.direct.forwarding import Forwarder
 from rhubarbwell_entry.direct.handler import DirectHandler
 from rhubarbwell_entry.direct.looplag import LoopLag
+from rhubarbwell_entry.direct.losses import LossChecks
 from rhubarbwell_entry.direct.metrics import DirectMetrics
 from rhubarbwell_entry.direct.operators import OperatorHandler
 from rhubarbwell_entry.direct.registrar import Registrar
@@ -146,8 +147,14 @@
             self.clock_ms,
             max_answer_bytes=self.settings.max_answer_bytes,
             max_pause_ms=self.settings.max_pause_ms,
+            on_idle_lost=self._on_idle_connection_lost,
+        )
+        self._losses = LossChecks(
+            self.balancer, self._sender.oldest_open_ms, self._tasks, self.clock_ms
+        )
+        forwarder = Forwarder(
+            self.balancer, self._sender, self._losses, self.metrics, self.clock_ms
         )
-        forwarder = Forwarder(self.balancer, self._sender, self.metrics, self.clock_ms)
         self.handler = DirectHandler(
             self.platform.names,
             self.balancer,
@@ -369,6 +376,18 @@
             lambda: [Observation(int(self._health.is_out))],
         )
 
+    def _on_idle_connection_lost(self, address: Address, idle_s: float) -> None:
+        log_event(
+            _log,
+            logging.INFO,
+            "idle_connection_lost",
+            "a server closed an idle connection before its idle timeout",
+            address=host_port(address),
+            idle_ms=round(idle_s * MS_PER_S),
+        )
+        self.balancer.record_idle_connection_lost(address, self.clock_ms())
+        self._losses.start(address, was_connected=True)
+
     def _on_store_lost(self) -> None:
         self.balancer.backends.mark_store_lost(self.clock_ms())
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -14,7 +14,7 @@
     AttemptResult,
     Target,
 )
-from rhubarbwell_core.model import host_port
+from rhubarbwell_core.model import Address, host_port
 from yarl import URL
 
 from rhubarbwell_entry.direct.bodies import BodyPayload
@@ -30,6 +30,7 @@
 )
 from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
+from rhubarbwell_entry.proxy.protocols import IdleLostListener
 
 __all__ = ["Answer", "AttemptOutcome", "DirectSender"]
 
@@ -77,13 +78,17 @@
         *,
         max_answer_bytes: int,
         max_pause_ms: int,
+        on_idle_lost: IdleLostListener | None = None,
     ) -> None:
         self._platform = platform
         self._names = names = platform.names
         self._clock_ms = clock_ms
         self._max_pause_ms = max_pause_ms
         self._connector = VerifyingConnector(
-            attempt_header=names.request_id, max_answer_bytes=max_answer_bytes
+            attempt_header=names.request_id,
+            max_answer_bytes=max_answer_bytes,
+            on_idle_lost=on_idle_lost,
+            clock_ms=clock_ms,
         )
         self._session = make_client_session(
             self._connector, connect_timeout_s=CONNECT_TIMEOUT_S
@@ -93,6 +98,10 @@
         """Close all connections to backend servers."""
         await self._session.close()
 
+    def oldest_open_ms(self, address: Address) -> int | None:
+        """Return when the oldest open connection to an address was opened, if any."""
+        return self._connector.oldest_open_ms(address)
+
     async def send(
         self,
         req: ActiveRequest,
@@ -232,6 +241,7 @@
             backend_report.rate_limit_per_s,
             backend_report.is_leaving,
             backend_report.pause_ms if resp.status == UNAVAILABLE else None,
+            opened_ms=None if connection is None else connection.opened_ms,
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
@@ -287,11 +297,19 @@
         result = AttemptResult.BROKEN
         if self._connector.connection_of(req.request_id) is None:
             result = AttemptResult.NOT_SENT
-        return self._failed_outcome(result, detail, started_ms)
+        return self._failed_outcome(
+            result, detail, started_ms, lost_connection=result is AttemptResult.BROKEN
+        )
 
     def _failed_outcome(
-        self, result: AttemptResult, detail: str, started_ms: int
+        self,
+        result: AttemptResult,
+        detail: str,
+        started_ms: int,
+        *,
+        lost_connection: bool = False,
     ) -> AttemptOutcome:
+        latency_ms = self._clock_ms() - started_ms
         return AttemptOutcome(
-            AttemptReport(result, self._clock_ms() - started_ms), detail
+            AttemptReport(result, latency_ms, lost_connection=lost_connection), detail
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, cast
 from weakref import WeakKeyDictionary, WeakSet
@@ -18,9 +19,14 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
+from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.listeners import has_unread_bytes
 from rhubarbwell_entry.proxy.headers import ATTEMPT_HEADER
-from rhubarbwell_entry.proxy.protocols import AnswerProtocol, ExpectedAnswer
+from rhubarbwell_entry.proxy.protocols import (
+    AnswerProtocol,
+    ExpectedAnswer,
+    IdleLostListener,
+)
 
 __all__ = [
     "AUTOMATIC_HEADERS",
@@ -53,13 +59,15 @@
 class AttemptConnection(NamedTuple):
     """Hold the connection assigned to an attempt; fresh means newly opened.
 
-    connect_ms is the time taken to open the connection or to take it from the pool.
+    connect_ms is the time taken to open the connection or to take it from the pool;
+    opened_ms is the time at which it was opened.
     """
 
     protocol: ResponseHandler
     address: Address
     fresh: bool
     connect_ms: float = 0.0
+    opened_ms: int = 0
 
 
 class VerifyingConnector(aiohttp.TCPConnector):
@@ -78,12 +86,16 @@
         *,
         attempt_header: str = ATTEMPT_HEADER,
         max_answer_bytes: int | None = None,
+        on_idle_lost: IdleLostListener | None = None,
+        clock_ms: Callable[[], int] = monotonic_ms,
     ) -> None:
         super().__init__(limit=0, keepalive_timeout=KEEPALIVE_S)
         # aiohttp has no parameter for the class of its client protocol.
         self._factory = cast(
-            "partial[ResponseHandler]", partial(AnswerProtocol, loop=self._loop)
+            "partial[ResponseHandler]",
+            partial(AnswerProtocol, loop=self._loop, on_idle_lost=on_idle_lost),
         )
+        self._clock_ms = clock_ms
         self._attempt_header = attempt_header
         self._max_answer_bytes = max_answer_bytes
         self._opened = WeakSet[ResponseHandler]()
@@ -121,6 +133,17 @@
         """Return the number of opened connections that still exist."""
         return len(self._opened)
 
+    def oldest_open_ms(self, address: Address) -> int | None:
+        """Return when the oldest open connection to an address was opened, if any."""
+        opened = [
+            protocol.opened_ms
+            for protocol in self._opened
+            if isinstance(protocol, AnswerProtocol)
+            and protocol.address == address
+            and protocol.is_connected()
+        ]
+        return min(opened, default=None)
+
     def was_reset(self, attempt_id: str) -> bool:
         """Return True if the attempt's connection was closed with an error."""
         used = self._attempt_connections.get(attempt_id)
@@ -180,18 +203,20 @@
         finally:
             for other in awaiting_verification:
                 other.release()
+        assert isinstance(protocol, AnswerProtocol)
+        address = Address(req.url.host or "", req.url.port or 0)
+        if fresh:
+            protocol.address, protocol.opened_ms = address, self._clock_ms()
         self._opened.add(protocol)
         if fresh and (closed_future := protocol.closed) is not None:
             # Retrieves the exception, as asyncio logs one that nobody retrieves.
             closed_future.add_done_callback(_closing_error)
             self._closed_futures[protocol] = closed_future
-        address = Address(req.url.host or "", req.url.port or 0)
         connect_ms = (time.monotonic() - started_s) * MS_PER_S
         self._attempt_connections[attempt_id] = AttemptConnection(
-            protocol, address, fresh, connect_ms
+            protocol, address, fresh, connect_ms, protocol.opened_ms
         )
         self._last_attempt_ids[protocol] = attempt_id
-        assert isinstance(protocol, AnswerProtocol)
         protocol.expect_answer(
             ExpectedAnswer(self._attempt_header, attempt_id, self._max_answer_bytes)
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import re
 import socket
 import struct
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
@@ -15,9 +17,14 @@
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
 
+from rhubarbwell_core.model import Address
+
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer"]
+__all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer", "IdleLostListener"]
+
+# Gets the server's address and for how many seconds the connection was idle.
+IdleLostListener = Callable[[Address, float], None]
 
 _log = logging.getLogger(__name__)
 
@@ -31,6 +38,12 @@
 # Value of SO_LINGER with which a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SWITCHING_PROTOCOLS = 101
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})\b")
+# Servers state their idle timeouts in whole seconds. Without a statement, a connection
+# that was idle for less than this time was hardly closed by such a timeout.
+MIN_IDLE_TIMEOUT_S = 1.0
+# The timeouts of a server and this instance start at different moments.
+IDLE_TIMEOUT_MARGIN_S = 0.1
 FIRST_FINAL_STATUS = 200
 # Answers to other requests that are skipped; servers that repeat answers send one or
 # two, one that sends more would occupy the instance instead of answering.
@@ -65,8 +78,18 @@
     connection is closed after it.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_idle_lost: IdleLostListener | None = None,
+    ) -> None:
         super().__init__(loop)
+        # The address and the time at which the connection was opened.
+        self.address: Address | None = None
+        self.opened_ms = 0
+        self._on_idle_lost = on_idle_lost
+        self._idle_since_s: float | None = None
+        self._idle_timeout_s = MIN_IDLE_TIMEOUT_S
         self._is_idle = True
         self._has_rejected = False
         self._expected: ExpectedAnswer | None = None
@@ -77,6 +100,7 @@
     def expect_answer(self, expected: ExpectedAnswer) -> None:
         """Accept one answer, which names the expected request or none."""
         self._is_idle = False
+        self._idle_since_s = None
         self._has_rejected = False
         self._expected = expected
         self._received_bytes = 0
@@ -101,6 +125,19 @@
     def mark_idle(self) -> None:
         """Close the connection if bytes arrive before the next request."""
         self._is_idle = True
+        self._idle_since_s = self._loop.time()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report an idle connection that ended before the server's idle timeout."""
+        listener, idle_since_s = self._on_idle_lost, self._idle_since_s
+        # The transport is None if this side has closed the connection.
+        is_closed_here = self.transport is None
+        if listener and self.address and idle_since_s is not None:
+            idle_s = self._loop.time() - idle_since_s
+            is_early = idle_s < self._idle_timeout_s - IDLE_TIMEOUT_MARGIN_S
+            if is_early and not is_closed_here:
+                listener(self.address, idle_s)
+        super().connection_lost(exc)
 
     def close(self) -> None:
         """Close the connection; reset it if the answer is not complete."""
@@ -122,6 +159,9 @@
             self._head_is_complete = True
             self._answer_payload = payload
             self._is_chunked = bool(message.chunked)
+            keep_alive = message.headers.get(hdrs.KEEP_ALIVE, "")
+            if stated := KEEP_ALIVE_TIMEOUT.search(keep_alive):
+                self._idle_timeout_s = float(stated[1])
             length = message.headers.get(hdrs.CONTENT_LENGTH, "")
             if length.isdigit() and not self._is_chunked:
                 self._body_bytes_left = int(length)
--- a/tests/support/direct_fleet.py
+++ b/tests/support/direct_fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from rhubarbwell_core.direct import (
+    MIN_SURVIVAL_MS,
     ActiveRequest,
     AttemptReport,
     AttemptResult,
@@ -31,6 +32,7 @@
 SLOTS_PER_SERVER = 3
 ADVANCE_INTERVAL_MS = 250
 IDLE_TIMEOUT_MS = 10_000
+MIN_IDLE_TIMEOUT_MS = 1_000
 
 
 class ServiceProfile(NamedTuple):
@@ -76,6 +78,8 @@
         # Requests per second that the server names as its limit with every answer.
         self.rate_limit_per_s: float | None = None
         self.is_leaving = False
+        # Idle time in ms below which no connection ends by a timeout, as far as known.
+        self.idle_timeout_ms = MIN_IDLE_TIMEOUT_MS
         # Increases with each crash.
         self.incarnation = 0
         # Pause in ms that a server asks for when its queue is full.
@@ -125,6 +129,14 @@
     serving_region: str | None
 
 
+class _Connection(NamedTuple):
+    """Hold when a connection was opened, to which incarnation, and became idle."""
+
+    opened_ms: int
+    incarnation: int
+    idle_since_ms: int = 0
+
+
 class DirectFleet:
     """Simulate the load balancers of many instances against backend servers."""
 
@@ -144,7 +156,9 @@
         self.region_rtt_ms = region_rtt_ms
         self.ended_requests: list[EndedRequest] = []
         self.attempt_counts = Counter[str]()
-        self._idle_since_ms = defaultdict[tuple[int, str], list[int]](list)
+        # Idle connections and those in use by request id, by instance and server.
+        self._idle = defaultdict[tuple[int, str], list[_Connection]](list)
+        self._in_use = defaultdict[tuple[int, str], dict[str, _Connection]](dict)
         self._events: list[tuple[int, int, Callable[[int], None]]] = []
         self._ids = count()
         self.routes = routes or (read_route(),)
@@ -281,7 +295,9 @@
         self.attempt_counts[choice.backend_id] += 1
         server = self.servers[choice.backend_id]
         rtt_ms = self._rtt_ms(balancer.zone, server.entry.zone)
-        connect_ms = self._take_connection(balancer, server, rtt_ms, now_ms)
+        connect_ms = self._take_connection(
+            balancer, server, request_id=req.request_id, rtt_ms=rtt_ms, now_ms=now_ms
+        )
         handle_end = self._make_end_handler(
             balancer, req, choice, load, now_ms, connect_ms
         )
@@ -316,10 +332,12 @@
             if result is AttemptResult.ANSWERED and now_ms > req.expires_ms:
                 result = AttemptResult.TIMED_OUT
             received_report = None if result is AttemptResult.NOT_SENT else load_report
-            if result is not AttemptResult.NOT_SENT:
-                self._idle_since_ms[id(balancer), server.entry.backend_id].append(
-                    now_ms
-                )
+            key = (id(balancer), server.entry.backend_id)
+            conn = self._in_use[key].pop(req.request_id)
+            is_kept = result not in (AttemptResult.NOT_SENT, AttemptResult.BROKEN)
+            is_ended = conn.incarnation != server.incarnation
+            if is_kept and not is_ended:
+                self._idle[key].append(conn._replace(idle_since_ms=now_ms))
             reported_connect_ms = connect_ms or None
             report = AttemptReport(
                 result,
@@ -329,6 +347,8 @@
                 rate_limit_per_s=server.rate_limit_per_s if result.is_answer else None,
                 is_leaving=server.is_leaving and result.is_answer,
                 pause_ms=server.pause_ms if result is AttemptResult.NOT_RUN else None,
+                opened_ms=conn.opened_ms,
+                lost_connection=result is AttemptResult.BROKEN,
             )
             if report.pause_ms is not None:
                 index = self.balancers.index(balancer)
@@ -337,6 +357,12 @@
             if report.rate_limit_per_s is not None or report.is_leaving:
                 server.told_ms.setdefault(self.balancers.index(balancer), now_ms)
             verdict = balancer.end_attempt(req, target, report, now_ms)
+            if is_kept and is_ended:
+                self._lose_idle_connection(balancer, server, now_ms)
+            elif not is_kept:
+                self._check_loss(
+                    balancer, server, now_ms, was_connected=report.lost_connection
+                )
             if verdict is Verdict.RETRY:
                 self._start_attempt(balancer, req, load, now_ms)
                 return
@@ -377,9 +403,10 @@
         def finish_work(end_ms: int) -> None:
             if server.incarnation != incarnation:
                 return
-            del server.open_replies[req.request_id]
             server.running -= 1
-            reply(AttemptResult.ANSWERED, end_ms)
+            # The connection may have been lost meanwhile.
+            if server.open_replies.pop(req.request_id, None) is not None:
+                reply(AttemptResult.ANSWERED, end_ms)
             if server.queue:
                 server.queue.pop(0)(end_ms)
 
@@ -398,10 +425,69 @@
         server.queue.clear()
         server.cached_objects.clear()
         for balancer in self.balancers:
-            self._idle_since_ms[id(balancer), server.entry.backend_id].clear()
+            idle = self._idle[id(balancer), server.entry.backend_id]
+            is_early = any(
+                now_ms - conn.idle_since_ms < server.idle_timeout_ms for conn in idle
+            )
+            idle.clear()
+            if is_early:
+                self._lose_idle_connection(balancer, server, now_ms)
         for reply in replies:
             reply(AttemptResult.BROKEN, now_ms)
 
+    def lose_connection(self, index: int, server: SimulatedServer, now_ms: int) -> bool:
+        """Reset a connection of an instance to a sound server; False without any."""
+        balancer = self.balancers[index]
+        key = (id(balancer), server.entry.backend_id)
+        for request_id in self._in_use[key]:
+            reply = server.open_replies.pop(request_id, None)
+            if reply is not None:
+                reply(AttemptResult.BROKEN, now_ms)
+                return True
+        if not self._idle[key]:
+            return False
+        conn = self._idle[key].pop()
+        if now_ms - conn.idle_since_ms < server.idle_timeout_ms:
+            self._lose_idle_connection(balancer, server, now_ms)
+        return True
+
+    def _lose_idle_connection(
+        self, balancer: LoadBalancer, server: SimulatedServer, now_ms: int
+    ) -> None:
+        balancer.record_idle_connection_lost(server.entry.address, now_ms)
+        self._check_loss(balancer, server, now_ms, was_connected=True)
+
+    def _check_loss(
+        self,
+        balancer: LoadBalancer,
+        server: SimulatedServer,
+        lost_ms: int,
+        *,
+        was_connected: bool,
+    ) -> None:
+        """Tell the instance after a moment which connections have not ended.
+
+        After a loss, it opens one if it has none.
+        """
+        rtt_ms = self._rtt_ms(balancer.zone, server.entry.zone)
+        key = (id(balancer), server.entry.backend_id)
+        probe: list[_Connection] = []
+
+        def open_connection(now_ms: int) -> None:
+            if not server.down:
+                probe.append(_Connection(now_ms, server.incarnation))
+
+        def report_open(now_ms: int) -> None:
+            conns = (*probe, *self._idle[key], *self._in_use[key].values())
+            opened = [c.opened_ms for c in conns if c.incarnation == server.incarnation]
+            if opened and not server.down:
+                address = server.entry.address
+                balancer.record_open_connection(address, min(opened), now_ms)
+
+        if was_connected and not self._idle[key] and not self._in_use[key]:
+            self.schedule(lost_ms + rtt_ms, open_connection)
+        self.schedule(lost_ms + MIN_SURVIVAL_MS, report_open)
+
     def restart(self, server: SimulatedServer, born_ms: int) -> None:
         """Start a crashed server again under its id, unknown to the instances."""
         server.down = False
@@ -417,14 +503,19 @@
         self,
         balancer: LoadBalancer,
         server: SimulatedServer,
+        *,
+        request_id: str,
         rtt_ms: float,
         now_ms: int,
     ) -> float:
         """Take an idle connection and return 0, or return the ms to open a new one."""
-        idle = self._idle_since_ms[id(balancer), server.entry.backend_id]
-        if idle and now_ms - idle.pop() <= IDLE_TIMEOUT_MS:
+        key = (id(balancer), server.entry.backend_id)
+        idle = self._idle[key]
+        if idle and now_ms - idle[-1].idle_since_ms <= IDLE_TIMEOUT_MS:
+            self._in_use[key][request_id] = idle.pop()
             return 0.0
         idle.clear()
+        self._in_use[key][request_id] = _Connection(now_ms, server.incarnation)
         return rtt_ms
 
     def _rtt_ms(self, zone: str, other: str) -> float:
