--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,6 +27,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = {"a-1": "a", "a-2": "a", "b-1": "b"}
 SHUTDOWN_GRACE_S = 6.0
+MAX_STOP_S = 15.0
 READY_TIMEOUT_S = 20.0
 SERVICES = ("svc", "other")
 # Values from which each version of the configuration takes one.
@@ -154,10 +155,16 @@
                 self.signals.append(sent)
 
     async def stop_with_signal(self, number: int) -> float:
-        """Send a signal, wait for the process to exit and return the seconds taken."""
+        """Send a signal, wait for the process to exit and return the seconds taken.
+
+        A process that has not ended after MAX_STOP_S is killed.
+        """
         assert self.process is not None
         started = time.monotonic()
         self.send_signal(number)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.process.wait(), MAX_STOP_S)
+        self.send_signal(signal.SIGKILL)
         self.exit_codes.append(await self.process.wait())
         return time.monotonic() - started
 
