--- a/tests/entry/direct/test_main.py
+++ b/tests/entry/direct/test_main.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import signal
+import sys
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -124,3 +125,26 @@
             gc.unfreeze()
             for number, handler in handlers.items():
                 signal.signal(number, handler)
+
+
+SIGTERM_IN_A_CALLBACK = """
+import os, signal, weakref
+import run_entry
+signal.signal(signal.SIGTERM, run_entry.exit_at_once)
+class Referent:
+    pass
+referent = Referent()
+ref = weakref.ref(referent, lambda _: os.kill(os.getpid(), signal.SIGTERM))
+del referent
+raise SystemExit("the process still runs")
+"""
+
+
+# The interpreter discards an exception in a callback, so the process started and served
+# until SIGKILL.
+async def test_sigterm_in_a_callback_of_the_interpreter_ends_a_start():
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-c", SIGTERM_IN_A_CALLBACK),
+        env={**os.environ, "PYTHONPATH": str(ENTRY_SCRIPT.parent)},
+    )
+    assert await process.wait() == 0
