--- a/tests/entry/direct/test_stop_under_load.py
+++ b/tests/entry/direct/test_stop_under_load.py
@@ -184,8 +184,8 @@
         stopped.set()
         results = await asyncio.gather(*calls)
         await stopping
-        # The route's timeout is 1 s: requests up to 0.8 s after SIGTERM can end. That of
-        # 0.75 s is refused if the loop comes 50 ms late.
+        # The route's timeout is 1 s: requests up to 0.8 s after SIGTERM can end. A loop
+        # that comes 50 ms late refuses the one of 0.75 s.
         ran = [ran for ran, _ in results]
         assert ran[:4] + ran[5:] == [True] * 4 + [False] * 3
         assert all((" 200 " if ran else " 503 ") in status for ran, status in results)
