Tell in the logs how a caller's connection ended

Cause: request_ended names neither the time that the caller gave nor when its first bytes were read, and an exception of the connection's own protocol counts as a caller that left.

Change: request_ended of a caller_gone adds deadline_ms, lost_after_ms (from the first bytes read to the end of the connection) and connection_error.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -25,9 +25,16 @@
     """
 
     last_data_s = 0.0
+    # When the first bytes of the request in progress or arriving were read.
+    request_began_s = 0.0
     # True if the caller or the network ended the connection, not this instance.
     is_lost = False
+    lost_s = 0.0
+    # None if the connection was closed, not reset.
+    lost_error: BaseException | None = None
     _is_closed_here = False
+    # Number of the connection's requests before the one that began last.
+    _requests_before = -1
 
     def __init__(
         self, server: web.Server, idle_timeout_s: Callable[[], float], **options: Any
@@ -43,11 +50,17 @@
     def data_received(self, data: bytes) -> None:
         """Record the time and pass on the data."""
         self.last_data_s = self._loop.time()
+        is_first = self._request_count == 0 or self._waits_for_request
+        if is_first and self._requests_before != self._request_count:
+            self._requests_before = self._request_count
+            self.request_began_s = self.last_data_s
         super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Record who ended the connection, and cancel its request."""
+        """Record who ended the connection and how, and cancel its request."""
         self.is_lost = not self._is_closed_here
+        self.lost_s = self._loop.time()
+        self.lost_error = exc
         super().connection_lost(exc)
 
     def force_close(self) -> None:
@@ -57,11 +70,8 @@
 
     def is_idle(self, now_s: float) -> bool:
         """Return True if nothing is open, has arrived or is arriving at now_s."""
-        # aiohttp waits like this only between requests: not while one is parsed,
-        # handled or answered, nor while the rest of its body is discarded.
-        waits = self._waiter is not None and not self._waiter.done()
         return (
-            waits
+            self._waits_for_request
             and self.transport is not None
             and self.last_data_s + MIN_IDLE_S <= now_s
             and not self.transport.get_write_buffer_size()
@@ -74,6 +84,12 @@
             end_connection(self.transport)
         self.force_close()
 
+    @property
+    def _waits_for_request(self) -> bool:
+        # aiohttp waits like this only between requests: not while one is parsed,
+        # handled or answered, nor while the rest of its body is discarded.
+        return self._waiter is not None and not self._waiter.done()
+
     def _process_keepalive(self) -> None:
         """Close the connection at its idle timeout, unless there is data to read."""
         longer_s = self._idle_timeout_s() - self._keepalive_timeout
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -217,6 +217,9 @@
     ) -> None:
         config = self._balancer.config
         answered = result.outcome is RequestOutcome.ANSWERED
+        details: dict[str, object] = {}
+        if result.outcome is RequestOutcome.CALLER_GONE:
+            details = self._details_of_loss(request)
         log_event(
             _log,
             logging.INFO if answered else logging.WARNING,
@@ -228,8 +231,22 @@
             latency_ms=self._clock_ms() - arrived_ms,
             config_version=config.version if config is not None else 0,
             retry_after_ms=result.retry_after_ms,
+            **details,
         )
 
+    def _details_of_loss(self, request: web.BaseRequest) -> dict[str, object]:
+        """Return what tells a caller that gave up from other ends of a connection."""
+        conn = request.protocol
+        assert isinstance(conn, CallerConnection)
+        read_s = conn.lost_s - conn.request_began_s
+        return {
+            "deadline_ms": self._remaining_ms(request),
+            "lost_after_ms": round(read_s * MS_PER_S),
+            "connection_error": None
+            if conn.lost_error is None
+            else repr(conn.lost_error),
+        }
+
 
 def _stopping_result() -> RequestResult:
     return RequestResult(
