--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -211,7 +211,6 @@
 
 
 # The time to connect was checked before the connection that stood was seen.
-@pytest.mark.known_red
 def test_connection_that_stands_before_a_late_timeout_is_used(monkeypatch):
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status = runner.run(status_of_request_that_connects_in_a_stall(monkeypatch))
