End the tasks and connections of raw test servers with their test

It asserts that asyncio logged nothing and found the task of a stand-in of an earlier test, collected late: `OnlyOther.handle`, IncompleteReadError never retrieved. test_cut_answers.py warned 20 times of writers that outlive their loop.

Cause: RawServer closed its listening socket and nothing else. A handler whose connection was opened and not used (the instance closes it at its stop) ended with an error in nobody's hands, and writers were closed in the collector.

Change: RawServer runs each handler in a task of its own, ends the connection with it, and cancels and awaits what is left as the test ends. An error other than a lost connection now fails the test of the stand-in. The one stand-in that test_node.py had of its own uses it. The assertion is as it was.

The new test of the stand-in fails on the former RawServer.

Left as it is: FaultProxy of tests/soak runs in the soak's own process and resets its connections itself.

--- a/tests/entry/direct/test_abandoned_requests.py
+++ b/tests/entry/direct/test_abandoned_requests.py
@@ -37,8 +37,6 @@
             self.ends.append("closed")
         except ConnectionResetError:
             self.ends.append("reset")
-        finally:
-            writer.close()
 
 
 @pytest.mark.parametrize("start", ["", ANSWER_START], ids=["silent", "half an answer"])
--- a/tests/entry/direct/test_cut_answers.py
+++ b/tests/entry/direct/test_cut_answers.py
@@ -45,7 +45,6 @@
         await asyncio.sleep(0.02)
         if self.resets:
             writer.transport.abort()
-        writer.close()
 
 
 @pytest.mark.parametrize("resets", [False, True], ids=["close", "reset"])
@@ -60,6 +59,19 @@
         assert server.requests == 1
 
 
+# A handler of the stand-in ended in a later test, which found its error in the log.
+async def test_stand_in_leaves_no_task_and_no_connection_behind():
+    server = CuttingServer(b"", resets=False)
+    tasks = asyncio.all_tasks()
+    async with server.running():
+        reader, writer = await asyncio.open_connection(*server.address)
+        await wait_until(lambda: asyncio.all_tasks() > tasks)
+    assert asyncio.all_tasks() == tasks
+    assert await reader.read() == b""
+    writer.close()
+    await writer.wait_closed()
+
+
 @pytest.mark.parametrize("change", ["removed", "draining", "restarted"])
 async def test_running_request_outlives_the_registry_entry_of_its_server(change):
     """A server that only reported late keeps its work, which runs once."""
--- a/tests/entry/direct/test_endless_answers.py
+++ b/tests/entry/direct/test_endless_answers.py
@@ -37,8 +37,6 @@
                 await asyncio.sleep(0)
         except (OSError, asyncio.IncompleteReadError):
             self.closed_by_caller += 1
-        finally:
-            writer.close()
 
 
 SIGNED = (
--- a/tests/entry/direct/test_false_refusals.py
+++ b/tests/entry/direct/test_false_refusals.py
@@ -26,20 +26,15 @@
 
     async def handle(self, reader, writer):
         copy = ""
-        try:
-            while True:
-                _, request_id = await read_request(reader)
-                if not self.turned_away:
-                    self.turned_away.append(request_id)
-                    copy = MISDIRECTED.format(id=request_id)
-                    writer.write(copy.encode())
-                    continue
-                self.ran.append(request_id)
-                writer.write((copy + ANSWER.format(id=request_id)).encode())
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+        while True:
+            _, request_id = await read_request(reader)
+            if not self.turned_away:
+                self.turned_away.append(request_id)
+                copy = MISDIRECTED.format(id=request_id)
+                writer.write(copy.encode())
+                continue
+            self.ran.append(request_id)
+            writer.write((copy + ANSWER.format(id=request_id)).encode())
 
 
 # Guards against a refusal of a request that ran (REFUSED): a late copy of the answer to
--- a/tests/entry/direct/test_other_answers.py
+++ b/tests/entry/direct/test_other_answers.py
@@ -37,22 +37,17 @@
 
     async def handle(self, reader, writer):
         self.connections += 1
-        try:
-            while True:
-                path, request_id = await read_request(reader)
-                self.requests += 1
-                body = path.rsplit("/", 1)[1]
-                own = f"{HEAD}Content-Length: {len(body)}\r\n\r\n{body}"
-                data = self.other.replace("{id}", self.other_id)
-                data = (data + own.replace("{id}", request_id)).encode()
-                for start in range(0, len(data), self.piece_bytes):
-                    writer.write(data[start : start + self.piece_bytes])
-                    await writer.drain()
-                    await asyncio.sleep(0)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+        while True:
+            path, request_id = await read_request(reader)
+            self.requests += 1
+            body = path.rsplit("/", 1)[1]
+            own = f"{HEAD}Content-Length: {len(body)}\r\n\r\n{body}"
+            data = self.other.replace("{id}", self.other_id)
+            data = (data + own.replace("{id}", request_id)).encode()
+            for start in range(0, len(data), self.piece_bytes):
+                writer.write(data[start : start + self.piece_bytes])
+                await writer.drain()
+                await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize("variant", OTHER_ANSWERS)
@@ -95,7 +90,6 @@
             self.requests += 1
             writer.write(self.other.replace("{id}", self.other_id).encode())
             await writer.drain()
-            writer.close()
 
     server = OnlyOther(OTHER_ANSWERS["length"])
     async with fleet_with_server(server) as fleet:
--- a/tests/entry/peers/test_node.py
+++ b/tests/entry/peers/test_node.py
@@ -10,6 +10,7 @@
 from rhubarbwell_core.model import Address, Identity
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.peers import PeerKeys, PeerNode, PeerTransport, ProtocolRange
+from support.raw_servers import RawServer
 
 KEYS = PeerKeys([b"0123456789abcdef"])
 
@@ -114,18 +115,17 @@
     transport = nodes.nodes[0].transport
     connected = asyncio.Event()
 
-    async def swallow(reader, writer):
-        connected.set()
-        await reader.read()
-        writer.close()
-
-    server = await asyncio.start_server(swallow, "127.0.0.1", 0)
-    address = Address(*server.sockets[0].getsockname())
-    heartbeat = Heartbeat(1, False, "a1", "a1-1", 1, 0, 0)
-    driver._execute([SendPeerMessage(address, heartbeat)])
-    await asyncio.wait_for(connected.wait(), 20)
-    await asyncio.wait_for(nodes.wait_until(lambda: transport.failed_count == 1), 20)
-    server.close()
+    class SwallowingServer(RawServer):
+        async def handle(self, reader, writer):
+            connected.set()
+            await reader.read()
+
+    async with SwallowingServer().running() as server:
+        heartbeat = Heartbeat(1, False, "a1", "a1-1", 1, 0, 0)
+        driver._execute([SendPeerMessage(server.address, heartbeat)])
+        await asyncio.wait_for(connected.wait(), 20)
+        failed = nodes.wait_until(lambda: transport.failed_count == 1)
+        await asyncio.wait_for(failed, 20)
 
 
 async def test_accepted_connections_of_a_given_socket_disable_nagle():
--- a/tests/support/raw_servers.py
+++ b/tests/support/raw_servers.py
@@ -1,7 +1,7 @@
 """Backend servers that write the bytes of their answers themselves."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
 from rhubarbwell_core.model import Address
@@ -26,18 +26,44 @@
 
 
 class RawServer:
-    """Accept connections on a loopback port and pass them to `handle`."""
+    """Accept connections on a loopback port and pass them to `handle`.
+
+    A connection is closed once `handle` returns, raises or is cancelled.
+    """
 
     @asynccontextmanager
     async def running(self):
-        server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
+        """Serve connections; at the end, cancel and await what still handles them."""
+        tasks = set()
+
+        def start_task(reader, writer):
+            tasks.add(asyncio.create_task(self._serve(reader, writer)))
+
+        server = await asyncio.start_server(start_task, "127.0.0.1", 0)
         self.address = Address(*server.sockets[0].getsockname()[:2])
         try:
             yield self
         finally:
             server.close()
+            for task in tasks:
+                task.cancel()
+            for result in await asyncio.gather(*tasks, return_exceptions=True):
+                if isinstance(result, Exception):
+                    raise result
+
+    async def _serve(self, reader, writer):
+        try:
+            with suppress(OSError, asyncio.IncompleteReadError):
+                await self.handle(reader, writer)
+                writer.close()
+                await writer.wait_closed()
+        finally:
+            writer.transport.abort()
+            with suppress(OSError):
+                await writer.wait_closed()
 
     async def handle(self, reader, writer):
+        """Answer the requests of a connection."""
         raise NotImplementedError
 
 
