Show that a head in two pieces at the idle timeout is lost

What callers see: a kept connection on which the first bytes of a request's head have arrived shortly before its idle timeout closes without an answer.

The tests send 60 bytes 0.02 to 0.3 s before the idle timeout and the rest 0.25 s or 1 s later, to both products.

--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from contextlib import asynccontextmanager
 
 import aiohappyeyeballs
 import pytest
@@ -109,10 +110,10 @@
     assert " 503 " in status or " 200 " in status
 
 
-def idle_limit(version, limit):
+def idle_limit(version, limit, **limits):
     """Return a configuration with another idle limit of callers' connections."""
     body = config_body(version)
-    body["resources"][-1]["spec"]["idleTimeout"] = limit
+    body["resources"][-1]["spec"] |= {"idleTimeout": limit, **limits}
     return body
 
 
@@ -141,6 +142,48 @@
         assert " 200 " in runner.run(status_of_request_at_the_idle_timeout())
 
 
+@asynccontextmanager
+async def fleet_with_limits(idle, header, **changes):
+    async with running_fleet(1, config=False, **changes) as fleet:
+        cfg = idle_limit(1, idle, headerTimeout=header)
+        await fleet.store.write("op", "config", cfg)
+        await wait_until(lambda: fleet.instance.is_ready)
+        await wait_until(lambda: fleet.instance.balancer.backends.rows)
+        yield fleet
+
+
+async def status_of_request_in_pieces(fleet, from_s, pieces, pause_s):
+    """Return the status of a request that begins from_s after the one before it.
+
+    It is None if the connection was closed before the request.
+    """
+    conn = KeptConnection(fleet.instance.settings.callers)
+    conn.send(request_bytes(f"first-{from_s}"))
+    assert " 200 " in await conn.read_status()
+    await asyncio.sleep(from_s)
+    is_closed = conn.is_closed_there()
+    await conn.send_in_pieces(pieces, pause_s)
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    conn.close()
+    return None if is_closed else status
+
+
+# The idle timeout closed connections on which a part of a head had arrived.
+@pytest.mark.known_red
+@pytest.mark.parametrize("pause_s", [0.25, 1.0])
+async def test_head_in_two_pieces_at_the_idle_timeout_is_answered(pause_s):
+    # The instance closes idle connections after 1.25 times the limit.
+    before_s = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3)
+    async with fleet_with_limits("1200ms", "3s") as fleet:
+        requests = [request_bytes(f"second-{s}") for s in before_s]
+        calls = (
+            status_of_request_in_pieces(fleet, 1.5 - s, (r[:60], r[60:]), pause_s)
+            for s, r in zip(before_s, requests, strict=True)
+        )
+        statuses = await asyncio.gather(*calls)
+    assert {status for status in statuses if status is not None} == {"HTTP/1.1 200 OK"}
+
+
 # Connections kept the limit of their start, and callers that of the configuration.
 async def test_idle_connection_stays_open_for_a_longer_limit_that_came_later():
     async with running_fleet(1, config=False) as fleet:
--- a/tests/entry/test_lost_requests.py
+++ b/tests/entry/test_lost_requests.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 
+import pytest
 import uvloop
 from rhubarbwell_core.messages import ConfigReceived
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.instance import EntryInstance
+from rhubarbwell_entry.proxy import callers
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_platform.memory import memory_platform
 from support.entries import make_configuration
@@ -14,6 +17,7 @@
 
 WAIT_S = 10.0
 REQUEST = b"GET /slotsvc/page/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+LONG_REQUEST = REQUEST.replace(b"Host: h", b"Host: h.example\r\nAccept: text/plain")
 ANY_PORT = Address("127.0.0.1", 0)
 
 
@@ -93,3 +97,45 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status = runner.run(status_of_refused_upload())
     assert status == "HTTP/1.1 503 Service Unavailable"
+
+
+@asynccontextmanager
+async def running_instance():
+    instance = await start_instance(ttl_ms=100)
+    try:
+        yield instance
+    finally:
+        await instance.stop()
+
+
+async def status_of_request_in_pieces(instance, from_s, pieces, pause_s):
+    """Return the status of a request that begins from_s after the one before it.
+
+    It is None if the connection was closed before the request.
+    """
+    conn = KeptConnection(instance.callers)
+    conn.send(REQUEST)
+    assert await conn.read_status()
+    await asyncio.sleep(from_s)
+    is_closed = conn.is_closed_there()
+    await conn.send_in_pieces(pieces, pause_s)
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    conn.close()
+    return None if is_closed else status
+
+
+# The idle timeout closed connections on which a part of a head had arrived.
+@pytest.mark.known_red
+@pytest.mark.parametrize("pause_s", [0.25, 1.0])
+async def test_head_in_two_pieces_at_the_idle_timeout_is_answered(pause_s, monkeypatch):
+    monkeypatch.setattr(callers, "KEEPALIVE_S", 1.2)
+    before_s = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3)
+    pieces = (LONG_REQUEST[:60], LONG_REQUEST[60:])
+    async with running_instance() as instance:
+        calls = (
+            status_of_request_in_pieces(instance, 1.2 - s, pieces, pause_s)
+            for s in before_s
+        )
+        statuses = await asyncio.gather(*calls)
+    assert "" not in statuses
+    assert any(statuses)
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -20,6 +20,14 @@
         """Pass bytes to the kernel."""
         self.socket.sendall(data)
 
+    async def send_in_pieces(self, pieces, pause_s):
+        """Send pieces with pauses between them, until the other end is gone."""
+        for number, piece in enumerate(pieces):
+            if number:
+                await asyncio.sleep(pause_s)
+            with contextlib.suppress(OSError):
+                self.send(piece)
+
     async def read_status(self):
         """Return the status line of the next answer, empty if the connection ends."""
         data = b""
