Answer heads that a stop does not wait for

What callers saw: at a stop, a connection counted as idle 0.3 s after the last bytes, so a head whose rest came 0.4 s later was closed without an answer while time was left; and what was left of connections at the end of the stop was closed in silence.

Tests, both products: heads in two pieces with 0.4 and 0.8 or 1 s between them; silent and trickled heads, whose time ends before or after that of the stop; a head that began with the end of the body before it; a head whose rest comes after a stall of the loop (uvloop); bodies in pieces 0.35 s apart.

Left: a first answer with Connection: close ends what is pipelined behind it, a head in part too, as HTTP says; a TLS handshake that lasts longer than 1 s is not waited for by a stop of the stand-alone product.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -156,6 +156,11 @@
         # handled or answered, nor while the rest of its body is discarded.
         return self._waiter is not None and not self._waiter.done()
 
+    def close(self) -> None:
+        """Accept no further request; refuse one of which a part has arrived."""
+        self.refuse_head(HTTPStatus.SERVICE_UNAVAILABLE)
+        super().close()
+
     def end(self) -> None:
         """Close an idle connection; the caller learns of it at once."""
         if self.transport is not None:
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -277,6 +277,92 @@
     assert status == "HTTP/1.1 200 OK"
 
 
+async def status_of_request_in_pieces_at_a_stop(from_s, pieces, pause_s, header="10s"):
+    """Return the status of a request that begins from_s after SIGTERM.
+
+    The grace time is 3 s; idle connections close from 1.8 s on, all after 2.8 s.
+    """
+    async with fleet_with_limits("15s", header, stop_max_ms=3_000) as fleet:
+        stopping = asyncio.create_task(DirectShutdown(fleet.instance).run())
+        conn = KeptConnection(fleet.instance.settings.callers)
+        await asyncio.sleep(from_s)
+        sending = asyncio.create_task(conn.send_in_pieces(pieces, pause_s))
+        await stopping
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    sending.cancel()
+    conn.close()
+    return status
+
+
+# A connection counted as idle 0.3 s after the first bytes of a head.
+@pytest.mark.parametrize("pause_s", [0.4, 0.8])
+async def test_head_in_two_pieces_at_a_stop_is_answered(pause_s):
+    data = request_bytes("r-1")
+    pieces = (data[:60], data[60:])
+    status = await status_of_request_in_pieces_at_a_stop(1.6, pieces, pause_s)
+    assert " 503 " in status or " 200 " in status
+
+
+# The same, where the head had begun with the end of the body before it.
+async def test_head_behind_a_body_in_two_pieces_at_a_stop_is_answered():
+    first, second = upload_bytes("first", "length"), request_bytes("second")
+    async with fleet_with_limits("15s", "10s", stop_max_ms=3_000) as fleet:
+        conn = KeptConnection(fleet.instance.settings.callers)
+        conn.send(first + second[:60])
+        assert " 200 " in await asyncio.wait_for(conn.read_status(), WAIT_S)
+        stopping = asyncio.create_task(DirectShutdown(fleet.instance).run())
+        await asyncio.sleep(2.1)
+        await conn.send_in_pieces([second[60:]], 0.0)
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        await stopping
+        conn.close()
+    assert " 503 " in status or " 200 " in status
+
+
+# A stop closed such connections without an answer.
+@pytest.mark.parametrize(("header", "status"), [("500ms", 408), ("10s", 503)])
+@pytest.mark.parametrize("sends_on", [False, True], ids=["silent", "trickling"])
+async def test_head_that_a_stop_does_not_wait_for_is_refused(header, status, sends_on):
+    data = request_bytes("r-1")
+    pieces = [data[n : n + 1] for n in range(len(data))] if sends_on else [data[:60]]
+    line = await status_of_request_in_pieces_at_a_stop(1.6, pieces, 0.05, header)
+    assert f" {status} " in line
+
+
+# A body that arrives in parts is not cut off by a stop.
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+async def test_body_in_pieces_at_a_stop_is_answered(framing):
+    data = upload_bytes("r-1", framing).replace(b": 900", b": 1300")
+    pieces = (data[:-4], data[-4:-3], data[-3:-2], data[-2:])
+    status = await status_of_request_in_pieces_at_a_stop(1.2, pieces, 0.35)
+    assert int(status.split()[1]) in (200, 408, 503)
+
+
+async def status_of_split_head_in_a_stall():
+    """Return the status of a request whose rest arrives as a late loop closes."""
+    data = request_bytes("r-1")
+    async with running_fleet(1, stop_max_ms=2_000) as fleet:
+        stopping = asyncio.create_task(DirectShutdown(fleet.instance).run())
+        conn, stall = KeptConnection(fleet.instance.settings.callers), Stall()
+        await asyncio.sleep(0.7)
+        conn.send(data[:60])
+        await asyncio.sleep(0.4)
+        stall.start(0.4, lambda: None)
+        await asyncio.sleep(0)
+        await conn.send_in_pieces([b"", data[60:]], 0.05)
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        await stopping
+        conn.close()
+        return status
+
+
+# A late event loop closed the connection of a head before it read the rest of that.
+def test_head_whose_rest_arrives_after_a_stall_of_a_stop_is_answered():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        status = runner.run(status_of_split_head_in_a_stall())
+    assert " 503 " in status or " 200 " in status
+
+
 # Connections kept the limit of their start, and callers that of the configuration.
 async def test_idle_connection_stays_open_for_a_longer_limit_that_came_later():
     async with running_fleet(1, config=False) as fleet:
--- a/tests/entry/test_lost_requests.py
+++ b/tests/entry/test_lost_requests.py
@@ -8,6 +8,7 @@
 import uvloop
 from rhubarbwell_core.messages import ConfigReceived
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry import shutdown
 from rhubarbwell_entry.instance import EntryInstance
 from rhubarbwell_entry.proxy import callers
 from rhubarbwell_entry.settings import Settings
@@ -155,3 +156,40 @@
         assert "\r\nConnection: close\r\n" in answer
         assert await asyncio.wait_for(conn.read_status(), WAIT_S) == ""
         conn.close()
+
+
+async def status_of_request_in_pieces_at_a_stop(pieces, pause_s):
+    """Return the status of a request that begins shortly before connections close."""
+    instance = await start_instance(ttl_ms=100)
+    conn = KeptConnection(instance.callers)
+    stop = asyncio.create_task(instance.shut_down())
+    await wait_until(lambda: instance._handler.refusing)
+    await asyncio.sleep(0.2)
+    sending = asyncio.create_task(conn.send_in_pieces(pieces, pause_s))
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    await stop
+    sending.cancel()
+    conn.close()
+    return status
+
+
+# A connection counted as idle 0.3 s after the first bytes of a head.
+@pytest.mark.parametrize("pause_s", [0.4, 1.0])
+async def test_head_in_two_pieces_at_a_stop_is_answered(pause_s):
+    pieces = (REQUEST[:20], REQUEST[20:])
+    status = await status_of_request_in_pieces_at_a_stop(pieces, pause_s)
+    assert status == "HTTP/1.1 503 Service Unavailable"
+
+
+# A stop closed such connections without an answer.
+@pytest.mark.parametrize(("timeout_s", "status"), [(0.5, 408), (20.0, 503)])
+@pytest.mark.parametrize("sends_on", [False, True], ids=["silent", "trickling"])
+async def test_head_that_a_stop_does_not_wait_for_is_refused(
+    timeout_s, status, sends_on, monkeypatch
+):
+    monkeypatch.setattr(callers, "HEADER_TIMEOUT_S", timeout_s)
+    monkeypatch.setattr(shutdown, "FLUSH_TIMEOUT_MS", 1_000)
+    ends = range(len(REQUEST)) if sends_on else [0]
+    pieces = [REQUEST[n : n + 1] for n in ends]
+    line = await status_of_request_in_pieces_at_a_stop(pieces, 0.05)
+    assert f" {status} " in line
