--- a/tests/entry/test_lost_requests.py
+++ b/tests/entry/test_lost_requests.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 
+import pytest
 import uvloop
 from rhubarbwell_core.messages import ConfigReceived
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry import shutdown
 from rhubarbwell_entry.instance import EntryInstance
+from rhubarbwell_entry.proxy import callers
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_platform.memory import memory_platform
 from support.entries import make_configuration
@@ -14,6 +18,7 @@
 
 WAIT_S = 10.0
 REQUEST = b"GET /slotsvc/page/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+LONG_REQUEST = REQUEST.replace(b"Host: h", b"Host: h.example\r\nAccept: text/plain")
 ANY_PORT = Address("127.0.0.1", 0)
 
 
@@ -93,3 +98,98 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status = runner.run(status_of_refused_upload())
     assert status == "HTTP/1.1 503 Service Unavailable"
+
+
+@asynccontextmanager
+async def running_instance():
+    instance = await start_instance(ttl_ms=100)
+    try:
+        yield instance
+    finally:
+        await instance.stop()
+
+
+async def status_of_request_in_pieces(instance, from_s, pieces, pause_s):
+    """Return the status of a request that begins from_s after the one before it.
+
+    It is None if the connection was closed before the request.
+    """
+    conn = KeptConnection(instance.callers)
+    conn.send(REQUEST)
+    assert await conn.read_status()
+    await asyncio.sleep(from_s)
+    is_closed = conn.is_closed_there()
+    await conn.send_in_pieces(pieces, pause_s)
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    conn.close()
+    return None if is_closed else status
+
+
+# The idle timeout closed connections on which a part of a head had arrived.
+@pytest.mark.parametrize("pause_s", [0.25, 1.0])
+async def test_head_in_two_pieces_at_the_idle_timeout_is_answered(pause_s, monkeypatch):
+    monkeypatch.setattr(callers, "KEEPALIVE_S", 1.2)
+    before_s = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3)
+    pieces = (LONG_REQUEST[:60], LONG_REQUEST[60:])
+    async with running_instance() as instance:
+        calls = (
+            status_of_request_in_pieces(instance, 1.2 - s, pieces, pause_s)
+            for s in before_s
+        )
+        statuses = await asyncio.gather(*calls)
+    assert "" not in statuses
+    assert any(statuses)
+
+
+# A head that never became complete was held until the idle timeout, without an answer.
+@pytest.mark.parametrize("sends_on", [False, True], ids=["silent", "trickling"])
+async def test_head_that_is_not_complete_in_time_is_answered_408(sends_on, monkeypatch):
+    monkeypatch.setattr(callers, "HEADER_TIMEOUT_S", 0.6)
+    ends = range(len(REQUEST)) if sends_on else [0]
+    async with running_instance() as instance:
+        conn = KeptConnection(instance.callers)
+        pieces = [REQUEST[n : n + 1] for n in ends]
+        sending = asyncio.create_task(conn.send_in_pieces(pieces, 0.05))
+        answer = await asyncio.wait_for(conn.read_head(), WAIT_S)
+        sending.cancel()
+        assert answer.startswith("HTTP/1.1 408 ")
+        assert "\r\nConnection: close\r\n" in answer
+        assert await asyncio.wait_for(conn.read_status(), WAIT_S) == ""
+        conn.close()
+
+
+async def status_of_request_in_pieces_at_a_stop(pieces, pause_s):
+    """Return the status of a request that begins shortly before connections close."""
+    instance = await start_instance(ttl_ms=100)
+    conn = KeptConnection(instance.callers)
+    stop = asyncio.create_task(instance.shut_down())
+    await wait_until(lambda: instance._handler.refusing)
+    await asyncio.sleep(0.2)
+    sending = asyncio.create_task(conn.send_in_pieces(pieces, pause_s))
+    status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+    await stop
+    sending.cancel()
+    conn.close()
+    return status
+
+
+# A connection counted as idle 0.3 s after the first bytes of a head.
+@pytest.mark.parametrize("pause_s", [0.4, 1.0])
+async def test_head_in_two_pieces_at_a_stop_is_answered(pause_s):
+    pieces = (REQUEST[:20], REQUEST[20:])
+    status = await status_of_request_in_pieces_at_a_stop(pieces, pause_s)
+    assert status == "HTTP/1.1 503 Service Unavailable"
+
+
+# A stop closed such connections without an answer.
+@pytest.mark.parametrize(("timeout_s", "status"), [(0.5, 408), (20.0, 503)])
+@pytest.mark.parametrize("sends_on", [False, True], ids=["silent", "trickling"])
+async def test_head_that_a_stop_does_not_wait_for_is_refused(
+    timeout_s, status, sends_on, monkeypatch
+):
+    monkeypatch.setattr(callers, "HEADER_TIMEOUT_S", timeout_s)
+    monkeypatch.setattr(shutdown, "FLUSH_TIMEOUT_MS", 1_000)
+    ends = range(len(REQUEST)) if sends_on else [0]
+    pieces = [REQUEST[n : n + 1] for n in ends]
+    line = await status_of_request_in_pieces_at_a_stop(pieces, 0.05)
+    assert f" {status} " in line
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -22,8 +22,20 @@
         """Pass bytes to the kernel."""
         self.socket.sendall(data)
 
+    async def send_in_pieces(self, pieces, pause_s):
+        """Send pieces with pauses between them, until the other end is gone."""
+        for number, piece in enumerate(pieces):
+            if number:
+                await asyncio.sleep(pause_s)
+            with contextlib.suppress(OSError):
+                self.send(piece)
+
     async def read_status(self):
         """Return the status line of the next answer, empty if the connection ends."""
+        return (await self.read_head()).partition("\r\n")[0]
+
+    async def read_head(self):
+        """Return the head of the next answer, what there is if the connection ends."""
         data = b""
         with contextlib.suppress(OSError):
             while b"\r\n\r\n" not in data:
@@ -31,7 +43,7 @@
                 if not chunk:
                     break
                 data += chunk
-        return data.partition(b"\r\n")[0].decode()
+        return data.decode()
 
     def is_closed_there(self):
         """Return True if the other end has closed the connection."""
