Let the event loop poll its sockets before a wait times out

SocketTimeout lets the event loop iterate 8 times after the time is over, with a poll of all sockets in each, and needs to know none of them. A block that has no connection yet when its time is over ends at once, as before. SocketTimeout is in the platform package, which both products use.

Evidence, on uvloop after a stall: an answer reaches its task in the second iteration, a new connection in the fourth, an answer of 4 MB in the third (aiohttp client, loopback).

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -1,6 +1,5 @@
 """A single attempt to send a request to a backend server."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from typing import NamedTuple
@@ -15,10 +14,10 @@
     Target,
 )
 from rhubarbwell_core.model import Address, host_port
+from rhubarbwell_platform.http import SocketTimeout
 from yarl import URL
 
 from rhubarbwell_entry.direct.bodies import BodyPayload
-from rhubarbwell_entry.direct.timeouts import read_timeout
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event, log_exception
 from rhubarbwell_entry.proxy.connections import (
@@ -132,8 +131,8 @@
         started_ms = self._clock_ms()
         remaining_ms = req.expires_ms - started_ms
         try:
-            async with read_timeout(
-                max(remaining_ms, 0) / 1_000, lambda: self._transport_of(req)
+            async with SocketTimeout(
+                max(remaining_ms, 0) / 1_000, is_connected=lambda: self._has_conn(req)
             ):
                 return await self._exchange(req, target, request, body, started_ms)
         except TimeoutError:
@@ -197,9 +196,8 @@
         finally:
             resp.close()
 
-    def _transport_of(self, req: ActiveRequest) -> asyncio.BaseTransport | None:
-        connection = self._connector.connection_of(req.request_id)
-        return None if connection is None else connection.protocol.transport
+    def _has_conn(self, req: ActiveRequest) -> bool:
+        return self._connector.connection_of(req.request_id) is not None
 
     def _request_headers(
         self,
--- /dev/null
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/timeouts.py
@@ -0,0 +1,59 @@
+"""Limit the time of an exchange without discarding what has already arrived."""
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+
+__all__ = ["SocketTimeout"]
+
+# What a socket holds reaches the task that waits in the second iteration of the event
+# loop, a new connection in the fourth, an answer of several MB in the third.
+LAST_ITERATIONS = 8
+
+
+class SocketTimeout:
+    """Raise TimeoutError after a time in s, once sockets were polled; None is no limit.
+
+    An event loop that comes late runs its due timers before it polls its sockets. The
+    block may still end within the LAST_ITERATIONS of the loop after the time, but only
+    if is_connected returns True then: else it has nothing to receive, and would send a
+    request too late.
+    """
+
+    def __init__(
+        self,
+        seconds: float | None,
+        *,
+        is_connected: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._seconds = seconds
+        self._is_connected = is_connected
+        self._timeout = asyncio.timeout(None)
+        self._handle: asyncio.Handle | None = None
+
+    async def __aenter__(self) -> None:
+        """Start the time."""
+        await self._timeout.__aenter__()
+        if self._seconds is not None:
+            self._loop = asyncio.get_running_loop()
+            self._handle = self._loop.call_later(self._seconds, self._end)
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the time; raise TimeoutError if it has ended the block."""
+        if self._handle is not None:
+            self._handle.cancel()
+        await self._timeout.__aexit__(exc_type, exc, traceback)
+
+    def _end(self) -> None:
+        self._await_polls(LAST_ITERATIONS if self._is_connected() else 0)
+
+    def _await_polls(self, iterations: int) -> None:
+        if iterations:
+            self._handle = self._loop.call_soon(self._await_polls, iterations - 1)
+        else:
+            self._timeout.reschedule(self._loop.time())
