Read a body that has arrived before it counts as too slow

Callers saw 408 "body came too slowly" although the whole body had arrived before the deadline: the event loop was late for both and ran the timer first. The limit is a SocketTimeout now. The request is past its deadline by then and is refused with 503 before anything is sent, as any other that is late.

Failed before: test_body_that_arrives_before_a_late_deadline_does_not_count_as_slow (408).

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -11,6 +11,7 @@
     Route,
     ShutdownSchedule,
 )
+from rhubarbwell_platform.http import SocketTimeout
 
 from rhubarbwell_entry.caller_connections import CallerConnection
 from rhubarbwell_entry.direct.bodies import (
@@ -110,7 +111,7 @@
         max_wait_s = MAX_MEMORY_WAIT_SHARE * (expires_ms - arrived_ms) / MS_PER_S
         with BodyLease(self._body_memory) as lease:
             try:
-                async with asyncio.timeout(remaining_ms / MS_PER_S):
+                async with SocketTimeout(remaining_ms / MS_PER_S):
                     max_bytes = balancer.config.limits.max_body_bytes
                     body = await lease.read(request, max_bytes, max_wait_s)
             except TimeoutError:
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -225,3 +225,28 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status, sent = runner.run(request_that_connects_in_a_stall(monkeypatch, 250))
     assert " 503 " in status and sent == 0
+
+
+async def status_of_body_that_arrives_in_a_stall():
+    """Return the status of a request whose body arrives before its deadline of 0.5 s.
+
+    The event loop is late for both.
+    """
+    async with running_fleet(1) as fleet:
+        conn, stall = KeptConnection(fleet.instance.settings.callers), Stall()
+        conn.send(
+            b"POST /pay/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n"
+            b"X-Rhubarbwell-Request-Id: r-1\r\n"
+            b"X-Rhubarbwell-Request-Deadline: 500\r\n\r\n"
+        )
+        await asyncio.sleep(0.3)
+        stall.start(0.4, lambda: conn.send(b"x"))
+        status = await asyncio.wait_for(conn.read_status(), WAIT_S)
+        conn.close()
+        return status
+
+
+# A body that had arrived was refused with 408, as if its caller had sent it too slowly.
+def test_body_that_arrives_before_a_late_deadline_does_not_count_as_slow():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert " 503 " in runner.run(status_of_body_that_arrives_in_a_stall())
