Read answers of the store and of instances before a call times out

An instance whose event loop came late for the time of a call took an answer that had arrived for lost: the store counted as away, the outcome of a write as unknown (AnswerLostError), and a query to another instance failed. The timers were aiohttp's, which run before the loop polls the sockets.

The time of a call is a SocketTimeout now, and the sessions of both products connect with PolledConnector (open_session). Times and errors are as before for peers that do not answer.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -8,6 +8,7 @@
 from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
 from rhubarbwell_core.errors import DECODING_ERRORS, RhubarbwellError
 from rhubarbwell_core.model import Address, host_port
+from rhubarbwell_platform.http import SocketTimeout
 
 __all__ = [
     "CHANGES_PATH",
@@ -128,14 +129,17 @@
         self, address: Address, query: ChangesQuery, timeout_ms: int
     ) -> ChangesResponse:
         """Return the changes of the instance at an address; raise ChangesError."""
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / MS_PER_S, sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
+        connect_timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
         )
         url = f"http://{host_port(address)}{CHANGES_PATH}"
         try:
-            async with self._session.get(
-                url, params=query.encode(), timeout=timeout
-            ) as resp:
+            async with (
+                SocketTimeout(timeout_ms / MS_PER_S),
+                self._session.get(
+                    url, params=query.encode(), timeout=connect_timeout
+                ) as resp,
+            ):
                 resp.raise_for_status()
                 body = await resp.json()
         except (aiohttp.ClientError, TimeoutError, *DECODING_ERRORS) as exc:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -7,7 +7,6 @@
 from random import Random, SystemRandom
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 from opentelemetry.metrics import Observation
 from rhubarbwell_core.direct import (
@@ -21,6 +20,7 @@
 )
 from rhubarbwell_core.engine import Action, TimerService
 from rhubarbwell_core.model import Address, host_port
+from rhubarbwell_platform.http import open_session
 
 from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.direct.bodies import BodyMemory
@@ -137,7 +137,7 @@
 
     async def start(self) -> None:
         """Start listeners and tasks; raise OSError if an address is in use."""
-        self._session = aiohttp.ClientSession()
+        self._session = open_session()
         self._store = self.platform.open_store(self._session, self.settings)
         self._health = StoreHealth(
             self._on_store_lost, self._on_store_up, self.clock_ms
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -4,9 +4,13 @@
 from random import SystemRandom
 from typing import Any
 
-import aiohttp
 from aiomisc import Service
-from rhubarbwell_platform.http import ClientOptions, RateLimits, http_platform
+from rhubarbwell_platform.http import (
+    ClientOptions,
+    RateLimits,
+    http_platform,
+    open_session,
+)
 
 from rhubarbwell_entry.instance import EntryInstance
 from rhubarbwell_entry.settings import Settings
@@ -25,7 +29,7 @@
 
     async def start(self) -> None:
         """Start the instance; raise OSError if one of its addresses is taken."""
-        self._session = aiohttp.ClientSession()
+        self._session = open_session()
         self._limits = RateLimits(ClientOptions())
         platform = http_platform(
             self._session, self.settings.platform, SystemRandom(), limits=self._limits
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -25,6 +25,7 @@
     UnavailableError,
 )
 from rhubarbwell_platform.http.breaker import CircuitBreaker
+from rhubarbwell_platform.http.timeouts import SocketTimeout
 
 __all__ = [
     "CallKind",
@@ -180,15 +181,17 @@
     ) -> Any:
         lost_error = UnavailableError if kind is CallKind.READ else AnswerLostError
         total_ms = self._options.timeout_ms + wait_ms
-        timeout = aiohttp.ClientTimeout(
-            total=total_ms / 1_000,
-            sock_connect=self._options.connect_timeout_ms / 1_000,
+        connect_timeout = aiohttp.ClientTimeout(
+            sock_connect=self._options.connect_timeout_ms / 1_000
         )
         url = f"{self._base_url}{path}"
         try:
-            async with self._session.request(
-                method, url, json=body, timeout=timeout
-            ) as resp:
+            async with (
+                SocketTimeout(total_ms / 1_000),
+                self._session.request(
+                    method, url, json=body, timeout=connect_timeout
+                ) as resp,
+            ):
                 return await _read_answer(resp, lost_error)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise UnavailableError(f"no connection to the platform: {exc}") from exc
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/connections.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/connections.py
@@ -8,7 +8,7 @@
 
 from rhubarbwell_platform.http.timeouts import SocketTimeout
 
-__all__ = ["PolledConnector"]
+__all__ = ["PolledConnector", "open_session"]
 
 UNLIMITED = aiohttp.ClientTimeout()
 
@@ -27,3 +27,8 @@
             return await super()._wrap_create_connection(
                 *args, timeout=UNLIMITED, **kwargs
             )
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session whose timeouts for connecting poll the sockets first."""
+    return aiohttp.ClientSession(connector=PolledConnector())
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -1,16 +1,14 @@
 """Tests that a request is answered whatever its instance does at that moment."""
 
 import asyncio
-import socket
 import time
 
 import aiohappyeyeballs
 import pytest
 import uvloop
-from rhubarbwell_core.model import Address
 from rhubarbwell_entry.caller_connections import CallerConnection
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
-from support.late_loops import KeptConnection, Stall
+from support.late_loops import BlockingServer, KeptConnection, Stall
 from support.running_fleet import WAIT_S, running_fleet, wait_until
 from support.users_platform import UsersBackend, config_body
 
@@ -23,25 +21,12 @@
     ).encode()
 
 
-class BlockingServer:
-    """Answer a request of a backend server's connection without the event loop."""
-
-    def __init__(self):
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = Address(*self._listener.getsockname()[:2])
-
-    def answer(self, request_id):
-        self._conn = self._listener.accept()[0]
-        self._conn.recv(4096)
-        self._conn.sendall(
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-            f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
-            "X-Rhubarbwell-Server-Stamp: s\r\n\r\n".encode()
-        )
-
-    def close(self):
-        self._conn.close()
-        self._listener.close()
+def answer_bytes(request_id):
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+        f"X-Rhubarbwell-Request-Id: {request_id}\r\n"
+        "X-Rhubarbwell-Server-Stamp: s\r\n\r\n"
+    ).encode()
 
 
 async def status_of_request_in_a_stall(opened_s, from_s, until_s):
@@ -178,7 +163,7 @@
         conn, stall = KeptConnection(fleet.instance.settings.callers), Stall()
         conn.send(request_bytes("r-1"))
         await asyncio.sleep(0.4)
-        stall.start(1.0, lambda: server.answer("r-1"))
+        stall.start(1.0, lambda: server.answer(answer_bytes("r-1")))
         status = await asyncio.wait_for(conn.read_status(), WAIT_S)
         conn.close()
         server.close()
--- a/tests/platform/http/test_connections.py
+++ b/tests/platform/http/test_connections.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 import uvloop
-from rhubarbwell_platform.http import PolledConnector
+from rhubarbwell_platform.http import open_session
 
 # Of the connector alone; the session's limit leaves room for the test.
 CONNECT_TIMEOUT_S = 0.1
@@ -24,7 +24,7 @@
 async def fetch_status(address):
     """Return the status of an answer of a server."""
     async with (
-        aiohttp.ClientSession(connector=PolledConnector()) as session,
+        open_session() as session,
         session.get("http://{}:{}/".format(*address), timeout=TIMEOUT) as resp,
     ):
         return resp.status
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -1,11 +1,13 @@
-"""Callers' connections and an event loop that comes late."""
+"""Peers that work while the event loop comes late."""
 
 import asyncio
 import contextlib
 import socket
 import time
 
-__all__ = ["KeptConnection", "Stall"]
+from rhubarbwell_core.model import Address
+
+__all__ = ["BlockingServer", "KeptConnection", "Stall"]
 
 
 class KeptConnection:
@@ -64,3 +66,22 @@
         time.sleep(self._for_s)
         self._ours.close()
         self._theirs.close()
+
+
+class BlockingServer:
+    """Answer a request without the event loop."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname()[:2])
+
+    def answer(self, data):
+        """Accept a connection, read from it and pass the answer to the kernel."""
+        self._conn = self._listener.accept()[0]
+        self._conn.recv(4096)
+        self._conn.sendall(data)
+
+    def close(self):
+        """Close the connection and the listener."""
+        self._conn.close()
+        self._listener.close()
