Read an answer before an attempt of the stand-alone product ends

Callers got 504 "deadline", and the idle connections to the server were retired as silent, although the answer had arrived before the deadline: the event loop was late for both and ran the timer first. The limit until the head of an answer is a SocketTimeout now.

Failed before: test_answer_that_arrives_before_a_late_deadline_is_delivered, for a request that is idempotent and one that is not. A request whose deadline passes while it connects is not sent, as before; that test fails if is_connected is left out.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 from rhubarbwell_core.messages import AttemptEnd, AttemptHeadersReceived, KeptAnswer
 from rhubarbwell_core.model import Address, Outcome, Reason, host_port
+from rhubarbwell_platform.http import SocketTimeout
 from yarl import URL
 
 from rhubarbwell_entry.driver import CoreDriver
@@ -132,7 +133,9 @@
     async def _send_and_relay(self) -> AttemptEnd:
         resp: aiohttp.ClientResponse | None = None
         try:
-            async with asyncio.timeout(self._remaining_ms() / 1_000):
+            async with SocketTimeout(
+                self._remaining_ms() / 1_000, is_connected=lambda: self.bytes_sent > 0
+            ):
                 resp = await self._send()
             return await self._process_response(resp)
         finally:
