Read the rest of an answer before its pause counts as too long

Callers of the stand-alone product got an answer cut off although its next part had arrived within the longest pause of 15 s: an event loop that was late ran the timer first. The pause is a SocketTimeout now.

Failed before: test_rest_of_an_answer_that_arrives_before_a_late_timeout_is_delivered.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/relays.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/relays.py
@@ -1,11 +1,10 @@
 """Stream an attempt's answer to the caller."""
 
-import asyncio
-
 import aiohttp
 from aiohttp import web
 from rhubarbwell_core.messages import AttemptEnd, KeptAnswer
 from rhubarbwell_core.model import Outcome
+from rhubarbwell_platform.http import SocketTimeout
 
 from rhubarbwell_entry.proxy.answers import AnswerBuffer
 from rhubarbwell_entry.proxy.exchanges import Exchange
@@ -60,7 +59,7 @@
         return AttemptEnd.ANSWERED
 
     async def _next_chunk(self) -> bytes:
-        async with asyncio.timeout(PROGRESS_TIMEOUT_MS / 1_000):
+        async with SocketTimeout(PROGRESS_TIMEOUT_MS / 1_000):
             return await self._resp.content.readany()
 
     async def _write_to_caller(self, chunk: bytes | None) -> None:
--- a/tests/entry/proxy/test_late_answers.py
+++ b/tests/entry/proxy/test_late_answers.py
@@ -7,6 +7,7 @@
 import pytest
 import uvloop
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.proxy import relays
 from support.entries import RunningEntry, make_configuration
 from support.late_loops import BlockingServer, Stall
 
@@ -67,3 +68,27 @@
 def test_request_whose_deadline_passes_while_it_connects_is_not_sent(monkeypatch):
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(requests_sent_after_a_late_connect(monkeypatch)) == 0
+
+
+async def request_whose_answer_pauses(pause_s):
+    """Return the answer to a request; a stall begins as its second half is sent."""
+    server, stall = BlockingServer(), Stall()
+    async with RunningEntry(make_configuration([server.address])) as entry:
+        call = asyncio.create_task(entry.request("GET", "/page"))
+        await asyncio.sleep(0.2)
+        server.answer(HEAD + b"he")
+        await asyncio.sleep(pause_s)
+        stall.start(0.6, lambda: server.send(b"re"))
+        try:
+            return await call
+        finally:
+            server.close()
+
+
+# The longest pause within an answer was over before its rest, which had arrived, was
+# read.
+def test_rest_of_an_answer_that_arrives_before_a_late_timeout_is_delivered(monkeypatch):
+    monkeypatch.setattr(relays, "PROGRESS_TIMEOUT_MS", 500)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        answer = runner.run(request_whose_answer_pauses(0.2))
+    assert answer == (200, "answered", "here")
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -79,6 +79,10 @@
         """Accept a connection, read from it and pass the answer to the kernel."""
         self._conn = self._listener.accept()[0]
         self._conn.recv(4096)
+        self.send(data)
+
+    def send(self, data):
+        """Pass more bytes to the kernel."""
         self._conn.sendall(data)
 
     def close(self):
