Poll sockets before a check of a lost connection decides

A server that loses a connection is suspected of a restart until another connection outlives the loss by 100 ms. An event loop that came late for that time counted a connection as open whose end had arrived, a probe or another request's, so that a server that had started again would be taken for the warm one. It also gave up a probe that stood before its 0.3 s were over. SocketTimeout and polled_sleep let the loop poll first.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/losses.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/losses.py
@@ -6,6 +6,7 @@
 from rhubarbwell_core.direct import LoadBalancer
 from rhubarbwell_core.direct.restarts import MIN_SURVIVAL_MS
 from rhubarbwell_core.model import Address
+from rhubarbwell_platform.http import SocketTimeout, polled_sleep
 
 from rhubarbwell_entry.tasks import BackgroundTasks
 
@@ -45,14 +46,14 @@
             self._tasks.spawn(self._probe(address))
 
     async def _check_open(self, address: Address) -> None:
-        await asyncio.sleep(SURVIVAL_S)
+        await polled_sleep(SURVIVAL_S)
         opened_ms = self._oldest_open_ms(address)
         if opened_ms is not None:
             self._record_open(address, opened_ms)
 
     async def _probe(self, address: Address) -> None:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with SocketTimeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*address)
         except (OSError, ValueError):
             # The host of an address can have any form that its registry row had.
@@ -61,7 +62,7 @@
             self._probed.discard(address)
         opened_ms = self._clock_ms()
         try:
-            async with asyncio.timeout(SURVIVAL_S):
+            async with SocketTimeout(SURVIVAL_S):
                 await reader.read(1)
         except TimeoutError:
             self._record_open(address, opened_ms)
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/timeouts.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/timeouts.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from types import TracebackType
 
-__all__ = ["SocketTimeout"]
+__all__ = ["SocketTimeout", "polled_sleep"]
 
 # What a socket holds reaches the task that waits in the second iteration of the event
 # loop, a new connection in the fourth, an answer of several MB in the third.
@@ -57,3 +57,10 @@
             self._handle = self._loop.call_soon(self._await_polls, iterations - 1)
         else:
             self._timeout.reschedule(self._loop.time())
+
+
+async def polled_sleep(seconds: float) -> None:
+    """Return after a time in s, once the event loop has polled its sockets."""
+    await asyncio.sleep(seconds)
+    for _ in range(LAST_ITERATIONS):
+        await asyncio.sleep(0)
