Read answers of the stores before their calls time out

Stand-alone product: a call for idempotency keys, slots or the published log that had been answered counted as lost or as unavailable when the event loop came late for its time. The limits around the calls ran before the loop polled the sockets; they are SocketTimeouts now.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/adoption.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/adoption.py
@@ -1,6 +1,5 @@
 """Execute a core's configuration actions: read, restore, parse and raise alarms."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 
@@ -40,6 +39,7 @@
     Write,
 )
 from rhubarbwell_platform.documents import configuration_of
+from rhubarbwell_platform.http import SocketTimeout
 from rhubarbwell_platform.publishing import publish_key, read_head, read_rows
 
 from rhubarbwell_entry.driver import CoreDriver
@@ -95,7 +95,7 @@
         self.reads += 1
         head = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 head = (await read_head(self._platform.tables)).head
         except (PlatformError, InvalidLogError, TimeoutError) as exc:
             _log_failure("head", exc)
@@ -106,7 +106,7 @@
         rows = None
         tables = self._platform.tables
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 rows = await read_rows(
                     tables, after=action.first - 1, up_to=action.last
                 )
@@ -131,7 +131,7 @@
     async def _get_object(self, key: str) -> str | None:
         self.reads += 1
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 return await self._platform.objects.get(key)
         except (PlatformError, TimeoutError) as exc:
             _log_failure("object", exc)
@@ -139,7 +139,7 @@
 
     async def _restore_log(self, action: RestoreLog) -> None:
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 await _write_restored_log(self._platform, action)
         except (PlatformError, InvalidLogError, TimeoutError) as exc:
             _log_failure("restored log", exc)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/keystore.py
@@ -1,6 +1,5 @@
 """Store claims and outcomes of idempotency keys in the table service."""
 
-import asyncio
 import base64
 import json
 import logging
@@ -26,6 +25,7 @@
     UnavailableError,
     Write,
 )
+from rhubarbwell_platform.http import SocketTimeout
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
@@ -70,7 +70,7 @@
         self.transactions += 1
         write = Write(KEY_PREFIX + row.scope, encode_stored_key(row), Absent())
         try:
-            async with asyncio.timeout(self._remaining_s(action.deadline_ms)):
+            async with SocketTimeout(self._remaining_s(action.deadline_ms)):
                 await self._tables.transact([write])
             result = ClaimResult.CLAIMED
         except ConflictError:
@@ -84,7 +84,7 @@
     async def _read_key(self, action: ReadKey) -> None:
         key = KEY_PREFIX + action.scope
         try:
-            async with asyncio.timeout(self._remaining_s(action.deadline_ms)):
+            async with SocketTimeout(self._remaining_s(action.deadline_ms)):
                 rows = await self._tables.read([key])
             found = decode_stored_key(rows[key].value) if key in rows else None
             event = KeyRead(action.scope, found)
@@ -106,7 +106,7 @@
             Write(KEY_PREFIX + row.scope, encode_stored_key(row)) for row in action.rows
         ]
         try:
-            async with asyncio.timeout(RECORD_TIMEOUT_MS / 1_000):
+            async with SocketTimeout(RECORD_TIMEOUT_MS / 1_000):
                 await self._tables.transact(writes)
             recorded = True
         except (PlatformError, TimeoutError) as exc:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/slotstore.py
@@ -1,6 +1,5 @@
 """Store slot leases in the table service."""
 
-import asyncio
 import json
 import logging
 from collections.abc import Mapping
@@ -31,6 +30,7 @@
     VersionIs,
     Write,
 )
+from rhubarbwell_platform.http import SocketTimeout
 from tenacity import AsyncRetrying, retry_if_exception_type, stop_after_attempt
 
 from rhubarbwell_entry.driver import CoreDriver
@@ -70,7 +70,7 @@
     async def _read_slots(self, action: ReadSlots) -> None:
         rows: tuple[SlotRow, ...] | None = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 found = await self._tables.scan(f"{SLOT_PREFIX}{action.zone}/")
             rows = tuple(decode_slot(row.value) for row in found)
         except (PlatformError, TimeoutError, ValueError) as exc:
@@ -85,7 +85,7 @@
 
     async def _claim_slot(self, action: ClaimSlot) -> None:
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 await self._compare_and_set(action)
             result = StoreResult.DONE
         except ConflictError:
@@ -117,7 +117,7 @@
             reraise=True,
         )
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 results: tuple[RenewalResult, ...] = await retrying(
                     self._renew_slots_once, action.renewals
                 )
@@ -152,7 +152,7 @@
         renewal = SlotRenewal(*action)
         key = _renewal_key(renewal)
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with SocketTimeout(CALL_TIMEOUT_S):
                 rows = await self._tables.read([key])
                 if _is_held(renewal, rows):
                     condition = VersionIs(rows[key].version)
