Read the answer of a poll before its time is over

Stand-alone product: a load report or health answer that had arrived was dropped when the event loop came late for its 0.8 s. The time of a poll is a SocketTimeout now.

Failed before: test_monitor.py, test_answer_that_arrives_before_a_late_timeout_is_used.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/monitor.py
@@ -16,6 +16,7 @@
     host_port,
     zones_of_region,
 )
+from rhubarbwell_platform.http import SocketTimeout
 
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.logs import log_event
@@ -33,6 +34,7 @@
 FIRST_ERROR_STATUS = 400
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 MAX_REPORT_BYTES = 4_096
+UNLIMITED = aiohttp.ClientTimeout()
 
 
 class _Response(NamedTuple):
@@ -108,11 +110,13 @@
 
     async def _fetch_response(self, spec: BackendSpec, path: str) -> _Response | None:
         url = f"http://{host_port(Address(spec.host, spec.port))}{path}"
-        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         try:
-            async with self._session.get(
-                url, timeout=timeout, skip_auto_headers=SKIPPED_HEADERS
-            ) as response:
+            async with (
+                SocketTimeout(POLL_TIMEOUT_S),
+                self._session.get(
+                    url, timeout=UNLIMITED, skip_auto_headers=SKIPPED_HEADERS
+                ) as response,
+            ):
                 body = await response.content.read(MAX_REPORT_BYTES)
                 return _Response(response.status, body)
         except (aiohttp.ClientError, OSError, ValueError) as exc:
--- a/tests/entry/test_monitor.py
+++ b/tests/entry/test_monitor.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp import web
 from rhubarbwell_core import Core
 from rhubarbwell_core.messages import ConfigReceived
@@ -21,8 +22,10 @@
 )
 from rhubarbwell_entry.driver import CoreDriver
 from rhubarbwell_entry.monitor import BackendMonitor, polls_per_s
+from support.late_loops import BlockingServer, Stall
 
 ADDRESS = Address("127.0.0.1", 1)
+HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 async def poll_until(load, health_status, condition):
@@ -107,3 +110,27 @@
 
 def test_poll_rate_falls_with_the_fleet_within_its_bounds():
     assert [polls_per_s(n) for n in (0, 12, 48, 2_900)] == [20.0, 20.0, 5.0, 0.5]
+
+
+async def request_after_a_poll_in_a_stall():
+    """Return the request after a poll whose answer arrives while the loop is late."""
+    server, stall = BlockingServer(), Stall()
+    driver = make_driver(server.address.port)
+    async with aiohttp.ClientSession() as session:
+        task = asyncio.create_task(BackendMonitor(driver, session).run())
+        await asyncio.sleep(0.1)
+        stall.start(1.0, lambda: server.answer(HEALTHY))
+        try:
+            return await asyncio.wait_for(server.receive(), 10)
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            server.close()
+
+
+# The time of a poll was checked before an answer that had arrived was read.
+def test_answer_that_arrives_before_a_late_timeout_is_used():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        request = runner.run(request_after_a_poll_in_a_stall())
+    assert request.startswith(b"GET /load ")
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -85,6 +85,11 @@
         """Pass more bytes to the kernel."""
         self._conn.sendall(data)
 
+    async def receive(self):
+        """Return bytes that arrive on the connection, none at its end."""
+        self._conn.setblocking(False)
+        return await asyncio.get_running_loop().sock_recv(self._conn, 4096)
+
     def close(self):
         """Close the connection and the listener."""
         self._conn.close()
