--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -131,7 +131,9 @@
         started_ms = self._clock_ms()
         remaining_ms = req.expires_ms - started_ms
         try:
-            async with SocketTimeout(max(remaining_ms, 0) / 1_000):
+            async with SocketTimeout(
+                max(remaining_ms, 0) / 1_000, is_connected=lambda: self._has_conn(req)
+            ):
                 return await self._exchange(req, target, request, body, started_ms)
         except TimeoutError:
             result, detail = AttemptResult.TIMED_OUT, "no answer in time"
@@ -194,6 +196,9 @@
         finally:
             resp.close()
 
+    def _has_conn(self, req: ActiveRequest) -> bool:
+        return self._connector.connection_of(req.request_id) is not None
+
     def _request_headers(
         self,
         req: ActiveRequest,
--- a/tests/platform/http/test_timeouts.py
+++ b/tests/platform/http/test_timeouts.py
@@ -59,7 +59,7 @@
         runner.run(read_bytes_that_arrive_in_a_stall(pieces))
 
 
-async def iterations_until_a_timeout():
+async def iterations_until_a_timeout(is_connected):
     """Return how often a busy event loop iterates after the time is over."""
     loop = asyncio.get_running_loop()
     iterations = 0
@@ -71,7 +71,7 @@
 
     handle = loop.call_soon(iterate)
     with pytest.raises(TimeoutError):
-        async with SocketTimeout(0.0):
+        async with SocketTimeout(0.0, is_connected=lambda: is_connected):
             await asyncio.Event().wait()
     handle.cancel()
     return iterations
@@ -80,5 +80,12 @@
 @pytest.mark.parametrize("loop_factory", LOOPS)
 def test_busy_event_loop_holds_up_a_timeout_for_a_limited_time(loop_factory):
     with asyncio.Runner(loop_factory=loop_factory) as runner:
-        iterations = runner.run(iterations_until_a_timeout())
+        iterations = runner.run(iterations_until_a_timeout(True))
     assert LAST_ITERATIONS <= iterations <= LAST_ITERATIONS + 5
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+def test_timeout_before_a_connection_takes_effect_at_once(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        iterations = runner.run(iterations_until_a_timeout(False))
+    assert iterations <= 5
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -91,8 +91,17 @@
         """Accept a connection, read from it and pass the answer to the kernel."""
         self._conn = self._listener.accept()[0]
         self._conn.recv(4096)
+        self.send(data)
+
+    def send(self, data):
+        """Pass more bytes to the kernel."""
         self._conn.sendall(data)
 
+    async def receive(self):
+        """Return bytes that arrive on the connection, none at its end."""
+        self._conn.setblocking(False)
+        return await asyncio.get_running_loop().sock_recv(self._conn, 4096)
+
     def close(self):
         """Close the connection and the listener."""
         self._conn.close()
