Let entries lapse and writes come late in the soak

Cause: not known. The lists of the two sites differ in kinds that the soak did not have: the store is busy while entries of live servers lapse, and writes without an answer that are performed 1 to 6 s later. Change: both are faults of the store, drawn from a generator of their own, so that the other faults of a seed stay as they were.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from aiohttp import web
 from soak.fleet import SERVICES, SHUTDOWN_GRACE_S, SoakFleet
@@ -54,6 +54,12 @@
 IDLE_STALL_SHARE = 0.7
 IDLE_CLOSE_RANGE_S = (3.3, 3.6)
 STORE_FAULTS = ("busy", "silent", "reset", "slow", "lost", "forgets")
+# Drawn from a generator of their own, so that a seed plays the other faults as before.
+RARER_STORE_FAULTS = ("lapse", "late")
+RARER_SHARE = 0.3
+LATE_WRITE_SHARE = 0.35
+LATE_WRITE_RANGE_S = (1.0, 6.0)
+LAPSED_SHARES = (0.5, 1.0)
 
 
 class InjectedFault(NamedTuple):
@@ -98,6 +104,8 @@
         self._fleet = fleet
         self._rng = rng
         self._planned_only = planned_only
+        self._store_rng = Random(fleet.seed + 4)
+        self._late_writes: set[asyncio.Task[web.Response]] = set()
         self._busy_targets: set[str] = set()
 
     async def run(self, for_s: float) -> None:
@@ -349,19 +357,39 @@
 
     async def _fail_store(self, store) -> str:
         kind = self._rng.choice(STORE_FAULTS)
+        if self._store_rng.random() < RARER_SHARE:
+            kind = self._store_rng.choice(RARER_STORE_FAULTS)
         if kind == "forgets":
             store.oldest_feed_version = store.version + 1
         else:
             store.fault_handler = lambda request: self._answer_with_fault(kind, request)
-        await asyncio.sleep(self._random_duration_s())
+        duration_s = self._random_duration_s()
+        if kind == "lapse":
+            await asyncio.sleep(duration_s)
+            share = self._store_rng.choice(LAPSED_SHARES)
+            servers = self._fleet.servers
+            await self._fleet.lapse(
+                self._store_rng.sample(servers, round(share * len(servers)))
+            )
+        await asyncio.sleep(duration_s)
         store.fault_handler = None
+        # Live servers register again with their next heartbeats.
+        self._fleet.lapsed.clear()
         return f"store {kind}"
 
     async def _answer_with_fault(
         self, kind: str, request: web.BaseRequest
     ) -> web.Response | None:
-        if kind == "busy":
+        if kind in ("busy", "lapse"):
             return web.Response(status=503)
+        if kind == "late":
+            is_late = self._store_rng.random() < LATE_WRITE_SHARE
+            if request.method == "GET" or not is_late:
+                return None
+            task = asyncio.create_task(self._write_later(await request.json()))
+            self._late_writes.add(task)
+            task.add_done_callback(self._late_writes.discard)
+            kind = "silent"
         if kind == "silent":
             await asyncio.sleep(DURATION_RANGE_S[1])
         elif kind == "slow":
@@ -375,6 +403,10 @@
             request.transport.abort()
         return web.Response(status=503)
 
+    async def _write_later(self, body: dict[str, Any]) -> web.Response:
+        await asyncio.sleep(self._store_rng.uniform(*LATE_WRITE_RANGE_S))
+        return await self._fleet.store.transact(body)
+
 
 def _no_target() -> list[tuple[str, None]]:
     """Return the placeholder target of faults that reserve no component."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -213,6 +213,7 @@
     def __init__(
         self, seed: int, folder: Path, instances: int, script: Path, code: Path = ROOT
     ) -> None:
+        self.seed = seed
         self.rng = Random(seed)
         self.store = StoreStandIn()
         self.request_log = RequestLog()
@@ -239,6 +240,8 @@
             )
             for n in range(8)
         ]
+        # Servers whose heartbeats the store does not take.
+        self.lapsed: set[SoakServer] = set()
         self._sequence = 0
 
     async def start(self) -> None:
@@ -328,11 +331,18 @@
         row = server.registration(self._sequence)
         await self.store.write("servers", server.backend_id, row)
 
+    async def lapse(self, servers: list[SoakServer]) -> None:
+        """Remove servers' entries until `lapsed` is cleared, as if they were silent."""
+        self.lapsed.update(servers)
+        for server in servers:
+            await self.store.write("servers", server.backend_id, None)
+
     async def _send_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             for server in self.servers:
-                if server.mode not in UNREGISTERED_MODES:
+                is_silent = server.mode in UNREGISTERED_MODES or server in self.lapsed
+                if not is_silent:
                     await self.register(server)
 
 
