--- a/tests/entry/direct/test_main.py
+++ b/tests/entry/direct/test_main.py
@@ -103,6 +103,43 @@
             assert await instance.process.wait() == 0
 
 
+async def send_as_soon_as_it_listens(instance, session):
+    """Return the status of a request whose connection is one of the first."""
+    while True:
+        try:
+            return await send_request(instance, session, "r-1")
+        except aiohttp.ClientConnectorError:
+            await asyncio.sleep(0.002)
+
+
+async def is_listening(instance):
+    try:
+        _, writer = await asyncio.open_connection(*instance.callers)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+# A SIGTERM before the end of a start closed the connections that had been accepted.
+@pytest.mark.parametrize("after_listening_s", [0.0, 0.05, 0.3])
+async def test_sigterm_in_a_start_does_not_cut_off_requests(
+    after_listening_s, tmp_path
+):
+    async with running_process(tmp_path) as (instance, _, session):
+        await instance.stop_with_signal(signal.SIGKILL)
+        await instance.start()
+        answer = asyncio.create_task(send_as_soon_as_it_listens(instance, session))
+        async with asyncio.timeout(WAIT_S):
+            while not await is_listening(instance):
+                await asyncio.sleep(0.002)
+        await asyncio.sleep(after_listening_s)
+        instance.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_S):
+            assert await answer in (200, 503)
+            assert await instance.process.wait() == 0
+
+
 async def send_until_exit(instance, number, period_s):
     async with asyncio.timeout(WAIT_S):
         while instance.process.returncode is None:
