Send the mark of a test in one piece through the reader of heads

A caller's connection passes the last byte of a head to the parser by itself, so the bytes "mark" came in two pieces and the test's exception was never raised. A head that is complete passes in one piece; the mark ends like one now.

--- a/tests/entry/direct/test_cut_off_logs.py
+++ b/tests/entry/direct/test_cut_off_logs.py
@@ -17,6 +17,10 @@
 )
 
 
+# A whole head reaches the parser in one piece.
+MARK = b"mark\r\n\r\n"
+
+
 def ends_of_requests(caplog):
     """Return the log records of the ends of requests."""
     return [
@@ -139,12 +143,12 @@
     receive = web.RequestHandler.data_received
 
     def raise_at_mark(conn, data):
-        if data == b"mark":
+        if data == MARK:
             raise ValueError("marked")
         receive(conn, data)
 
     async def send_mark(_, writer):
-        writer.write(b"mark")
+        writer.write(MARK)
 
     monkeypatch.setattr(web.RequestHandler, "data_received", raise_at_mark)
     with asyncio.Runner(loop_factory=loop_factory) as runner:
