Show that an upgrade behind another begins a head that never ends

Callers that send two requests with Upgrade and a body at once get both answers, and after the header timeout a 408 on the idle connection, which then closes. Cause: aiohttp parses what follows a declined upgrade by itself, in finish_response; a request found there leaves the time of the head set. No change of product code.

--- a/tests/entry/test_caller_connections.py
+++ b/tests/entry/test_caller_connections.py
@@ -72,3 +72,19 @@
         is_idle = conn.is_idle(conn.last_data_s + 1.0)
         assert is_idle == (at in ends), stream[max(at - 80, 0) : at]
     conn.connection_lost(None)
+
+
+# A 408 was written to an idle connection whose requests had all been answered.
+@pytest.mark.known_red
+async def test_upgrade_with_a_body_behind_another_begins_no_head():
+    upgrade = (
+        b"POST /a HTTP/1.1\r\n"
+        + HOST
+        + b"Connection: Upgrade\r\nUpgrade: websocket\r\nContent-Length: 3\r\n\r\nabc"
+    )
+    conn = open_connection()
+    conn.data_received(2 * upgrade)
+    for _ in range(50):
+        await asyncio.sleep(0)
+    assert conn.is_idle(conn.last_data_s + 1.0)
+    conn.connection_lost(None)
