Wait an iteration before a stop counts the connections that are left

Cause: a connection that the event loop has accepted is counted only once its connection_made has run. A stop that found no other connection ended at once after it had stopped listening, and cut off what was in between. Change: the first look at the connections follows one poll period after listening ends.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/shutdown.py
@@ -49,9 +49,10 @@
         await asyncio.sleep(listen_ms / MS_PER_S)
         await callers.stop_listening()
         while self._clock_ms() < schedule.close_ms:
+            # The loop counts connections a little after it has accepted them.
+            await asyncio.sleep(POLL_PERIOD_MS / MS_PER_S)
             if not callers.close_idle_connections():
                 break
-            await asyncio.sleep(POLL_PERIOD_MS / MS_PER_S)
         log_event(
             _log,
             logging.INFO,
--- a/tests/entry/direct/test_lost_requests.py
+++ b/tests/entry/direct/test_lost_requests.py
@@ -458,3 +458,43 @@
 def test_body_that_arrives_before_a_late_deadline_does_not_count_as_slow():
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert " 503 " in runner.run(status_of_body_that_arrives_in_a_stall())
+
+
+async def status_of_request_accepted_as_listening_ends(iterations):
+    """Return the status of a request on the only connection of a stopping instance.
+
+    It connects some iterations of the event loop before the listener closes.
+    """
+    async with running_fleet(1, stop_max_ms=2_000) as fleet:
+        instance = fleet.instance
+        stop_listening = instance.callers.stop_listening
+        conns = []
+
+        async def work(request):
+            await asyncio.sleep(0.3)
+            return fleet.backends[0].signed_response(request)
+
+        fleet.backends[0].custom_handler = work
+
+        async def connect_and_stop_listening():
+            conns.append(KeptConnection(instance.settings.callers))
+            conns[0].send(request_bytes("r-1", 500))
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            await stop_listening()
+
+        instance.callers.stop_listening = connect_and_stop_listening
+        stopping = DirectShutdown(instance)
+        await stopping.run()
+        await instance.stop(timeout_s=stopping.remaining_s)
+        status = await asyncio.wait_for(conns[0].read_status(), WAIT_S)
+        conns[0].close()
+        return status
+
+
+# A stop ended before the event loop had reported the connection that it had accepted.
+@pytest.mark.parametrize("iterations", [0, 1, 2, 3])
+def test_request_that_is_accepted_as_listening_ends_is_answered(iterations):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        status = runner.run(status_of_request_accepted_as_listening_ends(iterations))
+    assert " 200 " in status or " 503 " in status
