Do not take what lies behind a declined upgrade for part of a head

Callers that send two requests with Upgrade and a body at once got both answers, and after the header timeout a 408 on the idle connection. Cause: aiohttp itself parses what follows an upgrade that it declines; a request that it found there left the time of the head set. Change: a head counts only while the connection knows the state of the parser.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -82,10 +82,8 @@
         if is_first and self._requests_before != self._request_count:
             self._requests_before = self._request_count
             self.request_began_s = self.last_data_s
-        # aiohttp discards data on a connection that closes. It reads what follows an
-        # upgrade by itself, after which the state of the parser is not known here.
-        is_known = self._heads_read == self._request_count and not self._upgraded
-        if self._close or self._force_close or not is_known:
+        # aiohttp discards data on a connection that closes.
+        if self._close or self._force_close or not self._is_parser_known:
             super().data_received(data)
             self._set_head_since(None)
         elif not data or data.endswith(HEAD_END) or self._ends_before_body(data):
@@ -157,12 +155,22 @@
         return (
             self._is_waiting
             and self.transport is not None
-            and self._head_since_s is None
+            and not self._has_head_part
             and self.last_data_s + MIN_IDLE_S <= now_s
             and not self.transport.get_write_buffer_size()
             and not has_unread_bytes(self.transport)
         )
 
+    @property
+    def _is_parser_known(self) -> bool:
+        # aiohttp reads what follows an upgrade by itself, after which the state of the
+        # parser is not known here.
+        return self._heads_read == self._request_count and not self._upgraded
+
+    @property
+    def _has_head_part(self) -> bool:
+        return self._head_since_s is not None and self._is_parser_known
+
     @property
     def _is_waiting(self) -> bool:
         # aiohttp waits like this only between requests: not while one is parsed,
@@ -185,8 +193,10 @@
 
         Nothing is done without such a head, or while an earlier request is open.
         """
-        if self._head_since_s is None or self.transport is None or not self._is_waiting:
+        transport = self.transport
+        if not self._has_head_part or transport is None or not self._is_waiting:
             return
+        assert self._head_since_s is not None
         log_event(
             _log,
             logging.WARNING,
@@ -196,12 +206,12 @@
             elapsed_ms=round((self._loop.time() - self._head_since_s) * MS_PER_S),
         )
         self._set_head_since(None)
-        self.transport.write(
+        transport.write(
             f"HTTP/1.1 {status.value} {status.phrase}\r\n"
             "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
         )
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        if transport.can_write_eof():
+            transport.write_eof()
         self.close()
         self._head_timer = self._loop.call_later(LINGER_S, self.force_close)
 
@@ -230,7 +240,7 @@
             return
         if self.is_idle(now_s):
             self.end()
-        if self._head_since_s is None:
+        if not self._has_head_part:
             super()._process_keepalive()
         else:
             # aiohttp sets the timer again after the request.
--- a/tests/entry/test_caller_connections.py
+++ b/tests/entry/test_caller_connections.py
@@ -75,7 +75,6 @@
 
 
 # A 408 was written to an idle connection whose requests had all been answered.
-@pytest.mark.known_red
 async def test_upgrade_with_a_body_behind_another_begins_no_head():
     upgrade = (
         b"POST /a HTTP/1.1\r\n"
