Bound the polls after a timeout on a busy event loop

Cause: SocketTimeout always let the loop iterate 8 times after the time was over, however long an iteration took. Change: a loop that comes in time has polled its sockets just before, so two iterations are enough; one that is late gets 8, and no more than 4 once 50 ms have passed. Four are what a new connection needs.

--- a/tests/platform/http/test_timeouts.py
+++ b/tests/platform/http/test_timeouts.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 import uvloop
-from rhubarbwell_platform.http.timeouts import LAST_ITERATIONS, SocketTimeout
+from rhubarbwell_platform.http.timeouts import (
+    LAST_ITERATIONS,
+    MIN_ITERATIONS,
+    PUNCTUAL_ITERATIONS,
+    SocketTimeout,
+)
 from support.late_loops import Stall
 
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
@@ -59,16 +65,21 @@
         runner.run(read_bytes_that_arrive_in_a_stall(pieces))
 
 
-async def iterations_until_a_timeout(is_connected):
-    """Return how often a busy event loop iterates after the time is over."""
+async def iterations_until_a_timeout(*, is_connected=True, delay_s=0.0, takes_s=0.0):
+    """Return how often a busy event loop iterates after the time is over.
+
+    The loop is late by delay_s for the time; each iteration takes takes_s.
+    """
     loop = asyncio.get_running_loop()
     iterations = 0
 
     def iterate():
         nonlocal iterations, handle
         iterations += 1
+        time.sleep(takes_s)
         handle = loop.call_soon(iterate)
 
+    loop.call_soon(time.sleep, delay_s)
     handle = loop.call_soon(iterate)
     with pytest.raises(TimeoutError):
         async with SocketTimeout(0.0, is_connected=lambda: is_connected):
@@ -77,15 +88,29 @@
     return iterations
 
 
+# A few iterations lie between the end of the time and the end of the block.
+@pytest.mark.parametrize(
+    ("delay_s", "takes_s", "expected"),
+    [
+        (0.0, 0.0, PUNCTUAL_ITERATIONS),
+        (0.05, 0.0, LAST_ITERATIONS),
+        (0.05, 0.03, MIN_ITERATIONS),
+    ],
+    ids=["punctual", "late", "slow"],
+)
 @pytest.mark.parametrize("loop_factory", LOOPS)
-def test_busy_event_loop_holds_up_a_timeout_for_a_limited_time(loop_factory):
+def test_busy_event_loop_holds_up_a_timeout_for_a_limited_time(
+    loop_factory, delay_s, takes_s, expected
+):
     with asyncio.Runner(loop_factory=loop_factory) as runner:
-        iterations = runner.run(iterations_until_a_timeout(True))
-    assert LAST_ITERATIONS <= iterations <= LAST_ITERATIONS + 5
+        iterations = runner.run(
+            iterations_until_a_timeout(delay_s=delay_s, takes_s=takes_s)
+        )
+    assert expected <= iterations <= expected + 5
 
 
 @pytest.mark.parametrize("loop_factory", LOOPS)
 def test_timeout_before_a_connection_takes_effect_at_once(loop_factory):
     with asyncio.Runner(loop_factory=loop_factory) as runner:
-        iterations = runner.run(iterations_until_a_timeout(False))
+        iterations = runner.run(iterations_until_a_timeout(is_connected=False))
     assert iterations <= 5
