Show that one of two idempotent requests with one id is refused though it ran

Callers that send two idempotent requests with one id at once get 503 for one, with a promise ("not run") that is not true. Cause: the connector of direct forwarding keeps what it knows of an attempt under the request's id, and the end of the first one removes it.

--- a/tests/entry/direct/test_false_refusals.py
+++ b/tests/entry/direct/test_false_refusals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from support.raw_servers import RawServer, fleet_with_server, read_request
 from support.running_fleet import running_fleet, wait_until
 from support.users_platform import UsersBackend
@@ -88,3 +89,26 @@
         assert resp.status not in NOT_RUN_STATUSES
         assert len(backend.received) == 1
         await backend.stop()
+
+
+# Of two idempotent requests with one id, the end of one removed the record that the other
+# had a connection; that one had run and was refused as if it had not been sent.
+@pytest.mark.known_red
+async def test_idempotent_requests_with_the_same_id_are_both_answered():
+    async with running_fleet(1) as fleet:
+        release = asyncio.Event()
+        backend = fleet.backends[0]
+
+        async def answer_later(request):
+            await release.wait()
+            return backend.signed_response(request)
+
+        backend.custom_handler = answer_later
+        same_id = {"X-Rhubarbwell-Request-Id": "same"}
+        calls = [
+            asyncio.create_task(fleet.send_request("/read/a", **same_id))
+            for _ in range(2)
+        ]
+        await wait_until(lambda: len(backend.received) == 2)
+        release.set()
+        assert [resp.status for resp, _ in await asyncio.gather(*calls)] == [200, 200]
