--- a/tests/entry/direct/test_main.py
+++ b/tests/entry/direct/test_main.py
@@ -5,88 +5,17 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager
-from pathlib import Path
 
 import aiohttp
 import pytest
-from rhubarbwell_core.model import host_port
 from rhubarbwell_entry.direct.main import DirectService
-from soak.fleet import InstanceProcess
 from soak.soak import ENTRY_SCRIPT
+from support.entry_processes import running_process, send_request
 from support.running_fleet import WAIT_S, running_fleet
-from support.users_platform import StoreStandIn, UsersBackend, config_body
 
-# Of this test process alone, as the port of metrics is the same for all instances.
-HOST = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.7"
-WORK_S = 0.8
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-@asynccontextmanager
-async def running_process(folder):
-    """Run an instance as a process beside a store and a server that works WORK_S."""
-    store, server = StoreStandIn(), UsersBackend("b-0")
-
-    async def work(request):
-        await asyncio.sleep(WORK_S)
-        return server.signed_response(request)
-
-    server.custom_handler = work
-    instance = InstanceProcess(0, store, folder, HOST)
-    await store.start()
-    await server.start()
-    await store.write("servers", server.backend_id, server.registry_entry())
-    await store.write("op", "config", config_body())
-    await instance.prepare(ENTRY_SCRIPT)
-    await instance.start()
-    async with aiohttp.ClientSession() as session:
-        try:
-            await wait_until_it_serves(instance, session, folder)
-            server.received.clear()
-            yield instance, server, session
-        finally:
-            if instance.process.returncode is None:
-                await instance.stop_with_signal(signal.SIGKILL)
-            await instance.store_proxy.stop()
-            await server.stop()
-            await store.stop()
-
-
-async def wait_until_it_serves(instance, session, folder):
-    """Wait for a first answer; without one, fail with the log of the process."""
-    phase = "not ready"
-    try:
-        async with asyncio.timeout(WAIT_S):
-            while not await instance.is_ready(session):
-                assert instance.process.returncode is None, "the process has ended"
-                await asyncio.sleep(0.05)
-            phase = "ready, no answer"
-            # A ready instance may not have read the servers' table yet.
-            while await send_request(instance, session, "r-0") != 200:
-                await asyncio.sleep(0.05)
-    except (AssertionError, TimeoutError) as exc:
-        status = f"{phase}, exit code {instance.process.returncode}"
-        if instance.process.returncode is None:
-            # Processor time and time spent waiting for a processor, in ns.
-            schedstat = Path(f"/proc/{instance.process.pid}/schedstat")
-            status += f", ran and waited {schedstat.read_text().rsplit(maxsplit=1)[0]}"
-        log = (folder / f"{instance.name}.log").read_text()
-        pytest.fail(f"{exc!r}: {status}\n{log}")
-
-
-async def send_request(instance, session, request_id):
-    headers = {
-        "Host": "h.example",
-        "X-Rhubarbwell-Request-Id": request_id,
-        "X-Rhubarbwell-Request-Deadline": "2000",
-    }
-    url = f"http://{host_port(instance.callers)}/pay/x"
-    async with session.post(url, headers=headers) as resp:
-        await resp.read()
-        return resp.status
-
-
 # A second SIGTERM ended the process at once and cut off all open requests.
 @pytest.mark.parametrize("gap_s", [0.0, 0.002, 0.3])
 async def test_repeated_signals_do_not_cut_off_requests(gap_s, tmp_path):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -93,7 +93,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.signals: list[SentSignal] = []
         self._folder = folder
-        self._code_paths = [
+        self.code_paths = [
             *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
             code / "platform",
         ]
@@ -107,20 +107,24 @@
             Address(self.host, port) for port in ports
         )
         self._settings = self._folder / f"{self.name}.toml"
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write the settings file with the addresses of now."""
         self._settings.write_text(self._settings_text())
 
-    async def start(self) -> None:
+    async def start(self, *arguments: str) -> None:
         """Start a new incarnation of the process, which appends to the log file."""
         self.incarnation += 1
         log = (self._folder / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, str(self._script)),
+            *(sys.executable, str(self._script), *arguments),
             stdout=log,
             stderr=log,
             env={
                 **os.environ,
                 "RHUBARBWELL_NODE_FILE": str(self._settings),
-                "PYTHONPATH": ":".join(map(str, self._code_paths)),
+                "PYTHONPATH": ":".join(map(str, self.code_paths)),
             },
         )
         log.close()
