--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -14,8 +14,6 @@
 from support.entry_processes import prepared_process, wait_until_it_serves
 from support.running_fleet import WAIT_S
 
-pytestmark = pytest.mark.known_red
-
 BUILD = tomllib.loads((ROOT / "deploy/system.toml").read_text())["build"]
 PROGRAM = Path("target/app/run_entry.py")
 # Under load a build takes some seconds.
