Hold all addresses before a start accepts callers, and wait for one that is taken

Cause: a start listened for callers first and for its other addresses after it.

A start now opens all sockets or none, callers' last, asks again each 0.1 s for up to 30 s, with a log line, and ends with 0 if SIGTERM comes meanwhile. The metrics are served once their address is free.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import secrets
+import socket
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random, SystemRandom
 from typing import Any
@@ -21,6 +22,7 @@
 from rhubarbwell_core.engine import Action, TimerService
 from rhubarbwell_core.model import Address, host_port
 from rhubarbwell_platform.http import open_session
+from tenacity import AsyncRetrying
 
 from rhubarbwell_entry.clocks import monotonic_ms
 from rhubarbwell_entry.direct.bodies import BodyMemory
@@ -45,8 +47,9 @@
 from rhubarbwell_entry.direct.settings import DirectSettings
 from rhubarbwell_entry.direct.state import FleetState
 from rhubarbwell_entry.direct.wire import DirectPlatform
-from rhubarbwell_entry.listeners import open_listening_socket
+from rhubarbwell_entry.listeners import open_listening_sockets
 from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.startup import wait_options
 from rhubarbwell_entry.tasks import BackgroundTasks
 
 __all__ = ["DirectInstance"]
@@ -68,6 +71,7 @@
 # one late.
 LIVENESS_TIMEOUT_MS = 4_400
 ADVANCE_PERIOD_MS = 250
+METRICS_RETRY_PERIOD_S = 1.0
 # Heartbeats arrive continuously; the pause batches those of several instances.
 INSTANCE_POLL_TIMES = {
     "wait_ms": 1_500,
@@ -96,7 +100,9 @@
         self._tasks = BackgroundTasks(self.metrics.record_task_failure)
         self._timers = TimerService(now_ms=clock_ms())
         self._runners: list[web.ServerRunner] = []
+        self._sockets: dict[Address, socket.socket] = {}
         self._upstream = Upstream()
+        self.is_started = False
         self.leaving = False
         self._own_entry = InstanceEntry(
             settings.instance_id,
@@ -135,8 +141,24 @@
         config = self.balancer.config
         return config.version if config is not None else 0
 
+    def open_sockets(self) -> None:
+        """Listen on all addresses but that of the metrics.
+
+        Raises OSError if one of them cannot be had; then none accepts a connection.
+        """
+        cfg = self.settings
+        # Callers may come once the others are served.
+        addresses = dict.fromkeys(
+            (cfg.readiness, cfg.directory, cfg.control, cfg.callers)
+        )
+        socks = open_listening_sockets(*addresses)
+        self._sockets = dict(zip(addresses, socks, strict=True))
+
     async def start(self) -> None:
         """Start listeners and tasks; raise OSError if an address is in use."""
+        if not self._sockets:
+            self.open_sockets()
+        self.is_started = True
         self._session = open_session()
         self._store = self.platform.open_store(self._session, self.settings)
         self._health = StoreHealth(
@@ -228,6 +250,7 @@
     async def _start_listeners(self) -> None:
         cfg = self.settings
         self.callers = await self._listen_at(cfg.callers, self.handler.handle)
+        served = {cfg.callers}
         operators = OperatorHandler(
             self.platform,
             self.instances,
@@ -242,16 +265,42 @@
             ),
             lambda: self.is_ready,
         )
-        addresses = {cfg.readiness, cfg.directory, cfg.control, cfg.metrics}
-        for address in sorted(addresses):
-            await self._listen_at(address, operators.handle)
+        for address in (cfg.readiness, cfg.directory, cfg.control):
+            if address not in served:
+                served.add(address)
+                await self._listen_at(address, operators.handle)
+        self._start_metrics(operators.handle)
+
+    def _start_metrics(self, handle: Handler) -> None:
+        """Serve the metrics once their address is free; callers do without them."""
+        address = self.settings.metrics
+        if address == self.settings.callers:
+            log_event(
+                _log,
+                logging.WARNING,
+                "metrics_not_served",
+                "callers use the address of the metrics",
+                address=host_port(address),
+            )
+        elif address not in self._sockets:
+            self._tasks.supervise("metrics", lambda: self._serve_metrics(handle))
+
+    async def _serve_metrics(self, handle: Handler) -> None:
+        address = self.settings.metrics
+
+        async def open_socket() -> None:
+            (self._sockets[address],) = open_listening_sockets(address)
+
+        options = wait_options("metrics", OSError, period_s=METRICS_RETRY_PERIOD_S)
+        await AsyncRetrying(**options)(open_socket)
+        await self._listen_at(address, handle)
 
     async def _listen_at(self, address: Address, handle: Handler) -> CallerServer:
         server = CallerServer(handle, self._idle_timeout_s, self._header_timeout_s)
         runner = web.ServerRunner(server, shutdown_timeout=LISTENER_CLOSE_TIMEOUT_S)
-        await runner.setup()
-        await server.listen(runner, open_listening_socket(address))
         self._runners.append(runner)
+        await runner.setup()
+        await server.listen(runner, self._sockets[address])
         return server
 
     @property
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from aiomisc import Service, entrypoint
+from tenacity import AsyncRetrying
 
 from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.direct.logsink import install_log_handler
@@ -15,6 +16,10 @@
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.startup import (
+    ADDRESS_WAIT_S,
+    wait_options,
+)
 
 __all__ = ["run"]
 
@@ -31,11 +36,20 @@
     instance: DirectInstance
 
     async def start(self) -> None:
-        """Start the instance; raise OSError if an address is taken."""
+        """Start the instance, unless a signal asks to stop before it can.
+
+        Raises OSError if an address stays taken.
+        """
         self._stop_requested = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signum in STOP_SIGNALS:
             loop.add_signal_handler(signum, self._stop_requested.set)
+        try:
+            await self._open_sockets()
+        except OSError:
+            if self._stop_requested.is_set():
+                return
+            raise
         await self.instance.start()
         loop.add_signal_handler(signal.SIGHUP, self._log_settings_changes)
 
@@ -45,9 +59,10 @@
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Finish open requests, then stop the instance."""
-        shutdown = DirectShutdown(self.instance)
-        await shutdown.run()
-        await self.instance.stop(timeout_s=shutdown.remaining_s)
+        if self.instance.is_started:
+            shutdown = DirectShutdown(self.instance)
+            await shutdown.run()
+            await self.instance.stop(timeout_s=shutdown.remaining_s)
         # A loop that closes restores the default actions of the signals it handles.
         loop = asyncio.get_running_loop()
         for signum in (*STOP_SIGNALS, signal.SIGHUP):
@@ -56,6 +71,18 @@
         # The interpreter collects garbage as it ends, which may take seconds.
         gc.freeze()
 
+    async def _open_sockets(self) -> None:
+        async def open_sockets() -> None:
+            self.instance.open_sockets()
+
+        options = wait_options(
+            "addresses",
+            OSError,
+            timeout_s=ADDRESS_WAIT_S,
+            is_stopped=self._stop_requested.is_set,
+        )
+        await AsyncRetrying(**options)(open_sockets)
+
     def _log_settings_changes(self) -> None:
         """Log which settings have changed; they take effect after a restart."""
         try:
@@ -85,6 +112,7 @@
 def run(platform: DirectPlatform) -> None:
     """Run an entry instance on a platform until SIGTERM.
 
+    An address that is taken is waited for.
     Raises SystemExit with EXIT_BAD_SETTINGS or EXIT_CANNOT_START.
     """
     try:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -23,7 +23,7 @@
 from rhubarbwell_entry.listeners import (
     Listener,
     bound_address,
-    open_listening_socket,
+    open_listening_sockets,
     peer_tls_context,
     tls_context,
 )
@@ -71,10 +71,20 @@
         rng: Random | None = None,
         clock_ms: Callable[[], int] = monotonic_ms,
     ) -> None:
-        """Bind the addresses of the settings; raise OSError if an address is taken."""
+        """Listen on the addresses of the settings.
+
+        Raises OSError if an address cannot be had or a TLS file is unreadable; then
+        no address accepts connections.
+        """
         self.settings = settings
         self._platform = platform
-        self._sockets = _bind_sockets(settings)
+        self._tls = tls_context(settings.tls)
+        self._peer_tls = peer_tls_context(settings.tls)
+        # Callers may come once the others are served.
+        peers, operators, callers = open_listening_sockets(
+            settings.peers, settings.operators, settings.callers
+        )
+        self._sockets = _Sockets(callers, operators, peers)
         self.identity = _make_identity(settings, self._sockets)
         self.metrics = InstanceMetrics(self.identity)
         core = Core(
@@ -104,15 +114,10 @@
         return bound_address(self._sockets.operators)
 
     async def start(self) -> None:
-        """Start the listeners and the background tasks.
-
-        Raises OSError if a TLS file of the settings is unreadable.
-        """
+        """Start the listeners and the background tasks."""
         keys = PeerKeys([key.encode() for key in self.settings.peer_keys])
         self._session = aiohttp.ClientSession()
-        self._handler = CallerHandler(
-            self.driver, keys, peer_tls=peer_tls_context(self.settings.tls)
-        )
+        self._handler = CallerHandler(self.driver, keys, peer_tls=self._peer_tls)
         self._keystore = KeyStore(self.driver, self._platform.tables)
         self._peers = PeerNode(self.driver, keys)
         self._log_follower = LogFollower(
@@ -175,20 +180,24 @@
         self.metrics.close()
 
     async def _start_listeners(self) -> None:
-        tls = tls_context(self.settings.tls)
         self._caller_runner = CallerRunner(self._caller_app())
-        self._callers_listener = Listener(
-            self._caller_runner, self._sockets.callers, tls=tls
+        self._callers_listener = self._listener(
+            self._caller_runner, self._sockets.callers
         )
         operators = web.AppRunner(
             self._operator_app(),
             access_log=None,
             shutdown_timeout=OPERATORS_CLOSE_TIMEOUT_S,
         )
-        self._operators_listener = Listener(operators, self._sockets.operators, tls=tls)
+        self._operators_listener = Listener(
+            operators, self._sockets.operators, tls=self._tls
+        )
         await self._callers_listener.start()
         await self._operators_listener.start()
 
+    def _listener(self, runner: web.AppRunner, sock: socket.socket) -> Listener:
+        return Listener(runner, sock, tls=self._tls)
+
     def _on_superseded(self, action: IncarnationSuperseded) -> None:
         log_event(
             _log,
@@ -212,18 +221,6 @@
         return app
 
 
-def _bind_sockets(settings: Settings) -> _Sockets:
-    bound: list[socket.socket] = []
-    try:
-        for address in (settings.callers, settings.operators, settings.peers):
-            bound.append(open_listening_socket(address))
-    except OSError:
-        for sock in bound:
-            sock.close()
-        raise
-    return _Sockets(*bound)
-
-
 def _make_identity(settings: Settings, sockets: _Sockets) -> Identity:
     return Identity(
         settings.instance_id,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -7,9 +7,10 @@
 import select
 import socket
 import ssl
+from collections.abc import Iterator
 
 from aiohttp import web
-from rhubarbwell_core.model import Address
+from rhubarbwell_core.model import Address, host_port
 
 from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.settings import TlsSettings
@@ -21,7 +22,7 @@
     "bound_address",
     "end_connection",
     "has_unread_bytes",
-    "open_listening_socket",
+    "open_listening_sockets",
     "peer_tls_context",
     "tls_context",
 ]
@@ -33,24 +34,48 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 
 
-def open_listening_socket(address: Address) -> socket.socket:
-    """Return a non-blocking socket that listens on an address.
+def open_listening_sockets(*addresses: Address) -> list[socket.socket]:
+    """Return non-blocking sockets that listen on all addresses, in their order.
 
-    Raises OSError if the address is in use.
+    Raises OSError if one of them cannot be had; then none has accepted a connection.
     """
+    socks: list[socket.socket] = []
+    try:
+        # Two sockets may be bound to one address until one of them listens.
+        for address in addresses:
+            socks.append(_bind_socket(address))
+        for sock, address in zip(socks, addresses, strict=True):
+            with _named_errors(address):
+                sock.listen(LISTEN_BACKLOG)
+    except OSError:
+        for sock in socks:
+            sock.close()
+        raise
+    return socks
+
+
+def _bind_socket(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        sock.bind(address)
-        sock.listen(LISTEN_BACKLOG)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        with _named_errors(address):
+            sock.bind(address)
     except OSError:
         sock.close()
         raise
-    sock.setblocking(False)
     return sock
 
 
+@contextlib.contextmanager
+def _named_errors(address: Address) -> Iterator[None]:
+    try:
+        yield
+    except OSError as exc:
+        raise OSError(exc.errno, f"{host_port(address)}: {exc.strerror}") from exc
+
+
 def bound_address(sock: socket.socket) -> Address:
     """Return the address that the socket is bound to."""
     host, port = sock.getsockname()[:2]
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -11,10 +11,12 @@
     http_platform,
     open_session,
 )
+from tenacity import AsyncRetrying
 
 from rhubarbwell_entry.instance import EntryInstance
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.signals import StopSignals
+from rhubarbwell_entry.startup import ADDRESS_WAIT_S, wait_options
 
 __all__ = ["EntryService"]
 
@@ -28,22 +30,44 @@
     signals: StopSignals
 
     async def start(self) -> None:
-        """Start the instance; raise OSError if one of its addresses is taken."""
+        """Start the instance, unless a signal asks to stop before it can.
+
+        Raises OSError if an address stays taken or a TLS file unreadable.
+        """
         self._session = open_session()
         self._limits = RateLimits(ClientOptions())
+        self._rate_update_task: asyncio.Task[None] | None = None
+        options = wait_options(
+            "addresses and TLS files",
+            OSError,
+            timeout_s=ADDRESS_WAIT_S,
+            is_stopped=self.signals.requested.is_set,
+        )
+        try:
+            instance: EntryInstance = await AsyncRetrying(**options)(
+                self._make_instance
+            )
+        except OSError:
+            if self.signals.requested.is_set():
+                return
+            raise
+        self._instance = instance
+        await instance.start()
+        self._rate_update_task = asyncio.create_task(self._update_rate_limits())
+
+    async def _make_instance(self) -> EntryInstance:
         platform = http_platform(
             self._session, self.settings.platform, SystemRandom(), limits=self._limits
         )
-        self._instance = EntryInstance(self.settings, platform)
-        await self._instance.start()
-        self._rate_update_task = asyncio.create_task(self._update_rate_limits())
+        return EntryInstance(self.settings, platform)
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Shut the instance down gracefully; a second SIGINT forces it."""
-        force_task = asyncio.create_task(self._force_on_signal())
-        await self._instance.shut_down()
-        force_task.cancel()
-        self._rate_update_task.cancel()
+        if self._rate_update_task is not None:
+            force_task = asyncio.create_task(self._force_on_signal())
+            await self._instance.shut_down()
+            force_task.cancel()
+            self._rate_update_task.cancel()
         await self._session.close()
 
     async def _force_on_signal(self) -> None:
--- a/tests/entry/proxy/test_idle_connections.py
+++ b/tests/entry/proxy/test_idle_connections.py
@@ -11,7 +11,7 @@
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.listeners import (
     Listener,
-    open_listening_socket,
+    open_listening_sockets,
     tls_context,
 )
 from rhubarbwell_entry.proxy import callers
@@ -44,7 +44,7 @@
     app.router.add_get("/", answer)
     app.router.add_get("/long", answer_at_length)
     runner = CallerRunner(app)
-    sock = open_listening_socket(Address("127.0.0.1", 0))
+    (sock,) = open_listening_sockets(Address("127.0.0.1", 0))
     listener = Listener(runner, sock, tls=tls)
     await listener.start()
     return runner, listener
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -10,7 +10,7 @@
     Listener,
     accept_established,
     has_unread_bytes,
-    open_listening_socket,
+    open_listening_sockets,
 )
 
 WAIT_S = 10.0
@@ -25,7 +25,7 @@
 async def listener():
     app = web.Application()
     app.router.add_get("/", answer)
-    sock = open_listening_socket(Address("127.0.0.1", 0))
+    (sock,) = open_listening_sockets(Address("127.0.0.1", 0))
     running = Listener(web.AppRunner(app, shutdown_timeout=0.2), sock)
     await running.start()
     yield running
@@ -118,3 +118,16 @@
 
 def test_connection_without_a_transport_has_no_unread_bytes():
     assert not has_unread_bytes(None)
+
+
+# A listener that is opened before another one fails resets whom it has accepted.
+def test_sockets_listen_on_all_addresses_or_none():
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            free = Address(*sock.getsockname())
+        held = Address(*taken.getsockname())
+        with pytest.raises(OSError, match=f"127.0.0.1:{held.port}"):
+            open_listening_sockets(free, held)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(free)
