Wait at a start for a settings file that is being written

Cause: a start read its settings file once; one that was absent, empty or half written, as another program writes it before each start and at each change, ended it with exit code 2, and the supervisor repeated that. Class: an error of a start that is a wait in truth.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
@@ -8,12 +8,14 @@
 
 import fire
 from aiomisc import entrypoint
+from tenacity import Retrying
 
 from rhubarbwell_entry.logs import EventRateFilter
 from rhubarbwell_entry.service import EntryService
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.settings_files import SettingsError, read_settings
 from rhubarbwell_entry.signals import StopSignals
+from rhubarbwell_entry.startup import SETTINGS_WAIT_S, wait_options
 
 __all__ = ["main", "run"]
 
@@ -25,12 +27,12 @@
     """Run an entry instance until SIGTERM or SIGINT.
 
     A second SIGINT ends open requests with the outcome unknown. settings is the path
-    of the settings file. Exits with 2 if the file is invalid or unreadable, and with 3
-    if an address is in use or a TLS file is unreadable.
+    of the settings file. Exits with 2 if the file stays invalid or unreadable, and with
+    3 if an address stays in use or a TLS file unreadable; both may be mended meanwhile.
     """
     signals = StopSignals()
     signals.install()
-    loaded = _read_or_exit(Path(settings))
+    loaded = _read_or_exit(Path(settings), signals)
     service = EntryService(settings=loaded, signals=signals)
     try:
         # aiomisc's own handlers end the process at a second signal, and after the
@@ -56,13 +58,20 @@
     fire.Fire(run, name="rhubarbwell-entry")
 
 
-def _read_or_exit(path: Path) -> Settings:
+def _read_or_exit(path: Path, signals: StopSignals) -> Settings:
+    options = wait_options(
+        str(path),
+        *(SettingsError, OSError, UnicodeDecodeError),
+        timeout_s=SETTINGS_WAIT_S,
+        is_stopped=signals.requested.is_set,
+    )
     try:
-        return read_settings(path)
-    except SettingsError as exc:
-        _exit_with_message(EXIT_BAD_SETTINGS, str(exc))
-    except (OSError, UnicodeDecodeError) as exc:
-        _exit_with_message(EXIT_BAD_SETTINGS, f"{path}: {exc}")
+        return Retrying(**options)(read_settings, path)
+    except (SettingsError, OSError, UnicodeDecodeError) as exc:
+        if signals.requested.is_set():
+            raise SystemExit(0) from exc
+        message = str(exc) if isinstance(exc, SettingsError) else f"{path}: {exc}"
+        _exit_with_message(EXIT_BAD_SETTINGS, message)
 
 
 def _limit_log_rates() -> None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from aiomisc import Service, entrypoint
-from tenacity import AsyncRetrying
+from tenacity import AsyncRetrying, Retrying
 
 from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.direct.logsink import install_log_handler
@@ -18,6 +18,7 @@
 from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.startup import (
     ADDRESS_WAIT_S,
+    SETTINGS_WAIT_S,
     wait_options,
 )
 
@@ -112,15 +113,16 @@
 def run(platform: DirectPlatform) -> None:
     """Run an entry instance on a platform until SIGTERM.
 
-    An address that is taken is waited for.
+    A settings file that is being written, or an address that is taken, is waited for.
     Raises SystemExit with EXIT_BAD_SETTINGS or EXIT_CANNOT_START.
     """
+    install_log_handler()
+    options = wait_options("settings", SettingsError, timeout_s=SETTINGS_WAIT_S)
     try:
-        settings = platform.read_settings()
+        settings = Retrying(**options)(platform.read_settings)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS) from exc
-    install_log_handler()
     instance = DirectInstance(platform, settings)
     service = DirectService(instance=instance)
     try:
