--- a/tests/entry/direct/test_starts.py
+++ b/tests/entry/direct/test_starts.py
@@ -128,7 +128,6 @@
 
 # A closed standard output ended the start; the first socket would have taken its number
 # and received the log.
-@pytest.mark.known_red
 @pytest.mark.parametrize("closed", ["0", "1", "0,1,2"])
 async def test_start_with_closed_standard_descriptors(closed, tmp_path):
     launcher = tmp_path / "launcher.py"
--- a/tests/entry/test_starts.py
+++ b/tests/entry/test_starts.py
@@ -117,3 +117,36 @@
         process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(WAIT_S):
             assert await process.wait() == 0
+
+
+CLOSE_AND_START = """
+import os, sys
+for fd in map(int, sys.argv[1].split(",")):
+    os.close(fd)
+command = [sys.executable, "-m", "rhubarbwell_entry", "--settings", sys.argv[2]]
+os.execv(sys.executable, command)
+"""
+
+
+# Libraries that expect standard error ended a start without it.
+@pytest.mark.parametrize("closed", ["0", "1", "2", "0,1,2"])
+async def test_start_with_closed_standard_descriptors(closed, tmp_path):
+    settings = make_settings(tmp_path)
+    path = tmp_path / "settings.jsonc"
+    path.write_text(json.dumps(settings))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-c", CLOSE_AND_START, closed, str(path))
+    )
+    try:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                assert process.returncode is None
+                with contextlib.suppress(ConnectionRefusedError):
+                    await asyncio.open_connection(HOST, settings["callers"]["port"])
+                    break
+                await asyncio.sleep(0.05)
+        for fd in map(int, closed.split(",")):
+            assert os.readlink(f"/proc/{process.pid}/fd/{fd}") == os.devnull
+    finally:
+        process.kill()
+        await process.wait()
