Key what the connector knows of an attempt by the attempt

Seen: of two idempotent requests open under one id on one instance, the second ended with KeyError in VerifyingConnector.mark_verified and was answered 503, although it had run.

Cause: the connector kept reuse limit and connection of an attempt under the id that the caller chose; the end of one attempt removed them for the other, which then counted as not sent. Same cause elsewhere: BackendState.sent_at_ms was keyed by the request's id, so the end of one request hid that another still waited at a silent server. Read and ruled out: losses are kept by address; OpenRequestIds is about ids; the stand-alone product gives attempts and requests numbers of its own, now with a test.

Change: VerifyingConnector.start_attempt returns a ClientAttempt, which holds the connection and is the client's middleware; the connector finds it by the client's request object. That a request's further attempts use other connections stays by id, as late copies name only that. sent_at_ms is keyed by the request itself.

Conclusion: no state of direct forwarding is kept under a caller's id but the ids themselves.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -5,6 +5,7 @@
 from math import exp2
 
 from rhubarbwell_core.direct.model import BackendEntry
+from rhubarbwell_core.direct.requests import ActiveRequest
 from rhubarbwell_core.direct.restarts import RestartSuspicion
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.model import Address
@@ -95,7 +96,7 @@
         # Requests per second that the server takes from all instances together, as
         # its last answer named it.
         self.rate_limit_per_s: float | None = None
-        self.sent_at_ms: dict[str, int] = {}
+        self.sent_at_ms: dict[ActiveRequest, int] = {}
         # Times at which this instance's idle connections to the server became idle.
         self.idle_since_ms: list[int] = []
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/balancer.py
@@ -278,7 +278,7 @@
         state = self.backends.rows[target.backend_id]
         state.in_flight += 1
         state.acquire_connection()
-        state.sent_at_ms[req.request_id] = now_ms
+        state.sent_at_ms[req] = now_ms
         if not req.attempts:
             self.region_shares.count_request(
                 state.region, now_ms, assigned=target.assigned_region
@@ -321,7 +321,7 @@
         state = self.backends.rows.get(target.backend_id)
         if state is not None:
             state.in_flight = max(0, state.in_flight - 1)
-            state.sent_at_ms.pop(req.request_id, None)
+            state.sent_at_ms.pop(req, None)
 
     def _record_result(
         self, req: ActiveRequest, target: Target, report: AttemptReport, now_ms: int
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -23,9 +23,9 @@
 from rhubarbwell_entry.proxy.connections import (
     AUTOMATIC_HEADERS,
     AttemptError,
+    ClientAttempt,
     VerifyingConnector,
     make_client_session,
-    send_once,
 )
 from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
@@ -109,20 +109,19 @@
         body: bytes | bytearray,
     ) -> AttemptOutcome:
         """Send a request once and return the outcome; raise only CancelledError."""
-        self._connector.set_reuse_limit(
-            req.request_id, idempotent=req.route.kind.is_idempotent, fresh=False
-        )
+        attempt = self._connector.start_attempt(idempotent=req.route.kind.is_idempotent)
         try:
-            outcome = await self._send_in_time(req, target, request, body)
+            outcome = await self._send_in_time(attempt, req, target, request, body)
             outcome = self._with_pause_cut(outcome, target.backend_id)
-            connection = self._connector.connection_of(req.request_id)
+            connection = attempt.connection
             is_new = None if connection is None else connection.fresh
             return outcome._replace(is_new_connection=is_new)
         finally:
-            self._connector.forget(req.request_id)
+            attempt.end()
 
     async def _send_in_time(
         self,
+        attempt: ClientAttempt,
         req: ActiveRequest,
         target: Target,
         request: web.BaseRequest,
@@ -132,22 +131,25 @@
         remaining_ms = req.expires_ms - started_ms
         try:
             async with SocketTimeout(
-                max(remaining_ms, 0) / 1_000, is_connected=lambda: self._has_conn(req)
+                max(remaining_ms, 0) / 1_000,
+                is_connected=lambda: attempt.connection is not None,
             ):
-                return await self._exchange(req, target, request, body, started_ms)
+                return await self._exchange(
+                    attempt, req, target, request, body, started_ms
+                )
         except TimeoutError:
             result, detail = AttemptResult.TIMED_OUT, "no answer in time"
-            if self._connector.connection_of(req.request_id) is None:
+            if attempt.connection is None:
                 result = AttemptResult.NOT_SENT
-            elif self._connector.skipped_answers(req.request_id):
+            elif attempt.skipped_answers:
                 result, detail = AttemptResult.BROKEN, "answers to other requests only"
             return self._failed_outcome(result, detail, started_ms)
         except AttemptError as exc:
             detail = str(exc) or "connection failed"
-            return self._interrupted_outcome(req, detail, started_ms)
+            return self._interrupted_outcome(attempt, detail, started_ms)
         except (aiohttp.ClientError, OSError) as exc:
             detail = f"answer broke off: {str(exc) or type(exc).__name__}"
-            return self._interrupted_outcome(req, detail, started_ms)
+            return self._interrupted_outcome(attempt, detail, started_ms)
         except Exception as exc:
             # The host of an address can have any form that its registry row had.
             log_exception(
@@ -159,10 +161,11 @@
                 backend_id=target.backend_id,
                 address=host_port(target.address),
             )
-            return self._interrupted_outcome(req, repr(exc), started_ms)
+            return self._interrupted_outcome(attempt, repr(exc), started_ms)
 
     async def _exchange(
         self,
+        attempt: ClientAttempt,
         req: ActiveRequest,
         target: Target,
         request: web.BaseRequest,
@@ -177,28 +180,25 @@
             data=BodyPayload(body) if body else None,
             skip_auto_headers=AUTOMATIC_HEADERS,
             allow_redirects=False,
-            middlewares=(send_once,),
+            middlewares=(attempt.send_once,),
         )
         try:
             if resp.headers.get(self._names.request_id) != req.request_id:
                 return self._failed_outcome(
                     AttemptResult.BROKEN, "answer does not name the request", started_ms
                 )
-            self._connector.mark_verified(req.request_id)
+            attempt.mark_verified()
             payload = await resp.read()
-            if not has_framing(resp) and self._connector.was_reset(req.request_id):
+            if not has_framing(resp) and attempt.was_reset:
                 return self._failed_outcome(
                     AttemptResult.BROKEN,
                     "answer without a length was reset",
                     started_ms,
                 )
-            return self._complete_outcome(req.request_id, resp, payload, started_ms)
+            return self._complete_outcome(attempt, resp, payload, started_ms)
         finally:
             resp.close()
 
-    def _has_conn(self, req: ActiveRequest) -> bool:
-        return self._connector.connection_of(req.request_id) is not None
-
     def _request_headers(
         self,
         req: ActiveRequest,
@@ -215,7 +215,7 @@
 
     def _complete_outcome(
         self,
-        request_id: str,
+        attempt: ClientAttempt,
         resp: aiohttp.ClientResponse,
         payload: bytes,
         started_ms: int,
@@ -224,7 +224,7 @@
         latency_ms = self._clock_ms() - started_ms
         backend_report = self._platform.decode_backend_report(headers)
         result, detail = self._classify(resp)
-        connection = self._connector.connection_of(request_id)
+        connection = attempt.connection
         connect_ms = (
             connection.connect_ms
             if connection is not None and connection.fresh
@@ -286,14 +286,14 @@
         return AttemptResult.ANSWERED, f"backend server answered {status}"
 
     def _interrupted_outcome(
-        self, req: ActiveRequest, detail: str, started_ms: int
+        self, attempt: ClientAttempt, detail: str, started_ms: int
     ) -> AttemptOutcome:
         """Return the outcome of an attempt that an error ended.
 
         Without a connection, nothing was sent.
         """
         result = AttemptResult.BROKEN
-        if self._connector.connection_of(req.request_id) is None:
+        if attempt.connection is None:
             result = AttemptResult.NOT_SENT
         return self._failed_outcome(
             result, detail, started_ms, lost_connection=result is AttemptResult.BROKEN
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/attempts.py
@@ -92,12 +92,15 @@
 
     async def _run_attempt(self, plan: AttemptPlan, exchange: Exchange) -> None:
         started_ms = self._driver.clock_ms()
+        client_attempt = self._connector.start_attempt(
+            idempotent=exchange.arrival.idempotent, fresh=plan.fresh_connection
+        )
         attempt = Attempt(
             plan,
             exchange,
             self._driver,
             self._session,
-            self._connector,
+            client_attempt,
             self._hop_credentials(plan),
         )
         try:
@@ -125,7 +128,7 @@
             attempt.peer_reason,
             attempt.answer,
         )
-        self._connector.forget(plan.attempt_id)
+        client_attempt.end()
         self._driver.handle(event)
 
     def _hop_credentials(self, plan: AttemptPlan) -> HopCredentials | None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -33,9 +33,9 @@
     "AUTOMATIC_HEADERS",
     "AttemptConnection",
     "AttemptError",
+    "ClientAttempt",
     "VerifyingConnector",
     "make_client_session",
-    "send_once",
 ]
 
 # aiohttp adds these headers by default; a forwarded request must not gain them.
@@ -64,13 +64,61 @@
     opened_ms is the time at which it was opened.
     """
 
-    protocol: ResponseHandler
+    protocol: AnswerProtocol
     address: Address
     fresh: bool
     connect_ms: float = 0.0
     opened_ms: int = 0
 
 
+class ClientAttempt:
+    """Hold what a connector knows of an attempt, and send its request once.
+
+    Several attempts may bear the same id, as callers choose the ids of requests.
+    connection is None before the attempt has one and after its end.
+    """
+
+    def __init__(self, connector: "VerifyingConnector", max_age_s: float) -> None:
+        self.connection: AttemptConnection | None = None
+        self.max_age_s = max_age_s
+        self._connector = connector
+
+    @property
+    def was_reset(self) -> bool:
+        """Return True if the attempt's connection was closed with an error."""
+        used = self.connection
+        return used is not None and self._connector.was_reset(used.protocol)
+
+    @property
+    def skipped_answers(self) -> int:
+        """Return how many answers to other requests the attempt has received."""
+        used = self.connection
+        return 0 if used is None else used.protocol.skipped_answers
+
+    def mark_verified(self) -> None:
+        """Allow further attempts to reuse the attempt's connection."""
+        assert self.connection is not None
+        self._connector.mark_verified(self.connection)
+
+    def end(self) -> None:
+        """Release the attempt's connection."""
+        self.connection = None
+
+    async def send_once(
+        self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send a request on one connection; raise AttemptError if it fails.
+
+        Used as a client middleware. aiohttp repeats idempotent requests after a
+        connection error; AttemptError is not such an error and prevents that.
+        """
+        self._connector.assign(req, self)
+        try:
+            return await handler(req)
+        except (aiohttp.ClientError, OSError) as exc:
+            raise AttemptError(str(exc)) from exc
+
+
 class VerifyingConnector(PolledConnector):
     """Reuse a connection only if its last answer echoed the id of its attempt.
 
@@ -102,29 +150,23 @@
         self._opened = WeakSet[ResponseHandler]()
         self._verifications = WeakKeyDictionary[ResponseHandler, _Verification]()
         self._last_attempt_ids = WeakKeyDictionary[ResponseHandler, str]()
-        self._max_ages_s: dict[str, float] = {}
-        self._attempt_connections: dict[str, AttemptConnection] = {}
+        self._last_attempts = WeakKeyDictionary[ResponseHandler, ClientAttempt]()
+        self._attempts = WeakKeyDictionary[aiohttp.ClientRequest, ClientAttempt]()
         self._closed_futures = WeakKeyDictionary[
             ResponseHandler, asyncio.Future[None]
         ]()
 
-    def set_reuse_limit(
-        self, attempt_id: str, *, idempotent: bool, fresh: bool
-    ) -> None:
-        """Set the maximum age of a connection's verification for reuse by the attempt.
-
-        Call it before the attempt is sent; fresh allows only a new connection.
-        """
+    def start_attempt(self, *, idempotent: bool, fresh: bool = False) -> ClientAttempt:
+        """Return a new attempt; fresh allows it only a new connection."""
         max_age_s = KEEPALIVE_S if idempotent else MAX_NON_IDEMPOTENT_AGE_S
-        self._max_ages_s[attempt_id] = 0.0 if fresh else max_age_s
+        return ClientAttempt(self, 0.0 if fresh else max_age_s)
 
-    def connection_of(self, attempt_id: str) -> AttemptConnection | None:
-        """Return the attempt's connection, None before it has one."""
-        return self._attempt_connections.get(attempt_id)
+    def assign(self, req: aiohttp.ClientRequest, attempt: ClientAttempt) -> None:
+        """Record of which attempt a request of the client is."""
+        self._attempts[req] = attempt
 
-    def mark_verified(self, attempt_id: str) -> None:
-        """Allow further attempts to reuse the attempt's connection."""
-        used = self._attempt_connections[attempt_id]
+    def mark_verified(self, used: AttemptConnection) -> None:
+        """Allow further attempts to reuse an attempt's connection."""
         self._verifications[used.protocol] = _Verification(
             used.address, time.monotonic()
         )
@@ -145,31 +187,15 @@
         ]
         return min(opened, default=None)
 
-    def was_reset(self, attempt_id: str) -> bool:
-        """Return True if the attempt's connection was closed with an error."""
-        used = self._attempt_connections.get(attempt_id)
-        closed_future = (
-            None if used is None else self._closed_futures.get(used.protocol)
-        )
+    def was_reset(self, protocol: ResponseHandler) -> bool:
+        """Return True if a connection was closed with an error."""
+        closed_future = self._closed_futures.get(protocol)
         return (
             closed_future is not None
             and closed_future.done()
             and _closing_error(closed_future) is not None
         )
 
-    def skipped_answers(self, attempt_id: str) -> int:
-        """Return how many answers to other requests the attempt has received."""
-        used = self._attempt_connections.get(attempt_id)
-        if used is None:
-            return 0
-        assert isinstance(used.protocol, AnswerProtocol)
-        return used.protocol.skipped_answers
-
-    def forget(self, attempt_id: str) -> None:
-        """Remove the records of an attempt that has ended."""
-        self._max_ages_s.pop(attempt_id, None)
-        self._attempt_connections.pop(attempt_id, None)
-
     def retire(self, address: Address) -> int:
         """Bar verified connections to the address from reuse; return their number."""
         verified_protocols = [
@@ -186,7 +212,7 @@
     ) -> "Connection":
         """Return a recently verified connection, else a new connection."""
         attempt_id = req.headers[self._attempt_header]
-        max_age_s = self._max_ages_s[attempt_id]
+        attempt = self._attempts[req]
         awaiting_verification: list[Connection] = []
         try:
             while True:
@@ -195,7 +221,9 @@
                 protocol = conn.protocol
                 assert protocol is not None
                 fresh = protocol not in self._opened
-                if fresh or self._claim_if_reusable(protocol, attempt_id, max_age_s):
+                if fresh or self._claim_if_reusable(
+                    protocol, attempt_id, attempt.max_age_s
+                ):
                     break
                 if self._awaits_verification(protocol):
                     awaiting_verification.append(conn)
@@ -214,9 +242,10 @@
             closed_future.add_done_callback(_closing_error)
             self._closed_futures[protocol] = closed_future
         connect_ms = (time.monotonic() - started_s) * MS_PER_S
-        self._attempt_connections[attempt_id] = AttemptConnection(
+        attempt.connection = AttemptConnection(
             protocol, address, fresh, connect_ms, protocol.opened_ms
         )
+        self._last_attempts[protocol] = attempt
         self._last_attempt_ids[protocol] = attempt_id
         protocol.expect_answer(
             ExpectedAnswer(self._attempt_header, attempt_id, self._max_answer_bytes)
@@ -226,9 +255,10 @@
 
     def _awaits_verification(self, protocol: ResponseHandler) -> bool:
         """Return True if the last attempt may still verify the connection."""
-        attempt_id = self._last_attempt_ids.get(protocol)
+        attempt = self._last_attempts.get(protocol)
         return (
-            attempt_id in self._attempt_connections
+            attempt is not None
+            and attempt.connection is not None
             and protocol not in self._verifications
         )
 
@@ -267,17 +297,3 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
-
-
-async def send_once(
-    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Send a request on one connection; raise AttemptError if it fails.
-
-    Used as a client middleware. aiohttp repeats idempotent requests after a
-    connection error; AttemptError is not such an error and prevents that.
-    """
-    try:
-        return await handler(req)
-    except (aiohttp.ClientError, OSError) as exc:
-        raise AttemptError(str(exc)) from exc
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/sending.py
@@ -17,8 +17,7 @@
 from rhubarbwell_entry.proxy.connections import (
     AUTOMATIC_HEADERS,
     AttemptError,
-    VerifyingConnector,
-    send_once,
+    ClientAttempt,
 )
 from rhubarbwell_entry.proxy.exchanges import Exchange
 from rhubarbwell_entry.proxy.framing import has_framing
@@ -74,7 +73,7 @@
         exchange: Exchange,
         driver: CoreDriver,
         session: aiohttp.ClientSession,
-        connector: VerifyingConnector,
+        client_attempt: ClientAttempt,
         hop_credentials: "HopCredentials | None",
     ) -> None:
         self.status: int | None = None
@@ -84,7 +83,7 @@
         self._exchange = exchange
         self._driver = driver
         self._session = session
-        self._connector = connector
+        self._client_attempt = client_attempt
         self._hop_credentials = hop_credentials
 
     @property
@@ -93,14 +92,14 @@
 
         With a connection, the target may have received data even before the body.
         """
-        if self._connector.connection_of(self._plan.attempt_id) is None:
+        if self._client_attempt.connection is None:
             return 0
         return 1 + self._exchange.body.consumed_bytes
 
     @property
     def connection_was_fresh(self) -> bool:
         """Return True if no connection was reused for the attempt."""
-        used = self._connector.connection_of(self._plan.attempt_id)
+        used = self._client_attempt.connection
         return used is None or used.fresh
 
     def ended_by_silence(self, end: AttemptEnd) -> bool:
@@ -151,11 +150,6 @@
         if self._hop_credentials is not None:
             path = f"/{exchange.arrival.service}{path}"
             tls = self._hop_credentials.tls
-        self._connector.set_reuse_limit(
-            plan.attempt_id,
-            idempotent=exchange.arrival.idempotent,
-            fresh=plan.fresh_connection,
-        )
         return await self._session.request(
             exchange.request.method,
             _make_url("http" if tls is None else "https", plan.address, path),
@@ -164,7 +158,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             allow_redirects=False,
             ssl=True if tls is None else tls,
-            middlewares=(send_once,),
+            middlewares=(self._client_attempt.send_once,),
         )
 
     async def _paced_body(self) -> AsyncIterator[bytes]:
@@ -216,7 +210,7 @@
         """
         echoed_id = resp.headers.get(ATTEMPT_HEADER)
         if echoed_id == self._plan.attempt_id:
-            self._connector.mark_verified(self._plan.attempt_id)
+            self._client_attempt.mark_verified()
             return True
         return echoed_id is None and self.connection_was_fresh
 
--- a/tests/core/direct/test_balancer.py
+++ b/tests/core/direct/test_balancer.py
@@ -294,3 +294,20 @@
     state.record_pause(3_000)
     state.record_answer(1_000)
     assert state.paused_until_ms == 5_000
+
+
+# Guards against a silent server that looks idle: the end of one of two requests with
+# the same id removed the record that the other still waited.
+def test_end_of_a_request_leaves_the_wait_of_another_one_with_its_id():
+    balancer, route = make_balancer(backend("b-1"))
+    reqs = [start_request(balancer, route) for _ in range(2)]
+    targets = []
+    for req in reqs:
+        target = balancer.choose_backend(req, 0)
+        balancer.start_attempt(req, target, 0)
+        targets.append(target)
+    balancer.abandon_attempt(reqs[0], targets[0])
+    state = balancer.backends.rows["b-1"]
+    assert state.oldest_wait_ms(500) == 500
+    balancer.abandon_attempt(reqs[1], targets[1])
+    assert state.oldest_wait_ms(500) == 0
--- a/tests/entry/direct/test_false_refusals.py
+++ b/tests/entry/direct/test_false_refusals.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 from support.raw_servers import RawServer, fleet_with_server, read_request
 from support.running_fleet import running_fleet, wait_until
 from support.users_platform import UsersBackend
@@ -91,9 +90,8 @@
         await backend.stop()
 
 
-# Of two idempotent requests with one id, the end of one removed the record that the
-# other had a connection; that one had run and was refused as if it had not been sent.
-@pytest.mark.known_red
+# Guards against a refusal of a request that ran: of two idempotent requests with one
+# id, the end of one removed the record that the other had a connection.
 async def test_idempotent_requests_with_the_same_id_are_both_answered():
     async with running_fleet(1) as fleet:
         release = asyncio.Event()
@@ -112,3 +110,26 @@
         await wait_until(lambda: len(backend.received) == 2)
         release.set()
         assert [resp.status for resp, _ in await asyncio.gather(*calls)] == [200, 200]
+
+
+# Guards against a refusal of a request that ran: the end of one of two idempotent
+# requests with one id hid that the other had run when its connection broke.
+async def test_broken_connection_of_one_of_two_requests_with_the_same_id_is_seen():
+    async with running_fleet(1) as fleet:
+        may_break = asyncio.Event()
+        backend = fleet.backends[0]
+
+        async def break_first(request):
+            if len(backend.received) == 1:
+                await may_break.wait()
+                request.transport.abort()
+            return backend.signed_response(request)
+
+        backend.custom_handler = break_first
+        same_id = {"X-Rhubarbwell-Request-Id": "same"}
+        first = asyncio.create_task(fleet.send_request("/read/a", **same_id))
+        await wait_until(lambda: backend.received)
+        assert (await fleet.send_request("/read/a", **same_id))[0].status == 200
+        may_break.set()
+        resp, _ = await first
+        assert resp.status not in NOT_RUN_STATUSES
--- a/tests/entry/proxy/test_connections.py
+++ b/tests/entry/proxy/test_connections.py
@@ -100,8 +100,10 @@
 async def send_and_answer(session, server, conn, attempt_id):
     """Send a request, answer it on `conn`, or a new connection, and return that."""
     headers = {ATTEMPT_HEADER: attempt_id}
-    session.connector.set_reuse_limit(attempt_id, idempotent=False, fresh=False)
-    sending = asyncio.create_task(session.post(server.url, headers=headers))
+    attempt = session.connector.start_attempt(idempotent=False)
+    sending = asyncio.create_task(
+        session.post(server.url, headers=headers, middlewares=(attempt.send_once,))
+    )
     # A reused connection gets the request before this task runs again.
     await asyncio.sleep(0.05)
     conn = conn or server.accept()
@@ -111,9 +113,9 @@
         "\r\n\r\n".encode()
     )
     resp = await sending
-    session.connector.mark_verified(attempt_id)
+    attempt.mark_verified()
     await resp.read()
-    session.connector.forget(attempt_id)
+    attempt.end()
     return conn
 
 
@@ -133,3 +135,34 @@
         second.close()
         first.close()
     server.close()
+
+
+# Guards against a loss of what is known of an attempt: the end of one attempt removed
+# the record of another one with the same id.
+async def test_end_of_an_attempt_leaves_another_one_with_its_id():
+    server = BlockingServer()
+    connector = connections.VerifyingConnector()
+    headers = {ATTEMPT_HEADER: "same"}
+    async with connections.make_client_session(connector) as session:
+        attempts = [connector.start_attempt(idempotent=True) for _ in range(2)]
+        sending = [
+            asyncio.create_task(
+                session.get(
+                    server.url, headers=headers, middlewares=(attempt.send_once,)
+                )
+            )
+            for attempt in attempts
+        ]
+        async with asyncio.timeout(5):
+            while not all(attempt.connection for attempt in attempts):
+                await asyncio.sleep(0.01)
+        ended, other = attempts
+        ended.end()
+        assert ended.connection is None
+        assert other.connection is not None
+        other.mark_verified()
+        assert not other.was_reset and other.skipped_answers == 0
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+    server.close()
--- a/tests/entry/proxy/test_handler.py
+++ b/tests/entry/proxy/test_handler.py
@@ -85,3 +85,13 @@
     async with entry.session.post(url, headers=headers) as resp:
         problem = await resp.json()
     assert (resp.status, problem["outcome"]) == (504, "unknown")
+
+
+# Guards against state kept under a value that callers choose.
+async def test_requests_that_bear_the_same_id_are_all_answered(entry, backend):
+    backend.service_ms = 100
+    headers = {"Rhubarbwell-Attempt": "same"}
+    calls = (entry.request("GET", "/page", headers=headers) for _ in range(3))
+    answers = await asyncio.gather(*calls)
+    assert [answer[:2] for answer in answers] == [(200, "answered")] * 3
+    assert len({run.attempt_id for run in backend.runs}) == 3
