Expect the option of the interpreter in the test of the deploy file

The test reads the program from the run line by its exact words, and the line has had -S since, so it failed there. It is as strict: the line must have the option now.

--- a/tests/wire/test_boundary.py
+++ b/tests/wire/test_boundary.py
@@ -45,7 +45,7 @@
 
 def test_deploy_file_starts_a_program_of_the_adapter():
     text = (ROOT / "deploy" / "system.toml").read_text()
-    program = re.search(r'run = "python3 target/app/(\S+)"', text)
+    program = re.search(r'run = "python3 -S target/app/(\S+)"', text)
     assert program is not None
     assert (ADAPTER / program[1]).exists()
     assert json.dumps("front") in text
