Refuse the callers' address for other parts again

Evidence: test_address_of_the_callers_cannot_be_that_of_another_part, 3 of 3 new; without the change no OSError is raised. The types of the build and the start script are checked too.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 check:
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/*/src platform/rhubarbwell_wire
+	$(BIN)/mypy packages/*/src platform/rhubarbwell_wire platform/run_entry.py deploy/build.py
 	$(BIN)/python -m pytest -n 4 --dist loadfile
 	cat KNOWN-RED.txt
 	$(BIN)/python -m rhubarbwell_entry --help > /dev/null 2>&1
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -147,10 +147,10 @@
         Raises OSError if one of them cannot be had; then none accepts a connection.
         """
         cfg = self.settings
-        # Callers may come once the others are served.
-        addresses = dict.fromkeys(
-            (cfg.readiness, cfg.directory, cfg.control, cfg.callers)
-        )
+        # Operators' addresses may be one; that of the callers is opened last, as they
+        # may come once the others listen.
+        operators = dict.fromkeys((cfg.readiness, cfg.directory, cfg.control))
+        addresses = (*operators, cfg.callers)
         socks = open_listening_sockets(*addresses)
         self._sockets = dict(zip(addresses, socks, strict=True))
 
@@ -250,7 +250,6 @@
     async def _start_listeners(self) -> None:
         cfg = self.settings
         self.callers = await self._listen_at(cfg.callers, self.handler.handle)
-        served = {cfg.callers}
         operators = OperatorHandler(
             self.platform,
             self.instances,
@@ -265,9 +264,8 @@
             ),
             lambda: self.is_ready,
         )
-        for address in (cfg.readiness, cfg.directory, cfg.control):
-            if address not in served:
-                served.add(address)
+        for address in list(self._sockets):
+            if address != cfg.callers:
                 await self._listen_at(address, operators.handle)
         self._start_metrics(operators.handle)
 
--- a/tests/entry/direct/test_starts.py
+++ b/tests/entry/direct/test_starts.py
@@ -7,9 +7,12 @@
 import socket
 
 import pytest
+from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.instance import DirectInstance
 from soak.soak import ENTRY_SCRIPT
 from support.entry_processes import prepared_process, wait_until_it_serves
-from support.running_fleet import WAIT_S
+from support.running_fleet import WAIT_S, free_ports
+from support.users_platform import TestPlatform, make_settings
 
 # Longer than a start, so that an address is still taken when the process needs it.
 TAKEN_S = 2.0
@@ -152,3 +155,14 @@
         prepared.instance.write_settings()
         await prepared.instance.start()
         await wait_until_it_serves(prepared)
+
+
+# Callers would have been served at the address of another part, which never answered.
+@pytest.mark.parametrize("name", ["readiness", "control", "directory"])
+async def test_address_of_the_callers_cannot_be_that_of_another_part(name):
+    settings = make_settings(Address("127.0.0.1", 1), free_ports(5))
+    settings = settings._replace(**{name: settings.callers})
+    instance = DirectInstance(TestPlatform(settings), settings)
+    with pytest.raises(OSError, match="in use"):
+        instance.open_sockets()
+    instance.metrics.close()
