Wait longer at a start than the system keeps the port of a closed connection

Cause: the wait of 30 s for a taken address ends before the 60 s for which Linux keeps the port of an outgoing connection that its near end closed (61.1 s measured; 0 s if the far end closed first). Evidence: a start on such an address, test_start_outlasts_a_closed_connection_from_its_address, passes with a wait of 90 s (62.7 s); with 30 s the process would end with 3 twice, which was not run.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/startup.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/startup.py
@@ -16,8 +16,8 @@
 
 # A file that another program writes is complete long before.
 SETTINGS_WAIT_S = 10.0
-# Twice the time for which an idle connection keeps its near end's port.
-ADDRESS_WAIT_S = 30.0
+# Linux keeps the port of a connection that its near end has closed for 60 s.
+ADDRESS_WAIT_S = 90.0
 RETRY_PERIOD_S = 0.1
 
 
--- a/tests/entry/direct/test_starts.py
+++ b/tests/entry/direct/test_starts.py
@@ -16,6 +16,7 @@
 
 # Longer than a start, so that an address is still taken when the process needs it.
 TAKEN_S = 2.0
+TIME_WAIT_S = 60.0
 ADDRESSES = ("callers", "ready", "control", "directory")
 
 
@@ -59,6 +60,22 @@
         await wait_until_it_serves(prepared)
 
 
+# The system keeps the port of a connection for a minute after its near end closed it; a
+# start that ended sooner would have ended again and again.
+async def test_start_outlasts_a_closed_connection_from_its_address(tmp_path):
+    async with prepared_process(tmp_path) as prepared:
+        address = prepared.instance.callers
+        with socket.create_server((address.host, 0)) as server:
+            with socket.socket() as sock:
+                sock.bind(address)
+                sock.connect(server.getsockname())
+            # The far end is still open, so the near end closes first.
+            server.accept()[0].close()
+        await prepared.instance.start()
+        await asyncio.sleep(TIME_WAIT_S)
+        await wait_until_it_serves(prepared)
+
+
 # An exporter of metrics at the same port kept instances from starting at all.
 async def test_instance_serves_without_metrics_while_their_address_is_taken(tmp_path):
     async with prepared_process(tmp_path) as prepared:
