Give an attempt no connection that an earlier one of its id was on

Seen: by a test of ours, not by callers. A server refuses a request as not run, answers another one on the same connection, gets the first id again there and sends the late copy of the refusal before its answer: the caller gets 503 (no_room), although the request ran (REFUSED).

Cause: the connector compared the id with that of the connection's last attempt only, so one request between was enough to allow the connection again.

Change: the last 64 ids of a connection are kept, and an attempt does not use it if its own is among them. It costs a look at 64 strings at most for each reuse; not measured.

Before: the test failed, 1 of 1, with 503; after: it passes. Read without a finding: refusals before sending (no configuration, stop, slow body, memory), NOT_SENT (only without a connection, which is set before anything is written), statuses 408, 421, 429 and 503 of servers (delivered never; without X-Rhubarbwell-Not-Executed only 421 counts as not run), a refused part of a head, aiohttp's own repeats.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, cast
@@ -50,6 +51,8 @@
 # Non-idempotent requests reuse only connections verified at most this long ago.
 MAX_NON_IDEMPOTENT_AGE_S = 2.0
 MAX_HEADER_BYTES = 16 << 10
+# Bounds what is kept of a connection; a late copy comes within some answers.
+MAX_RECENT_IDS = 64
 MS_PER_S = 1_000
 
 
@@ -124,8 +127,8 @@
 
     Connections that were not verified in this way, were verified longer ago than
     the attempt allows or have unread bytes are closed. A late or duplicate answer
-    therefore never reaches another request. Further attempts of a request use other
-    connections, as a late copy of the answer to an earlier one names them too.
+    therefore never reaches another request. Further attempts of a request use
+    connections without an earlier one, as a late copy of its answer names them too.
     max_answer_bytes limits the size of an
     answer; None is for answers that are not held in memory.
     """
@@ -149,7 +152,7 @@
         self._max_answer_bytes = max_answer_bytes
         self._opened = WeakSet[ResponseHandler]()
         self._verifications = WeakKeyDictionary[ResponseHandler, _Verification]()
-        self._last_attempt_ids = WeakKeyDictionary[ResponseHandler, str]()
+        self._recent_ids = WeakKeyDictionary[ResponseHandler, deque[str]]()
         self._last_attempts = WeakKeyDictionary[ResponseHandler, ClientAttempt]()
         self._attempts = WeakKeyDictionary[aiohttp.ClientRequest, ClientAttempt]()
         self._closed_futures = WeakKeyDictionary[
@@ -246,7 +249,8 @@
             protocol, address, fresh, connect_ms, protocol.opened_ms
         )
         self._last_attempts[protocol] = attempt
-        self._last_attempt_ids[protocol] = attempt_id
+        recent_ids = self._recent_ids.setdefault(protocol, deque(maxlen=MAX_RECENT_IDS))
+        recent_ids.append(attempt_id)
         protocol.expect_answer(
             ExpectedAnswer(self._attempt_header, attempt_id, self._max_answer_bytes)
         )
@@ -268,7 +272,7 @@
         verification = self._verifications.pop(protocol, None)
         if verification is None or protocol.should_close:
             return False
-        if self._last_attempt_ids.get(protocol) == attempt_id:
+        if attempt_id in self._recent_ids.get(protocol, ()):
             return False
         if has_unread_bytes(protocol.transport):
             return False
--- a/tests/entry/direct/test_false_refusals.py
+++ b/tests/entry/direct/test_false_refusals.py
@@ -52,6 +52,44 @@
         assert (resp.status, body) == (200, b"ran")
 
 
+class LateCopies(RawServer):
+    """Refuse the first request; a copy of that comes where the third answer is due."""
+
+    def __init__(self):
+        self.ran: list[str] = []
+        self.answers = 0
+
+    async def handle(self, reader, writer):
+        copy = ""
+        while True:
+            _, request_id = await read_request(reader)
+            self.answers += 1
+            if self.answers == 1:
+                copy = MISDIRECTED.format(id=request_id)
+                writer.write(copy.encode())
+                continue
+            self.ran.append(request_id)
+            before = copy if self.answers == 3 else ""
+            writer.write((before + ANSWER.format(id=request_id)).encode())
+
+
+# Guards against a refusal of a request that ran (REFUSED): a late copy of the answer to
+# an earlier attempt was taken for its own where another request had come between.
+async def test_late_copy_behind_another_answer_refuses_nothing():
+    server = LateCopies()
+    async with fleet_with_server(server) as fleet:
+        same_id = {"X-Rhubarbwell-Request-Id": "same"}
+        resp, _ = await fleet.send_request("/pay/a", "POST", b"x", **same_id)
+        assert resp.status == 503
+        backends = fleet.instance.balancer.backends
+        await wait_until(lambda: backends.available("svc"))
+        resp, _ = await fleet.send_request("/pay/a", "POST", b"x")
+        assert resp.status == 200
+        resp, body = await fleet.send_request("/pay/a", "POST", b"x", **same_id)
+        assert server.ran[1:] == ["same"]
+        assert (resp.status, body) == (200, b"ran")
+
+
 class BreakingBackend(UsersBackend):
     """Break the connection of the first request once it has run."""
 
