Give processes of tests the loopback address of their test process

One copy of the address that no other process listens at (support/loopback.py), in place of two more of the same kind. No change of what is tested.

--- a/tests/entry/test_starts.py
+++ b/tests/entry/test_starts.py
@@ -10,12 +10,11 @@
 
 import pytest
 import trustme
+from support.loopback import LOOPBACK
 
 WAIT_S = 20.0
 # Longer than a start, so that what is missing is still missing when it is needed.
 MISSING_S = 2.0
-# Of this test process alone.
-HOST = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.9"
 ADDRESSES = ("callers", "operators", "peers")
 
 
@@ -23,17 +22,17 @@
     with contextlib.ExitStack() as stack:
         socks = [stack.enter_context(socket.socket()) for _ in range(number)]
         for sock in socks:
-            sock.bind((HOST, 0))
+            sock.bind((LOOPBACK, 0))
         return [sock.getsockname()[1] for sock in socks]
 
 
 def make_settings(tmp_path):
     ports = free_ports(len(ADDRESSES))
     settings = {
-        name: {"host": HOST, "port": port}
+        name: {"host": LOOPBACK, "port": port}
         for name, port in zip(ADDRESSES, ports, strict=True)
     }
-    certificate = trustme.CA().issue_cert(HOST)
+    certificate = trustme.CA().issue_cert(LOOPBACK)
     paths = {name: tmp_path / f"{name}.pem" for name in ("certificate", "private_key")}
     certificate.cert_chain_pems[0].write_to_path(paths["certificate"])
     certificate.private_key_pem.write_to_path(paths["private_key"])
@@ -75,15 +74,15 @@
 async def test_start_waits_for_an_address_that_is_taken(name, tmp_path):
     settings = make_settings(tmp_path)
     (tmp_path / "settings.jsonc").write_text(json.dumps(settings))
-    with socket.create_server((HOST, settings[name]["port"])):
+    with socket.create_server((LOOPBACK, settings[name]["port"])):
         async with started_process(tmp_path) as process:
             await asyncio.sleep(MISSING_S)
             assert process.returncode is None
             for other in set(ADDRESSES) - {name}:
                 with pytest.raises(ConnectionRefusedError):
-                    await asyncio.open_connection(HOST, settings[other]["port"])
+                    await asyncio.open_connection(LOOPBACK, settings[other]["port"])
     async with started_process(tmp_path) as process:
-        with socket.create_server((HOST, settings[name]["port"])):
+        with socket.create_server((LOOPBACK, settings[name]["port"])):
             await asyncio.sleep(MISSING_S)
         await wait_until_started(process)
 
@@ -142,7 +141,7 @@
             while True:
                 assert process.returncode is None
                 with contextlib.suppress(ConnectionRefusedError):
-                    await asyncio.open_connection(HOST, settings["callers"]["port"])
+                    await asyncio.open_connection(LOOPBACK, settings["callers"]["port"])
                     break
                 await asyncio.sleep(0.05)
         for fd in map(int, closed.split(",")):
--- a/tests/support/entry_processes.py
+++ b/tests/support/entry_processes.py
@@ -1,7 +1,6 @@
 """An entry instance that runs as a process beside a store and a backend server."""
 
 import asyncio
-import os
 import signal
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -12,6 +11,7 @@
 from rhubarbwell_core.model import Address, host_port
 from soak.fleet import InstanceProcess
 from soak.soak import ENTRY_SCRIPT
+from support.loopback import LOOPBACK
 from support.running_fleet import WAIT_S
 from support.users_platform import StoreStandIn, UsersBackend, config_body
 
@@ -26,8 +26,6 @@
 ]
 
 METRICS_PORT = 9464
-# Of this test process alone, as the port of metrics is the same for all instances.
-HOST = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.7"
 WORK_S = 0.8
 
 
@@ -60,7 +58,7 @@
         return server.signed_response(request)
 
     server.custom_handler = work
-    instance = InstanceProcess(0, store, folder, HOST)
+    instance = InstanceProcess(0, store, folder, LOOPBACK)
     await store.start()
     await server.start()
     await store.write("servers", server.backend_id, server.registry_entry())
