--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import sys
+import sysconfig
 import tomllib
 import zipfile
 from pathlib import Path
@@ -99,7 +100,8 @@
     folder.mkdir()
     async with prepared_process(folder, root / PROGRAM) as prepared:
         # Without the sources on the path, the program's own folder must do.
-        prepared.instance.code_paths = [root / "target/deps"]
+        prepared.instance.interpreter_options = ("-S",)
+        prepared.instance.code_paths = [Path(sysconfig.get_path("purelib"))]
         await prepared.instance.start()
         await wait_until_it_serves(prepared)
         prepared.instance.send_signal(signal.SIGTERM)
@@ -148,6 +150,23 @@
     assert (checkout / PROGRAM).parent.resolve() != first
 
 
+# A copy of a build, with other times of its files, was compiled anew by each process.
+async def test_compiled_files_of_a_copied_build_stay_valid(checkout, tmp_path):
+    code, output = await build(checkout)
+    assert code == 0, output
+    copy = tmp_path / "copy"
+    shutil.copytree((checkout / PROGRAM).parent.resolve(), copy)
+    for source in copy.rglob("*.py"):
+        os.utime(source, (0, 0))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-S", "-v", "-c", "import rhubarbwell_wire.names"),
+        env={"PYTHONPATH": f"{copy}:{sysconfig.get_path('purelib')}"},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, output = await process.communicate()
+    assert f"matches {copy}/rhubarbwell_wire/names.py".encode() in output
+
+
 # A build that failed left no program, or half of one.
 @pytest.mark.parametrize("failure", ["requirement", "syntax", "killed"])
 async def test_failed_build_leaves_the_program_as_it_was(failure, checkout, tmp_path):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -92,6 +92,7 @@
         self.store_proxy = FaultProxy(lambda: store.address)
         self.process: asyncio.subprocess.Process | None = None
         self.signals: list[SentSignal] = []
+        self.interpreter_options: tuple[str, ...] = ()
         self._folder = folder
         self.code_paths = [
             *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
@@ -118,7 +119,8 @@
         self.incarnation += 1
         log = (self._folder / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, str(self._script), *arguments),
+            *(sys.executable, *self.interpreter_options),
+            *(str(self._script), *arguments),
             stdout=log,
             stderr=log,
             env={
