--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -144,7 +144,7 @@
     def open_sockets(self) -> None:
         """Listen on all addresses but that of the metrics.
 
-        Raises OSError if one of them cannot be had; then none accepts a connection.
+        Raises OSError if one of them cannot be had; then no caller is accepted.
         """
         cfg = self.settings
         # Operators' addresses may be one; that of the callers is opened last, as they
@@ -287,7 +287,8 @@
         address = self.settings.metrics
 
         async def open_socket() -> None:
-            (self._sockets[address],) = open_listening_sockets(address)
+            if address not in self._sockets:
+                (self._sockets[address],) = open_listening_sockets(address)
 
         options = wait_options("metrics", OSError, period_s=METRICS_RETRY_PERIOD_S)
         await AsyncRetrying(**options)(open_socket)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/main.py
@@ -12,7 +12,7 @@
 
 from rhubarbwell_entry.direct.instance import DirectInstance
 from rhubarbwell_entry.direct.logsink import install_log_handler
-from rhubarbwell_entry.direct.settings import SettingsError
+from rhubarbwell_entry.direct.settings import DirectSettings, SettingsError
 from rhubarbwell_entry.direct.shutdown import DirectShutdown
 from rhubarbwell_entry.direct.wire import DirectPlatform
 from rhubarbwell_entry.logs import log_event
@@ -74,7 +74,11 @@
 
     async def _open_sockets(self) -> None:
         async def open_sockets() -> None:
-            self.instance.open_sockets()
+            try:
+                self.instance.open_sockets()
+            except OSError:
+                self._follow_settings()
+                raise
 
         options = wait_options(
             "addresses",
@@ -84,10 +88,16 @@
         )
         await AsyncRetrying(**options)(open_sockets)
 
-    def _log_settings_changes(self) -> None:
-        """Log which settings have changed; they take effect after a restart."""
+    def _follow_settings(self) -> None:
+        """Use the settings of now, which may name other addresses."""
+        settings = self._read_settings()
+        if settings is not None and settings != self.instance.settings:
+            self.instance.metrics.close()
+            self.instance = DirectInstance(self.instance.platform, settings)
+
+    def _read_settings(self) -> DirectSettings | None:
         try:
-            settings = self.instance.platform.read_settings()
+            return self.instance.platform.read_settings()
         except SettingsError as exc:
             log_event(
                 _log,
@@ -96,6 +106,12 @@
                 "the settings file is invalid; the current settings stay in force",
                 error=str(exc),
             )
+            return None
+
+    def _log_settings_changes(self) -> None:
+        """Log which settings have changed; they take effect after a restart."""
+        settings = self._read_settings()
+        if settings is None:
             return
         old = self.instance.settings._asdict()
         changed = [
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/listeners.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from aiohttp import web
 from rhubarbwell_core.model import Address, host_port
@@ -18,6 +19,7 @@
 __all__ = [
     "LISTEN_BACKLOG",
     "Listener",
+    "TlsContexts",
     "accept_established",
     "bound_address",
     "end_connection",
@@ -37,7 +39,8 @@
 def open_listening_sockets(*addresses: Address) -> list[socket.socket]:
     """Return non-blocking sockets that listen on all addresses, in their order.
 
-    Raises OSError if one of them cannot be had; then none has accepted a connection.
+    Raises OSError if one of them cannot be had; then the last one has accepted no
+    connection.
     """
     socks: list[socket.socket] = []
     try:
@@ -163,6 +166,18 @@
     return context
 
 
+class TlsContexts(NamedTuple):
+    """Hold the contexts of listeners and of requests to peers, None without TLS."""
+
+    server: ssl.SSLContext | None
+    peers: ssl.SSLContext | None
+
+    @classmethod
+    def load(cls, settings: TlsSettings | None) -> "TlsContexts":
+        """Return the contexts of settings; raise OSError for unreadable files."""
+        return cls(tls_context(settings), peer_tls_context(settings))
+
+
 class Listener:
     """Serve the application of a runner on a listening socket."""
 
