Tell why the stand-alone program waits, and load its certificates once

Logging begins as JSON before the settings are read; TLS files are waited for first, then addresses.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/instance.py
@@ -22,10 +22,9 @@
 from rhubarbwell_entry.keystore import KeyStore
 from rhubarbwell_entry.listeners import (
     Listener,
+    TlsContexts,
     bound_address,
     open_listening_sockets,
-    peer_tls_context,
-    tls_context,
 )
 from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.lookups import LookUpHandler
@@ -70,16 +69,17 @@
         *,
         rng: Random | None = None,
         clock_ms: Callable[[], int] = monotonic_ms,
+        tls: TlsContexts | None = None,
     ) -> None:
         """Listen on the addresses of the settings.
 
+        tls are the contexts of the settings' files, which are loaded without it.
         Raises OSError if an address cannot be had or a TLS file is unreadable; then
-        no address accepts connections.
+        no caller is accepted.
         """
         self.settings = settings
         self._platform = platform
-        self._tls = tls_context(settings.tls)
-        self._peer_tls = peer_tls_context(settings.tls)
+        self._tls = TlsContexts.load(settings.tls) if tls is None else tls
         # Callers may come once the others are served.
         peers, operators, callers = open_listening_sockets(
             settings.peers, settings.operators, settings.callers
@@ -117,7 +117,7 @@
         """Start the listeners and the background tasks."""
         keys = PeerKeys([key.encode() for key in self.settings.peer_keys])
         self._session = aiohttp.ClientSession()
-        self._handler = CallerHandler(self.driver, keys, peer_tls=self._peer_tls)
+        self._handler = CallerHandler(self.driver, keys, peer_tls=self._tls.peers)
         self._keystore = KeyStore(self.driver, self._platform.tables)
         self._peers = PeerNode(self.driver, keys)
         self._log_follower = LogFollower(
@@ -189,14 +189,12 @@
             access_log=None,
             shutdown_timeout=OPERATORS_CLOSE_TIMEOUT_S,
         )
-        self._operators_listener = Listener(
-            operators, self._sockets.operators, tls=self._tls
-        )
+        self._operators_listener = self._listener(operators, self._sockets.operators)
         await self._callers_listener.start()
         await self._operators_listener.start()
 
     def _listener(self, runner: web.AppRunner, sock: socket.socket) -> Listener:
-        return Listener(runner, sock, tls=self._tls)
+        return Listener(runner, sock, tls=self._tls.server)
 
     def _on_superseded(self, action: IncarnationSuperseded) -> None:
         log_event(
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/program.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/program.py
@@ -8,6 +8,7 @@
 
 import fire
 from aiomisc import entrypoint
+from aiomisc.log import LogFormat, basic_config
 from tenacity import Retrying
 
 from rhubarbwell_entry.logs import EventRateFilter
@@ -32,6 +33,8 @@
     """
     signals = StopSignals()
     signals.install()
+    # The settings choose another format and level once they are read.
+    basic_config(log_format=LogFormat.json, buffered=False)
     loaded = _read_or_exit(Path(settings), signals)
     service = EntryService(settings=loaded, signals=signals)
     try:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/service.py
@@ -1,8 +1,10 @@
 """Run one entry instance as an aiomisc service."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import SystemRandom
-from typing import Any
+from typing import Any, TypeVar
 
 from aiomisc import Service
 from rhubarbwell_platform.http import (
@@ -14,6 +16,7 @@
 from tenacity import AsyncRetrying
 
 from rhubarbwell_entry.instance import EntryInstance
+from rhubarbwell_entry.listeners import TlsContexts
 from rhubarbwell_entry.settings import Settings
 from rhubarbwell_entry.signals import StopSignals
 from rhubarbwell_entry.startup import ADDRESS_WAIT_S, wait_options
@@ -21,6 +24,7 @@
 __all__ = ["EntryService"]
 
 RATE_UPDATE_PERIOD_S = 10.0
+T = TypeVar("T")
 
 
 class EntryService(Service):
@@ -37,15 +41,10 @@
         self._session = open_session()
         self._limits = RateLimits(ClientOptions())
         self._rate_update_task: asyncio.Task[None] | None = None
-        options = wait_options(
-            "addresses and TLS files",
-            OSError,
-            timeout_s=ADDRESS_WAIT_S,
-            is_stopped=self.signals.requested.is_set,
-        )
         try:
-            instance: EntryInstance = await AsyncRetrying(**options)(
-                self._make_instance
+            tls = await self._wait_for("TLS files", self._load_tls)
+            instance = await self._wait_for(
+                "addresses", partial(self._make_instance, tls)
             )
         except OSError:
             if self.signals.requested.is_set():
@@ -55,11 +54,24 @@
         await instance.start()
         self._rate_update_task = asyncio.create_task(self._update_rate_limits())
 
-    async def _make_instance(self) -> EntryInstance:
+    async def _wait_for(self, name: str, step: Callable[[], Awaitable[T]]) -> T:
+        options = wait_options(
+            name,
+            OSError,
+            timeout_s=ADDRESS_WAIT_S,
+            is_stopped=self.signals.requested.is_set,
+        )
+        result: T = await AsyncRetrying(**options)(step)
+        return result
+
+    async def _load_tls(self) -> TlsContexts:
+        return TlsContexts.load(self.settings.tls)
+
+    async def _make_instance(self, tls: TlsContexts) -> EntryInstance:
         platform = http_platform(
             self._session, self.settings.platform, SystemRandom(), limits=self._limits
         )
-        return EntryInstance(self.settings, platform)
+        return EntryInstance(self.settings, platform, tls=tls)
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Shut the instance down gracefully; a second SIGINT forces it."""
