Leave the blocking server of late loops at 127.0.0.1

Cause: moved the listener of BlockingServer to LOOPBACK, and the monitor's test passes on its port alone. Change: that listener is where it was. After: the tests of the monitor and of late calls and answers pass.

--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -6,7 +6,6 @@
 import time
 
 from rhubarbwell_core.model import Address
-from support.loopback import LOOPBACK
 
 __all__ = ["BlockingServer", "KeptConnection", "Stall"]
 
@@ -85,7 +84,7 @@
     """Answer a request without the event loop."""
 
     def __init__(self):
-        self._listener = socket.create_server((LOOPBACK, 0))
+        self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.setblocking(False)
         self.address = Address(*self._listener.getsockname()[:2])
         self._conn = None
