Let soaks start instances on machines that are not ready for them

Cause: a start that found one of its addresses taken, or its settings file half written, ended with 3 or 2. It listened for callers before it had all addresses, so requests that were sent whole were reset as it ended. The soak injected neither, and did not start a process again that ended by itself.

Change: 0.4 of the starts after a stop or a kill find the address of readiness, control, directory or metrics taken, or the settings cut off, for 1 to 2 s. They are drawn from a generator of their own, so that a seed plays the other faults as before. A supervisor starts a process again 0.5 s after it ended by itself, which is a finding and excuses no loss. A broken program that ends by itself is a test of it.

The callers' address itself is not taken: callers of the soak would be served by the wrong socket.

--- a/tests/soak/broken_entry.py
+++ b/tests/soak/broken_entry.py
@@ -4,6 +4,7 @@
 import functools
 import os
 import random
+import threading
 import time
 
 from aiohttp import web
@@ -21,6 +22,7 @@
 IDLE_CLOSE_RANGE_S = (3.2, 3.5)
 STALL_RANGE_S = (0.3, 0.5)
 STALL_SHARE = 0.005
+OWN_END_RANGE_S = (2.0, 4.0)
 
 
 def treat_broken_as_not_run() -> None:
@@ -130,6 +132,13 @@
     web.RequestHandler.data_received = receive_and_stall  # type: ignore[method-assign]
 
 
+def end_by_itself() -> None:
+    """End the process a while after its start."""
+    timer = threading.Timer(random.uniform(*OWN_END_RANGE_S), os._exit, (3,))
+    timer.daemon = True
+    timer.start()
+
+
 VARIANTS = {
     "send_twice": treat_broken_as_not_run,
     "refuse_falsely": refuse_unknown_outcomes,
@@ -138,6 +147,7 @@
     "close_held": functools.partial(lose_requests, passed_on=False),
     "break_off": break_off_when_stopping,
     "stall": stall_when_stopping,
+    "end": end_by_itself,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -181,6 +181,8 @@
         for instance in self._fleet.instances:
             for code in set(instance.exit_codes) - ALLOWED_EXIT_CODES:
                 yield f"{instance.name} exited with code {code}"
+            for code in instance.own_ends:
+                yield f"{instance.name} ended by itself with code {code}"
             process = instance.process
             if process is not None and process.returncode is not None:
                 yield (
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -60,6 +60,8 @@
 LATE_WRITE_SHARE = 0.35
 LATE_WRITE_RANGE_S = (1.0, 6.0)
 LAPSED_SHARES = (0.5, 1.0)
+HINDERED_SHARE = 0.4
+HINDERED_RANGE_S = (1.0, 2.0)
 
 
 class InjectedFault(NamedTuple):
@@ -80,7 +82,8 @@
 class FaultInjector:
     """Inject randomly chosen faults, a few at a time.
 
-    Planned faults are restarts, reloads, new configurations and drains; with
+    Planned faults are restarts, reloads, new configurations and drains; some starts
+    find an address taken or the settings file half written. With
     `planned_only`, no others are injected. With `hostile`, stopping instances get
     further signals, another writer puts unreadable rows, and servers send unreadable
     headers. With `series`, several instances stop at once amid reloads, configurations
@@ -105,6 +108,7 @@
         self._rng = rng
         self._planned_only = planned_only
         self._store_rng = Random(fleet.seed + 4)
+        self._start_rng = Random(fleet.seed + 5)
         self._late_writes: set[asyncio.Task[web.Response]] = set()
         self._busy_targets: set[str] = set()
 
@@ -199,9 +203,23 @@
                 f"{instance.name} took {shutdown_s:.1f} s to shut down"
             )
         await repeated
-        await instance.start()
+        await self._start(instance)
         return "SIGTERM"
 
+    async def _start(self, instance) -> None:
+        """Start an instance, at times on a machine that is not ready for it.
+
+        One of its addresses is taken, or its settings file is being written.
+        """
+        rng = self._start_rng
+        if rng.random() >= HINDERED_SHARE:
+            await instance.start()
+            return
+        hinder = rng.choice((instance.taken_address, instance.half_written_settings))
+        with hinder(rng):
+            await instance.start()
+            await asyncio.sleep(rng.uniform(*HINDERED_RANGE_S))
+
     async def _stop_in_series(self, _target: None) -> str:
         """Restart some instances at once amid reloads, configurations and outages."""
         free, rng = self._free_instances(), self._rng
@@ -300,7 +318,7 @@
     async def _kill_instance(self, instance) -> str:
         await instance.stop_with_signal(signal.SIGKILL)
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-        await instance.start()
+        await self._start(instance)
         return "SIGKILL"
 
     async def _suspend_instance(self, instance) -> str:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,12 +8,14 @@
 import socket
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
 
 import aiohttp
 from rhubarbwell_core.model import Address, host_port
+from rhubarbwell_wire.settings import METRICS_PORT
 from soak.proxy import FaultProxy
 from soak.servers import (
     HEARTBEAT_INTERVAL_S,
@@ -29,6 +31,8 @@
 SHUTDOWN_GRACE_S = 6.0
 MAX_STOP_S = 15.0
 READY_TIMEOUT_S = 20.0
+# The supervisor starts a process again this long after it ended by itself.
+RESTART_DELAY_S = 0.5
 SERVICES = ("svc", "other")
 # Values from which each version of the configuration takes one.
 IDLE_TIMEOUTS_MS = (400, 1_500, 15_000)
@@ -74,7 +78,11 @@
 
 
 class InstanceProcess:
-    """Run one entry instance as a process that reaches the store through a proxy."""
+    """Run one entry instance as a process that reaches the store through a proxy.
+
+    A process that ends by itself is started again, as by a supervisor; `own_ends` holds
+    the exit codes of these ends.
+    """
 
     def __init__(
         self,
@@ -89,8 +97,10 @@
         self.host = host
         self.incarnation = 0
         self.exit_codes: list[int] = []
+        self.own_ends: list[int] = []
         self.store_proxy = FaultProxy(lambda: store.address)
         self.process: asyncio.subprocess.Process | None = None
+        self._supervision: asyncio.Task[None] | None = None
         self.signals: list[SentSignal] = []
         self._folder = folder
         self.code_paths = [
@@ -128,6 +138,33 @@
             },
         )
         log.close()
+        self._supervision = asyncio.create_task(self._supervise(self.process))
+
+    async def _supervise(self, process: asyncio.subprocess.Process) -> None:
+        """Start a process again that ends by itself; stop_with_signal cancels this."""
+        self.own_ends.append(await process.wait())
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start()
+
+    @contextlib.contextmanager
+    def taken_address(self, rng: Random) -> Iterator[None]:
+        """Let another socket listen on an address that callers do not use."""
+        metrics = Address(self.host, METRICS_PORT)
+        address = rng.choice((self.ready, self.control, self.directory, metrics))
+        with socket.socket() as sock:
+            # Connections of the former process do not hold the address.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen()
+            yield
+
+    @contextlib.contextmanager
+    def half_written_settings(self, rng: Random) -> Iterator[None]:
+        """Cut off the settings file before a part that it must have."""
+        text = self._settings_text()
+        self._settings.write_text(text[: rng.randrange(text.index("[platform]"))])
+        yield
+        self._settings.write_text(text)
 
     async def wait_until_handled(self, number: int) -> None:
         """Wait until the process catches or ignores a signal.
@@ -163,7 +200,8 @@
 
         A process that has not ended after MAX_STOP_S is killed.
         """
-        assert self.process is not None
+        assert self.process is not None and self._supervision is not None
+        self._supervision.cancel()
         started = time.monotonic()
         self.send_signal(number)
         with contextlib.suppress(TimeoutError):
@@ -271,7 +309,7 @@
         """Kill the instances, suspended ones too, and stop servers and store."""
         self._heartbeat_task.cancel()
         for instance in self.instances:
-            if instance.process is not None and instance.process.returncode is None:
+            if instance.process is not None:
                 instance.send_signal(signal.SIGCONT)
                 await instance.stop_with_signal(signal.SIGKILL)
             await instance.store_proxy.stop()
--- a/tests/soak/test_broken_programs.py
+++ b/tests/soak/test_broken_programs.py
@@ -44,6 +44,19 @@
     assert any(finding in line for line in report.findings)
 
 
+async def test_program_that_ends_by_itself_is_caught_and_started_again(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setenv("SOAK_VARIANT", "end")
+    report = await run_soak(
+        3, tmp_path, for_s=4.0, script=BROKEN_ENTRY, planned_only=True
+    )
+    ends = [line for line in report.findings if "ended by itself with code 3" in line]
+    # Each of the three instances ends more than once.
+    assert len(ends) > 3
+    assert report.runs > 100
+
+
 async def test_program_that_returns_to_old_configurations_is_caught(
     tmp_path, monkeypatch
 ):
