--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -80,7 +80,7 @@
 class InstanceProcess:
     """Run one entry instance as a process that reaches the store through a proxy.
 
-    A process that ends by itself is started again, as by a supervisor; `own_ends` holds
+    With `supervised`, a process that ends by itself is started again; `own_ends` holds
     the exit codes of these ends.
     """
 
@@ -91,6 +91,8 @@
         folder: Path,
         host: str,
         code: Path = ROOT,
+        *,
+        supervised: bool = False,
     ):
         self.name = f"i-{number}"
         self.zone = sorted(ZONES)[number % len(ZONES)]
@@ -100,6 +102,7 @@
         self.own_ends: list[int] = []
         self.store_proxy = FaultProxy(lambda: store.address)
         self.process: asyncio.subprocess.Process | None = None
+        self._is_supervised = supervised
         self._supervision: asyncio.Task[None] | None = None
         self.signals: list[SentSignal] = []
         self.interpreter_options: tuple[str, ...] = ()
@@ -140,7 +143,8 @@
             },
         )
         log.close()
-        self._supervision = asyncio.create_task(self._supervise(self.process))
+        if self._is_supervised:
+            self._supervision = asyncio.create_task(self._supervise(self.process))
 
     async def _supervise(self, process: asyncio.subprocess.Process) -> None:
         """Start a process again that ends by itself; stop_with_signal cancels this."""
@@ -202,8 +206,9 @@
 
         A process that has not ended after MAX_STOP_S is killed.
         """
-        assert self.process is not None and self._supervision is not None
-        self._supervision.cancel()
+        assert self.process is not None
+        if self._supervision is not None:
+            self._supervision.cancel()
         started = time.monotonic()
         self.send_signal(number)
         with contextlib.suppress(TimeoutError):
@@ -275,7 +280,9 @@
         subnet_rng = Random(os.getpid() * 1_000 + seed)
         prefix = f"127.{subnet_rng.randrange(1, 255)}.{subnet_rng.randrange(256)}"
         self.instances = [
-            InstanceProcess(n, self.store, folder, f"{prefix}.{n + 1}", code)
+            InstanceProcess(
+                n, self.store, folder, f"{prefix}.{n + 1}", code, supervised=True
+            )
             for n in range(instances)
         ]
         self.servers = [
