--- a/tests/entry/direct/test_starts.py
+++ b/tests/entry/direct/test_starts.py
@@ -7,12 +7,16 @@
 import socket
 
 import pytest
+from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.instance import DirectInstance
 from soak.soak import ENTRY_SCRIPT
 from support.entry_processes import prepared_process, wait_until_it_serves
-from support.running_fleet import WAIT_S
+from support.running_fleet import WAIT_S, free_ports
+from support.users_platform import TestPlatform, make_settings
 
 # Longer than a start, so that an address is still taken when the process needs it.
 TAKEN_S = 2.0
+TIME_WAIT_S = 60.0
 ADDRESSES = ("callers", "ready", "control", "directory")
 
 
@@ -56,6 +60,22 @@
         await wait_until_it_serves(prepared)
 
 
+# The system keeps the port of a connection for a minute after its near end closed it; a
+# start that ended sooner would have ended again and again.
+async def test_start_outlasts_a_closed_connection_from_its_address(tmp_path):
+    async with prepared_process(tmp_path) as prepared:
+        address = prepared.instance.callers
+        with socket.create_server((address.host, 0)) as server:
+            with socket.socket() as sock:
+                sock.bind(address)
+                sock.connect(server.getsockname())
+            # The far end is still open, so the near end closes first.
+            server.accept()[0].close()
+        await prepared.instance.start()
+        await asyncio.sleep(TIME_WAIT_S)
+        await wait_until_it_serves(prepared)
+
+
 # An exporter of metrics at the same port kept instances from starting at all.
 async def test_instance_serves_without_metrics_while_their_address_is_taken(tmp_path):
     async with prepared_process(tmp_path) as prepared:
@@ -152,3 +172,14 @@
         prepared.instance.write_settings()
         await prepared.instance.start()
         await wait_until_it_serves(prepared)
+
+
+# Callers would have been served at the address of another part, which never answered.
+@pytest.mark.parametrize("name", ["readiness", "control", "directory"])
+async def test_address_of_the_callers_cannot_be_that_of_another_part(name):
+    settings = make_settings(Address("127.0.0.1", 1), free_ports(5))
+    settings = settings._replace(**{name: settings.callers})
+    instance = DirectInstance(TestPlatform(settings), settings)
+    with pytest.raises(OSError, match="in use"):
+        instance.open_sockets()
+    instance.metrics.close()
