--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/__main__.py
@@ -1,79 +1,16 @@
 """Run an entry instance from the command line."""
 
-import gc
-import logging
-import sys
-from pathlib import Path
-from typing import NoReturn
+from rhubarbwell_entry.descriptors import open_standard_descriptors
 
-import fire
-from aiomisc import entrypoint
-
-from rhubarbwell_entry.logs import EventRateFilter
-from rhubarbwell_entry.service import EntryService
-from rhubarbwell_entry.settings import Settings
-from rhubarbwell_entry.settings_files import SettingsError, read_settings
-from rhubarbwell_entry.signals import StopSignals
-
-__all__ = ["main", "run"]
-
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 3
-
-
-def run(settings: str) -> None:
-    """Run an entry instance until SIGTERM or SIGINT.
-
-    A second SIGINT ends open requests with the outcome unknown. settings is the path
-    of the settings file. Exits with 2 if the file is invalid or unreadable, and with 3
-    if an address is in use or a TLS file is unreadable.
-    """
-    signals = StopSignals()
-    signals.install()
-    loaded = _read_or_exit(Path(settings))
-    service = EntryService(settings=loaded, signals=signals)
-    try:
-        # aiomisc's own handlers end the process at a second signal, and after the
-        # longest stop before callers are told.
-        with entrypoint(
-            service,
-            log_level=loaded.log_level,
-            log_format=loaded.log_format,
-            log_buffering=False,
-            catch_signals=(),
-        ) as loop:
-            _limit_log_rates()
-            loop.run_until_complete(signals.wait())
-        signals.ignore()
-        # The interpreter collects garbage as it ends, which may take seconds.
-        gc.freeze()
-    except OSError as exc:
-        _exit_with_message(EXIT_CANNOT_START, f"cannot start: {exc}")
+__all__ = ["main"]
 
 
 def main() -> None:
-    """Parse the command line and run the entry instance."""
-    fire.Fire(run, name="rhubarbwell-entry")
-
-
-def _read_or_exit(path: Path) -> Settings:
-    try:
-        return read_settings(path)
-    except SettingsError as exc:
-        _exit_with_message(EXIT_BAD_SETTINGS, str(exc))
-    except (OSError, UnicodeDecodeError) as exc:
-        _exit_with_message(EXIT_BAD_SETTINGS, f"{path}: {exc}")
-
-
-def _limit_log_rates() -> None:
-    rate_filter = EventRateFilter()
-    for handler in logging.getLogger().handlers:
-        handler.addFilter(rate_filter)
-
+    """Open missing standard descriptors, then parse the command line and run."""
+    open_standard_descriptors()
+    from rhubarbwell_entry.program import main as run_program
 
-def _exit_with_message(code: int, message: str) -> NoReturn:
-    print(message, file=sys.stderr)
-    raise SystemExit(code)
+    run_program()
 
 
 if __name__ == "__main__":
