Tell for what a process holds its memory

Change: memory_high lines from half of memoryMb on, at each further twentieth, with the resident memory and its known parts (bodies, answers being read, responses that callers have not taken); the same in the metrics. No logic has changed. The lines are written at most four times a second: a process that grows by half of its memory between two looks ends without one.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -69,6 +69,15 @@
         """Return the number of requests whose response is not yet written."""
         return self._open_requests.total()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the callers have not taken yet."""
+        return sum(
+            conn.transport.get_write_buffer_size()
+            for conn in self.connections
+            if conn.transport is not None
+        )
+
     @property
     def is_listening(self) -> bool:
         """Return True while new connections are accepted."""
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -42,6 +42,7 @@
 from rhubarbwell_entry.direct.operators import OperatorHandler
 from rhubarbwell_entry.direct.registrar import Registrar
 from rhubarbwell_entry.direct.relay import ChangeRelay, PeerFollower
+from rhubarbwell_entry.direct.residence import HeldBytes, MemoryWatch, resident_bytes
 from rhubarbwell_entry.direct.seeds import SeedLoader
 from rhubarbwell_entry.direct.sending import DirectSender
 from rhubarbwell_entry.direct.settings import DirectSettings
@@ -116,6 +117,7 @@
             ),
         )
         self._body_memory = BodyMemory(settings.max_body_memory_bytes)
+        self._memory_watch = MemoryWatch(settings.memory_bytes, self._held_bytes)
         self._loop_lag = LoopLag()
         self._followers = FollowerTracker()
         self.instances = InstanceTable(
@@ -381,6 +383,7 @@
 
     def _advance(self, now_ms: int) -> Sequence[Action]:
         self.instances.own_is_busy = self._loop_lag.is_busy
+        self._memory_watch.check(self.callers.open_requests)
         for backend_id in self.balancer.advance(now_ms):
             log_event(
                 _log,
@@ -417,6 +420,18 @@
             "Memory reserved for the bodies of open requests.",
             lambda: [Observation(self._body_memory.used_bytes)],
         )
+        self.metrics.add_gauge(
+            "rhubarbwell.request.memory",
+            "By",
+            "Memory held for open requests, by part.",
+            self._observe_held_bytes,
+        )
+        self.metrics.add_gauge(
+            "process.memory.usage",
+            "By",
+            "Resident memory.",
+            lambda: [Observation(resident_bytes())],
+        )
         self.metrics.add_gauge(
             "rhubarbwell.loop.lag",
             "ms",
@@ -430,6 +445,19 @@
             lambda: [Observation(int(self._health.is_out))],
         )
 
+    def _held_bytes(self) -> HeldBytes:
+        return HeldBytes(
+            self._body_memory.used_bytes,
+            self._sender.unfinished_bytes,
+            self.callers.unsent_bytes,
+        )
+
+    def _observe_held_bytes(self) -> list[Observation]:
+        if not self.is_started:
+            return []
+        parts = self._held_bytes()._asdict()
+        return [Observation(size, {"part": part}) for part, size in parts.items()]
+
     def _on_idle_connection_lost(self, address: Address, idle_s: float) -> None:
         log_event(
             _log,
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -97,6 +97,11 @@
         """Close all connections to backend servers."""
         await self._session.close()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the bytes that have arrived of the answers in progress."""
+        return self._connector.unfinished_bytes
+
     def oldest_open_ms(self, address: Address) -> int | None:
         """Return when the oldest open connection to an address was opened, if any."""
         return self._connector.oldest_open_ms(address)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -179,6 +179,15 @@
         """Return the number of opened connections that still exist."""
         return len(self._opened)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the bytes that have arrived of the answers in progress."""
+        return sum(
+            protocol.unfinished_bytes
+            for protocol in self._opened
+            if isinstance(protocol, AnswerProtocol) and protocol.is_connected()
+        )
+
     def oldest_open_ms(self, address: Address) -> int | None:
         """Return when the oldest open connection to an address was opened, if any."""
         opened = [
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -107,6 +107,11 @@
         self._skipped_answers = 0
         self._start_answer()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return how much of an answer has arrived that is in progress."""
+        return 0 if self._is_idle else self._received_bytes
+
     @property
     def skipped_answers(self) -> int:
         """Return how many answers to other requests arrived before the expected one."""
