--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import sysconfig
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -110,6 +111,8 @@
         self.code_paths = [
             *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
             code / "platform",
+            # Without the site module, nothing installed is on the path.
+            Path(sysconfig.get_path("purelib")),
         ]
 
     async def prepare(self, entry_script: Path) -> None:
