--- a/tests/support/users_platform.py
+++ b/tests/support/users_platform.py
@@ -1,8 +1,5 @@
-"""Stand-ins for the users' store and for a backend server, reached over HTTP."""
+"""Stand-ins for the users' platform, reached over HTTP."""
 
-import asyncio
-import base64
-import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,116 +10,12 @@
 from rhubarbwell_platform.http import ClientOptions
 from rhubarbwell_wire.adapter import UsersPlatform
 from support.loopback import LOOPBACK
+from support.loopback_server import LoopbackServer
+from support.store_stand_in import StoreStandIn
 
 __all__ = ["StoreStandIn", "UsersBackend", "config_body", "make_settings"]
 
 
-class LoopbackServer:
-    """Serve HTTP requests on a loopback port."""
-
-    async def start(self) -> None:
-        server = web.Server(self.handle, access_log=None, auto_decompress=False)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, LOOPBACK, 0)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = Address(host, port)
-
-    async def stop(self) -> None:
-        await self._runner.cleanup()
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        raise NotImplementedError
-
-
-class StoreStandIn(LoopbackServer):
-    """Store rows in memory; `fault_handler` may answer a call instead."""
-
-    def __init__(self) -> None:
-        self.version = 0
-        self.oldest_feed_version = 0
-        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
-        self.calls: list[str] = []
-        self.fault_handler: (
-            Callable[[web.BaseRequest], Awaitable[web.Response | None]] | None
-        )
-        self.fault_handler = None
-        self._changed = asyncio.Condition()
-
-    async def write(self, table: str, key: str, value: Any) -> None:
-        """Write a row and wake the waiting feeds; the value None deletes the row."""
-        async with self._changed:
-            self.version += 1
-            data = value if isinstance(value, bytes | None) else _encode_json(value)
-            self.rows[table, key] = self.version, data
-            self._changed.notify_all()
-
-    def value(self, table: str, key: str) -> Any:
-        """Return a row's decoded value, None for a missing or deleted row."""
-        row = self.rows.get((table, key))
-        return None if row is None or row[1] is None else json.loads(row[1])
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        operation = request.path.rpartition("/")[2]
-        self.calls.append(operation)
-        if self.fault_handler is not None:
-            resp = await self.fault_handler(request)
-            if resp is not None:
-                return resp
-        if operation == "rows-get":
-            return self._rows_response(self._table_rows(request.query["table"]))
-        if operation == "rows-feed":
-            return await self._wait_for_rows(request)
-        return await self.transact(await request.json())
-
-    def _table_rows(self, table: str) -> list[dict[str, Any]]:
-        rows = [
-            _row_body(name, key, version, value)
-            for (name, key), (version, value) in sorted(self.rows.items())
-            if name == table and value is not None
-        ]
-        return rows
-
-    async def _wait_for_rows(self, request: web.BaseRequest) -> web.Response:
-        table, after = request.query["table"], int(request.query["after"])
-        if after < self.oldest_feed_version:
-            return web.Response(status=410)
-        wait_s = int(request.query["waitMs"]) / 1_000
-        async with self._changed:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._changed.wait_for(lambda: self._rows_after(table, after))
-            except TimeoutError:
-                pass
-        return self._rows_response(self._rows_after(table, after))
-
-    def _rows_after(self, table: str, after: int) -> list[dict[str, Any]]:
-        rows = [
-            _row_body(name, key, version, value)
-            for (name, key), (version, value) in self.rows.items()
-            if name == table and version > after
-        ]
-        return sorted(rows, key=lambda row: row["rowVersion"])
-
-    async def transact(self, body: dict[str, Any]) -> web.Response:
-        """Apply a transaction if the expected versions hold; return its response."""
-        for item in body["expect"]:
-            version, value = self.rows.get((item["table"], item["key"]), (0, None))
-            if item["rowVersion"] != (0 if value is None else version):
-                return web.json_response({"rows": []}, status=412)
-        for item in body["writes"]:
-            value = base64.b64decode(item["value"])
-            await self.write(item["table"], item["key"], value)
-        for item in body["remove"]:
-            await self.write(item["table"], item["key"], None)
-        return web.json_response({"rowVersion": self.version, "now": "1ms"})
-
-    def _rows_response(self, rows: list[dict[str, Any]]) -> web.Response:
-        body = {"rows": rows, "hasMore": False, "rowVersion": self.version}
-        return web.json_response({**body, "now": "1ms"})
-
-
 class UsersBackend(LoopbackServer):
     """Answer requests like a backend server; `custom_handler` may answer instead."""
 
@@ -268,21 +161,3 @@
         RetryBudgetRule(0.2, 62.0, 10_000),
         stop_max_ms=1_000,
     )
-
-
-def _encode_json(value: Any) -> bytes:
-    return json.dumps(value).encode()
-
-
-def _row_body(
-    table: str, key: str, version: int, value: bytes | None
-) -> dict[str, Any]:
-    row: dict[str, Any] = {
-        "table": table,
-        "part": "",
-        "key": key,
-        "rowVersion": version,
-    }
-    if value is None:
-        return {**row, "deleted": True}
-    return {**row, "value": base64.b64encode(value).decode()}
