--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import fire
+from soak.drills import run_drills
 from soak.fleet import ROOT
 from soak.soak import run_soak
 
@@ -23,11 +24,15 @@
     hostile: bool = False,
     series: bool = False,
     hindered: bool = False,
+    drills: int = 0,
+    kinds: tuple[str, ...] = (),
     logs: str = "",
     code: str = "",
 ) -> None:
     """Run one soak per seed, one after the other, with faults for `for_s` seconds.
 
+    With `drills`, each plays that many drills of the store, or one of each of `kinds`.
+
     The logs of seeds with findings stay in the directory `logs`, which is made if it is
     missing, by default the system's temporary directory. Exits with status 1 if any
     seed has findings. `code` is another checkout whose instances to run.
@@ -42,20 +47,25 @@
         Path(logs).mkdir(parents=True, exist_ok=True)
     for seed in range(int(first), int(last or first) + 1):
         log_dir = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs or None))
-        report = asyncio.run(
-            run_soak(
+        programs = {
+            "instances": instances,
+            "script": code_root / "platform/run_entry.py",
+            "code": code_root,
+        }
+        if drills or kinds:
+            run = run_drills(seed, log_dir, drills=drills, kinds=kinds, **programs)
+        else:
+            run = run_soak(
                 seed,
                 log_dir,
                 for_s=for_s,
-                instances=instances,
                 planned_only=planned_only,
                 hostile=hostile,
                 series=series,
                 hindered=hindered,
-                script=code_root / "platform/run_entry.py",
-                code=code_root,
+                **programs,
             )
-        )
+        report = asyncio.run(run)
         counts = f"{report.requests} requests, {len(report.faults)} faults"
         print(f"seed {seed}: {len(report.findings)} findings, {counts}", flush=True)
         for line in report.findings[:20]:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -260,7 +260,14 @@
     """
 
     def __init__(
-        self, seed: int, folder: Path, instances: int, script: Path, code: Path = ROOT
+        self,
+        seed: int,
+        folder: Path,
+        instances: int,
+        script: Path,
+        code: Path = ROOT,
+        *,
+        servers: int = 8,
     ) -> None:
         self.seed = seed
         self.rng = Random(seed)
@@ -289,7 +296,7 @@
             SoakServer(
                 SERVICES[n % 2], sorted(ZONES)[n % 3], self.request_log, self.rng
             )
-            for n in range(8)
+            for n in range(servers)
         ]
         # Servers whose heartbeats the store does not take.
         self.lapsed: set[SoakServer] = set()
