Tell how late the soak was in a slow shutdown

The logs tell 4.1 to 4.8 s from leaving to stopped, and nothing of the rest. The soak measures the stop in its own event loop, which serves callers, servers and store, so the finding now names how late that loop was meanwhile. What counts as a finding is unchanged.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 from soak.fleet import SERVICES, SHUTDOWN_GRACE_S, SoakFleet
+from soak.lag import LoopLag
 from soak.servers import DRAIN_DURATION_S
 
 PAUSE_RANGE_S = (0.1, 1.2)
@@ -95,6 +96,7 @@
         self,
         fleet: SoakFleet,
         rng: Random,
+        lag: LoopLag,
         *,
         planned_only: bool = False,
         hostile: bool = False,
@@ -108,6 +110,7 @@
         self.slow_shutdowns: list[str] = []
         self._fleet = fleet
         self._rng = rng
+        self._lag = lag
         self._planned_only = planned_only
         self._store_rng = Random(fleet.seed + 4)
         self._start_rng = Random(fleet.seed + 5)
@@ -201,8 +204,11 @@
         repeated = asyncio.create_task(self._repeat_signals(instance))
         shutdown_s = await instance.stop_with_signal(signal.SIGTERM)
         if shutdown_s > SHUTDOWN_GRACE_S:
+            ended_at = time.monotonic()
+            late_s = self._lag.between(ended_at - shutdown_s, ended_at)
             self.slow_shutdowns.append(
-                f"{instance.name} took {shutdown_s:.1f} s to shut down"
+                f"{instance.name} took {shutdown_s:.1f} s to shut down, "
+                f"in which the soak was late by {late_s:.1f} s"
             )
         await repeated
         await self._start(instance)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,7 @@
     injector = FaultInjector(
         fleet,
         Random(seed + 2),
+        lag,
         planned_only=planned_only,
         hostile=hostile,
         series=series,
