--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -27,7 +27,6 @@
     VerifyingConnector,
     make_client_session,
 )
-from rhubarbwell_entry.proxy.framing import has_framing
 from rhubarbwell_entry.proxy.headers import end_to_end_headers
 from rhubarbwell_entry.proxy.protocols import IdleLostListener
 
@@ -194,12 +193,6 @@
                 )
             attempt.mark_verified()
             payload = await resp.read()
-            if not has_framing(resp) and attempt.was_reset:
-                return self._failed_outcome(
-                    AttemptResult.BROKEN,
-                    "answer without a length was reset",
-                    started_ms,
-                )
             return self._complete_outcome(attempt, resp, payload, started_ms)
         finally:
             resp.close()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/connections.py
@@ -1,6 +1,5 @@
 """Reuse connections to backend servers only after a verified answer."""
 
-import asyncio
 import time
 from collections import deque
 from collections.abc import Callable
@@ -86,12 +85,6 @@
         self.max_age_s = max_age_s
         self._connector = connector
 
-    @property
-    def was_reset(self) -> bool:
-        """Return True if the attempt's connection was closed with an error."""
-        used = self.connection
-        return used is not None and self._connector.was_reset(used.protocol)
-
     @property
     def skipped_answers(self) -> int:
         """Return how many answers to other requests the attempt has received."""
@@ -155,9 +148,6 @@
         self._recent_ids = WeakKeyDictionary[ResponseHandler, deque[str]]()
         self._last_attempts = WeakKeyDictionary[ResponseHandler, ClientAttempt]()
         self._attempts = WeakKeyDictionary[aiohttp.ClientRequest, ClientAttempt]()
-        self._closed_futures = WeakKeyDictionary[
-            ResponseHandler, asyncio.Future[None]
-        ]()
 
     def start_attempt(self, *, idempotent: bool, fresh: bool = False) -> ClientAttempt:
         """Return a new attempt; fresh allows it only a new connection."""
@@ -199,15 +189,6 @@
         ]
         return min(opened, default=None)
 
-    def was_reset(self, protocol: ResponseHandler) -> bool:
-        """Return True if a connection was closed with an error."""
-        closed_future = self._closed_futures.get(protocol)
-        return (
-            closed_future is not None
-            and closed_future.done()
-            and _closing_error(closed_future) is not None
-        )
-
     def retire(self, address: Address) -> int:
         """Bar verified connections to the address from reuse; return their number."""
         verified_protocols = [
@@ -249,10 +230,6 @@
         if fresh:
             protocol.address, protocol.opened_ms = address, self._clock_ms()
         self._opened.add(protocol)
-        if fresh and (closed_future := protocol.closed) is not None:
-            # Retrieves the exception, as asyncio logs one that nobody retrieves.
-            closed_future.add_done_callback(_closing_error)
-            self._closed_futures[protocol] = closed_future
         connect_ms = (time.monotonic() - started_s) * MS_PER_S
         attempt.connection = AttemptConnection(
             protocol, address, fresh, connect_ms, protocol.opened_ms
@@ -288,10 +265,6 @@
         return time.monotonic() - verification.verified_at_s <= max_age_s
 
 
-def _closing_error(closed_future: asyncio.Future[None]) -> BaseException | None:
-    return None if closed_future.cancelled() else closed_future.exception()
-
-
 class _Verification(NamedTuple):
     address: Address
     verified_at_s: float
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from aiohttp import hdrs
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
 if TYPE_CHECKING:
@@ -20,6 +19,7 @@
 from rhubarbwell_core.model import Address
 
 from rhubarbwell_entry.logs import log_event
+from rhubarbwell_entry.proxy.answer_ends import EndCheckingProtocol
 
 __all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer", "IdleLostListener"]
 
@@ -66,7 +66,7 @@
     """Report an answer that exceeds a size limit."""
 
 
-class AnswerProtocol(ResponseHandler):
+class AnswerProtocol(EndCheckingProtocol):
     """Receive the answer to one request at a time and reject all other bytes.
 
     Bytes that arrive after a complete answer belong to no request. They are not
@@ -105,6 +105,7 @@
         self._expected = expected
         self._received_bytes = 0
         self._skipped_answers = 0
+        self.start_request()
         self._start_answer()
 
     @property
@@ -170,6 +171,8 @@
             length = message.headers.get(hdrs.CONTENT_LENGTH, "")
             if length.isdigit() and not self._is_chunked:
                 self._body_bytes_left = int(length)
+            if not (self._is_chunked or length.isdigit() or payload.is_eof()):
+                self.end_with_connection(payload)
             self._is_other_answer = self._names_other_request(message)
         if not self._is_other_answer:
             super().feed_data(data, size)
--- a/tests/entry/direct/test_lost_connections.py
+++ b/tests/entry/direct/test_lost_connections.py
@@ -62,9 +62,9 @@
     async with running_fleet(1) as fleet:
         await fleet.send_request()
         await asyncio.sleep(0.1)
-        closed = list(fleet.instance._sender._connector._closed_futures.values())
+        opened = list(fleet.instance._sender._connector._opened)
         drop_connections(fleet.backends[0])
-        await wait_until(lambda: all(future.done() for future in closed))
+        await wait_until(lambda: not any(conn.is_connected() for conn in opened))
         assert not is_cold(fleet)
 
 
--- a/tests/entry/proxy/test_connections.py
+++ b/tests/entry/proxy/test_connections.py
@@ -161,7 +161,8 @@
         assert ended.connection is None
         assert other.connection is not None
         other.mark_verified()
-        assert not other.was_reset and other.skipped_answers == 0
+        assert other.connection.protocol.is_connected()
+        assert other.skipped_answers == 0
         for task in sending:
             task.cancel()
         await asyncio.gather(*sending, return_exceptions=True)
--- a/tests/support/raw_servers.py
+++ b/tests/support/raw_servers.py
@@ -1,6 +1,8 @@
 """Backend servers that write the bytes of their answers themselves."""
 
 import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
@@ -9,7 +11,17 @@
 from support.running_fleet import running_fleet, wait_until
 from support.users_platform import UsersBackend
 
-__all__ = ["RawRequest", "RawServer", "fleet_with_server", "read_request"]
+__all__ = [
+    "PART_OF_ANSWER",
+    "EarlyServer",
+    "RawRequest",
+    "RawServer",
+    "fleet_with_server",
+    "read_request",
+]
+
+PART_OF_ANSWER = b"p" * 20_000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class RawRequest(NamedTuple):
@@ -68,6 +80,37 @@
         raise NotImplementedError
 
 
+class EarlyServer(RawServer):
+    """Answer a request before its body is read, without a length.
+
+    After `pause_s`, the connection is reset, or the server ends its side and reads on
+    if `reads_on`. The answer echoes the id that the request bears under `id_header`.
+    """
+
+    def __init__(self, pause_s=0.0, *, reads_on=False, id_header):
+        self.requests = 0
+        self._pause_s = pause_s
+        self._reads_on = reads_on
+        self._id_header = id_header
+
+    async def handle(self, reader, writer):
+        lines = (await reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")
+        name = self._id_header.lower()
+        (echoed,) = (line for line in lines if line.startswith(f"{name}: "))
+        self.requests += 1
+        head = f"HTTP/1.1 200 OK\r\n{echoed}\r\nX-Rhubarbwell-Server-Stamp: s\r\n\r\n"
+        writer.write(head.encode() + PART_OF_ANSWER)
+        if self._reads_on:
+            writer.write_eof()
+        await asyncio.sleep(self._pause_s)
+        if self._reads_on:
+            await reader.read()
+            return
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+
+
 @asynccontextmanager
 async def fleet_with_server(server, **changes):
     """Run an instance whose only backend server is `server`."""
