--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -20,6 +20,7 @@
 
 from rhubarbwell_entry.logs import log_event
 from rhubarbwell_entry.proxy.answer_ends import EndCheckingProtocol
+from rhubarbwell_entry.proxy.answer_heads import InvalidHeadError, is_answer_head
 
 __all__ = ["AnswerLimitError", "AnswerProtocol", "ExpectedAnswer", "IdleLostListener"]
 
@@ -37,7 +38,6 @@
 OVERLAP_BYTES = 4
 # Value of SO_LINGER with which a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-SWITCHING_PROTOCOLS = 101
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})\b")
 # Servers state their idle timeouts in whole seconds. Without a statement, a connection
 # that was idle for less than this time was hardly closed by such a timeout.
@@ -160,8 +160,13 @@
     ) -> None:
         """Queue the head of an answer and note how its body ends."""
         message, payload = data
-        is_final = message.code >= FIRST_FINAL_STATUS
-        if is_final or message.code == SWITCHING_PROTOCOLS:
+        if not is_answer_head(message):
+            self._answer_payload = payload
+            self._has_rejected = True
+            version = ".".join(map(str, message.version))
+            self._abort(InvalidHeadError(f"HTTP/{version} {message.code} is no answer"))
+            return
+        if message.code >= FIRST_FINAL_STATUS:
             self._head_is_complete = True
             self._answer_payload = payload
             self._is_chunked = bool(message.chunked)
@@ -281,7 +286,7 @@
             if self.transport is not None and not self._reading_paused:
                 self.transport.pause_reading()
 
-    def _abort(self, exc: AnswerLimitError) -> None:
+    def _abort(self, exc: aiohttp.ClientPayloadError) -> None:
         payload = self._answer_payload
         self._log_rejected(str(exc), self._received_bytes)
         self.set_exception(exc)
