Let the versions of the store carry its era

In a drill the store may come back from a copy some seconds old: its versions go back and are given out again, and its header Store-Era rises by one.

StoreVersion(era, number) takes the place of the numbers: in replicas, feeds, expected versions, changes among instances, seeds. Its order is that of tuples, so a comparison across eras is right by construction. A replica holds the rows of one era; the first listing of a later one takes their place, and changes of another era have no effect. platform/ decodes the header, in all answers, also of errors; one without it is of era 0, for which nothing more is sent among instances. A version of an earlier era is not sent to the store; an answer of another era than the version asked for counts as lost history, also with status 200; the pages of a listing are of one era. An era that is no number or lower than one seen is logged once and counts as no answer.

The versions of existing tests are written at(n); the fields of a changed query are checked one by one. tests/core/direct, wire, platform and entry/direct pass.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/__init__.py
@@ -18,3 +18,4 @@
 from rhubarbwell_core.direct.routes import *
 from rhubarbwell_core.direct.shutdown import *
 from rhubarbwell_core.direct.verdicts import *
+from rhubarbwell_core.direct.versions import *
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from rhubarbwell_core.direct.versions import NO_VERSION, StoreVersion
+
 __all__ = ["ReplicaRow", "ReplicaUpdate", "TableReplica"]
 
 # Deleted rows kept for followers; a follower further behind gets a full listing.
@@ -13,15 +15,18 @@
     """Hold a row at a version of the store; value is None if the row is deleted."""
 
     key: str
-    version: int
+    version: StoreVersion
     value: bytes | None
 
 
 class ReplicaUpdate(NamedTuple):
-    """Hold the rows changed up to a version; complete is True for a full listing."""
+    """Hold the rows changed up to a version; complete is True for a full listing.
+
+    All versions are of one era.
+    """
 
     rows: Sequence[ReplicaRow]
-    version: int
+    version: StoreVersion
     complete: bool = False
 
 
@@ -32,29 +37,37 @@
     row with an equal content key is not a change, so heartbeats of otherwise
     unchanged rows are not passed on. Without content_key, every newer row is a change.
 
+    The rows are those of one era of the store: the first listing of a later era takes
+    their place, and changes of another era have no effect.
+
     >>> replica = TableReplica()
-    >>> _ = replica.apply(ReplicaUpdate([ReplicaRow("a", 2, b"x")], 2))
-    >>> replica.apply(ReplicaUpdate([ReplicaRow("a", 1, b"old")], 1))
+    >>> first, second = StoreVersion(0, 1), StoreVersion(0, 2)
+    >>> _ = replica.apply(ReplicaUpdate([ReplicaRow("a", second, b"x")], second))
+    >>> replica.apply(ReplicaUpdate([ReplicaRow("a", first, b"old")], first))
     []
-    >>> replica.changes_after(1).rows
-    [ReplicaRow(key='a', version=2, value=b'x')]
+    >>> [row.value for row in replica.changes_after(first).rows]
+    [b'x']
     """
 
     def __init__(
         self, content_key: Callable[[str, bytes], object] | None = None
     ) -> None:
-        self.version = 0
+        self.version = NO_VERSION
         self._content_key = content_key
         # Deletions up to this version may be missing: their tombstones were purged, or
         # a listing took the place of the changes before it.
-        self._purged_version = 0
-        self._listed_version = 0
+        self._purged_version = NO_VERSION
+        self._listed_version = NO_VERSION
         self._rows: dict[str, ReplicaRow] = {}
         # Version at which the content of each row last changed.
-        self._changed_versions: dict[str, int] = {}
+        self._changed_versions: dict[str, StoreVersion] = {}
 
     def apply(self, update: ReplicaUpdate) -> list[ReplicaRow]:
         """Apply an update and return the rows whose content it changed."""
+        if not self.accepts(update):
+            return []
+        if update.version.era > self.version.era:
+            self._forget_deleted_rows()
         newer = [row for row in update.rows if self._is_newer(row)]
         if update.complete and update.version >= self.version:
             newer += self._deletions_of_unlisted_rows(update)
@@ -72,16 +85,26 @@
         self._purge_tombstones()
         return changed
 
-    def row_version(self, key: str) -> int:
-        """Return the version of a row, 0 if it is unknown."""
+    def accepts(self, update: ReplicaUpdate) -> bool:
+        """Return True if an update is of this replica's era or lists a later one."""
+        if update.complete:
+            return update.version.era >= self.version.era
+        return update.version.era == self.version.era
+
+    def row(self, key: str) -> ReplicaRow | None:
+        """Return a row, which may be deleted, or None if it is unknown."""
+        return self._rows.get(key)
+
+    def row_version(self, key: str) -> StoreVersion:
+        """Return the version of a row, NO_VERSION if it is unknown."""
         row = self._rows.get(key)
-        return row.version if row is not None else 0
+        return row.version if row is not None else NO_VERSION
 
-    def has_changes_after(self, version: int) -> bool:
+    def has_changes_after(self, version: StoreVersion) -> bool:
         """Return True if a row has changed after a version."""
         return any(changed > version for changed in self._changed_versions.values())
 
-    def changes_after(self, version: int) -> ReplicaUpdate:
+    def changes_after(self, version: StoreVersion) -> ReplicaUpdate:
         """Return the rows changed after a version, including deleted ones.
 
         If deletions after the version may be missing, return all existing rows.
@@ -104,6 +127,12 @@
             del self._changed_versions[row.key]
             self._purged_version = max(self._purged_version, row.version)
 
+    def _forget_deleted_rows(self) -> None:
+        deleted = [key for key, row in self._rows.items() if row.value is None]
+        for key in deleted:
+            del self._rows[key]
+            del self._changed_versions[key]
+
     def _is_newer(self, row: ReplicaRow) -> bool:
         known = self._rows.get(row.key)
         # A listing without the row proves that it was deleted.
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 import aiohttp
-from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
+from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate, StoreVersion
 from rhubarbwell_core.errors import DECODING_ERRORS, RhubarbwellError
 from rhubarbwell_core.model import Address, host_port
 from rhubarbwell_platform.http import SocketTimeout
@@ -19,7 +19,9 @@
 ]
 
 CHANGES_PATH = "/changes"
-# Query fields besides the table versions; no table has one of these names.
+# Query fields besides the table versions; no table has one of these names. The first
+# is followed by the name of a table whose version is of a later era than 0.
+ERA_FIELD_PREFIX = "-era."
 FOLLOWER_FIELD = "-follower"
 BUSY_FIELD = "-busy"
 # Set by an instance that does not follow yet and needs an immediate response.
@@ -41,14 +43,18 @@
     a follower; is_first asks for an immediate response.
     """
 
-    known_versions: Mapping[str, int]
+    known_versions: Mapping[str, StoreVersion]
     follower: str = ""
     is_busy: bool = False
     is_first: bool = False
 
     def encode(self) -> dict[str, str]:
         """Return the query's fields."""
-        fields = {name: str(version) for name, version in self.known_versions.items()}
+        fields: dict[str, str] = {}
+        for name, version in self.known_versions.items():
+            fields[name] = str(version.number)
+            if version.era:
+                fields[ERA_FIELD_PREFIX + name] = str(version.era)
         fields[FOLLOWER_FIELD] = self.follower
         fields[BUSY_FIELD] = str(int(self.is_busy))
         fields[FIRST_FIELD] = str(int(self.is_first))
@@ -58,17 +64,24 @@
     def decode(cls, fields: Mapping[str, str]) -> "ChangesQuery":
         """Return the query in the fields; raise ValueError for an invalid version.
 
-        >>> query = ChangesQuery({"t": 3}, "i-1", is_busy=True)
+        >>> query = ChangesQuery({"t": StoreVersion(1, 3)}, "i-1", is_busy=True)
         >>> ChangesQuery.decode(query.encode()) == query
         True
         """
-        versions = dict(fields)
-        return cls(
-            follower=versions.pop(FOLLOWER_FIELD, ""),
-            is_busy=versions.pop(BUSY_FIELD, "") == "1",
-            is_first=versions.pop(FIRST_FIELD, "") == "1",
-            known_versions={name: int(version) for name, version in versions.items()},
-        )
+        numbers = dict(fields)
+        follower = numbers.pop(FOLLOWER_FIELD, "")
+        is_busy = numbers.pop(BUSY_FIELD, "") == "1"
+        is_first = numbers.pop(FIRST_FIELD, "") == "1"
+        eras = {
+            name.removeprefix(ERA_FIELD_PREFIX): int(numbers.pop(name))
+            for name in fields
+            if name.startswith(ERA_FIELD_PREFIX)
+        }
+        known_versions = {
+            name: StoreVersion(eras.get(name, 0), int(number))
+            for name, number in numbers.items()
+        }
+        return cls(known_versions, follower, is_busy, is_first)
 
 
 class ChangesResponse(NamedTuple):
@@ -77,7 +90,7 @@
     ages_ms maps each table to the time since the instance's copy matched the store.
     reader is the id of the instance that reads the store for it, its own if it does so
     itself, None if it has not chosen one. store_up_ms is the time for which it knows
-    the store to be up.
+    the store to be up, era the newest era of the store that it knows.
     """
 
     tables: Mapping[str, ReplicaUpdate]
@@ -86,10 +99,11 @@
     store_is_out: bool
     reader: str | None = None
     store_up_ms: int = 0
+    era: int = 0
 
     def encode(self) -> dict[str, Any]:
         """Return the response's JSON body."""
-        return {
+        return _encode_era(self.era) | {
             "store_is_out": self.store_is_out,
             "store_up_ms": self.store_up_ms,
             "reads_store": self.reads_store,
@@ -114,6 +128,7 @@
                 reader=None if reader is None else str(reader),
                 # Missing in responses of earlier versions.
                 store_up_ms=max(int(body.get("store_up_ms", 0)), 0),
+                era=_decode_era(body),
             )
         except DECODING_ERRORS as exc:
             raise ChangesError(f"invalid table changes: {exc!r}") from exc
@@ -149,20 +164,42 @@
 
 def _encode_update(update: ReplicaUpdate) -> dict[str, Any]:
     rows = [
-        [row.key, row.version, None if row.value is None else _base64_text(row.value)]
+        [
+            row.key,
+            row.version.number,
+            None if row.value is None else _base64_text(row.value),
+        ]
         for row in update.rows
     ]
-    return {"rows": rows, "version": update.version, "complete": update.complete}
+    era, number = update.version
+    return _encode_era(era) | {
+        "rows": rows,
+        "version": number,
+        "complete": update.complete,
+    }
 
 
 def _decode_update(table: Mapping[str, Any]) -> ReplicaUpdate:
+    era = _decode_era(table)
     rows = [
         ReplicaRow(
-            str(key), int(version), None if text is None else _base64_bytes(text)
+            str(key),
+            StoreVersion(era, int(number)),
+            None if text is None else _base64_bytes(text),
         )
-        for key, version, text in table["rows"]
+        for key, number, text in table["rows"]
     ]
-    return ReplicaUpdate(rows, int(table["version"]), bool(table["complete"]))
+    version = StoreVersion(era, int(table["version"]))
+    return ReplicaUpdate(rows, version, bool(table["complete"]))
+
+
+def _encode_era(era: int) -> dict[str, Any]:
+    """Return the field of an era, none for the first one."""
+    return {"era": era} if era else {}
+
+
+def _decode_era(body: Mapping[str, Any]) -> int:
+    return max(int(body.get("era", 0)), 0)
 
 
 def _base64_text(value: bytes) -> str:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import NamedTuple
 
-from rhubarbwell_core.direct import ReplicaUpdate
+from rhubarbwell_core.direct import NO_VERSION, ReplicaUpdate
 from rhubarbwell_platform.errors import HistoryLostError, PlatformError
 from rhubarbwell_platform.services import MetadataStore
 
@@ -211,7 +211,7 @@
     async def _read_update(self) -> ReplicaUpdate:
         table = self._schedule.table
         version = self._state.replicas[table].version
-        if version and not self._needs_listing:
+        if version > NO_VERSION and not self._needs_listing:
             try:
                 return await self._store.read_changes(
                     table, version, self._schedule.wait_ms
@@ -223,7 +223,8 @@
                     "history_lost",
                     "the store no longer holds a table's changes; listing it again",
                     table=table,
-                    version=version,
+                    era=version.era,
+                    version=version.number,
                 )
                 self._needs_listing = True
         update = await self._store.read_table(table)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -160,7 +160,9 @@
             self.open_sockets()
         self.is_started = True
         self._session = open_session()
-        self._store = self.platform.open_store(self._session, self.settings)
+        self._store = self.platform.open_store(
+            self._session, self.settings, self.state.eras
+        )
         self._health = StoreHealth(
             self._on_store_lost, self._on_store_up, self.clock_ms
         )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
@@ -4,7 +4,12 @@
 import logging
 from collections.abc import Callable
 
-from rhubarbwell_core.direct import FollowerTracker, InstanceEntry, InstanceTable
+from rhubarbwell_core.direct import (
+    FollowerTracker,
+    InstanceEntry,
+    InstanceTable,
+    StoreVersion,
+)
 from rhubarbwell_platform.errors import PlatformError
 from rhubarbwell_platform.services import MetadataStore, RowWrite
 
@@ -52,7 +57,7 @@
         instances: InstanceTable,
         followers: FollowerTracker,
         upstream: Upstream,
-        row_version: Callable[[str], int],
+        row_version: Callable[[str], StoreVersion],
         is_ready: Callable[[], bool],
         clock_ms: Callable[[], int],
     ) -> None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -6,10 +6,12 @@
 
 from aiohttp import web
 from rhubarbwell_core.direct import (
+    NO_VERSION,
     FollowerTracker,
     InstanceEntry,
     InstanceTable,
     ReaderSelector,
+    StoreVersion,
 )
 
 from rhubarbwell_entry.direct.changes import (
@@ -81,12 +83,14 @@
             await self._state.wait_for_change(POLL_WAIT_MS / MS_PER_S)
         return web.json_response(self._make_response(query.known_versions).encode())
 
-    def _make_response(self, known_versions: Mapping[str, int]) -> ChangesResponse:
+    def _make_response(
+        self, known_versions: Mapping[str, StoreVersion]
+    ) -> ChangesResponse:
         now_ms = self._clock_ms()
         reads_store = self._upstream.reads_store
         return ChangesResponse(
             tables={
-                name: replica.changes_after(known_versions.get(name, 0))
+                name: replica.changes_after(known_versions.get(name, NO_VERSION))
                 for name, replica in self._state.replicas.items()
             },
             ages_ms={
@@ -96,6 +100,7 @@
             reads_store=reads_store,
             store_is_out=self._health.is_out,
             store_up_ms=self._health.up_ms,
+            era=self._state.eras.current,
             reader=self._own_id if reads_store else self._upstream.reader,
         )
 
@@ -160,8 +165,7 @@
         # Before the tables: it decides whether a removed entry may have expired.
         if resp.reads_store and not resp.store_is_out:
             self._health.record_peer(resp.store_up_ms)
-        for name, update in resp.tables.items():
-            self._state.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
+        self._state.apply_response(resp, now_ms)
         # Chained followers could form a cycle in which no instance reads the store.
         if not resp.reads_store:
             self._exclude_reader(reader, "the instance does not read the store")
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/seeds.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import NamedTuple
 
+from rhubarbwell_core.direct import NO_VERSION, StoreVersion
 from rhubarbwell_core.model import Address, host_port
 
 from rhubarbwell_entry.direct.changes import (
@@ -40,7 +41,7 @@
 # some seconds of the start of the fleet.
 MAX_READER_QUERIES = 10
 # Known versions that exclude all rows from a response.
-NO_ROWS_VERSION = 1 << 62
+NO_ROWS_VERSION = StoreVersion(1 << 62, 1 << 62)
 MS_PER_S = 1_000
 
 
@@ -57,7 +58,9 @@
     @property
     def has_tables(self) -> bool:
         tables = self.resp.tables
-        return bool(tables) and all(table.version > 0 for table in tables.values())
+        return bool(tables) and all(
+            table.version > NO_VERSION for table in tables.values()
+        )
 
 
 class SeedLoader:
@@ -121,7 +124,8 @@
             if self._health.is_out:
                 probes = [p async for p in self._probe_seeds() if p.has_tables]
                 if probes and not self._state.is_configured:
-                    await self._load_from(min(probes, key=lambda p: p.max_age_ms))
+                    newest = max(probes, key=lambda p: (p.resp.era, -p.max_age_ms))
+                    await self._load_from(newest)
             await self._pause()
 
     async def _find_current(self, max_wait_ms: int) -> _Probe | None:
@@ -167,8 +171,7 @@
         if resp is None:
             return False
         now_ms = self._clock_ms()
-        for name, update in resp.tables.items():
-            self._state.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
+        self._state.apply_response(resp, now_ms)
         if self._upstream.awaits_seeds:
             self._upstream.reader = resp.reader
             self._upstream.awaits_seeds = False
@@ -198,7 +201,7 @@
             await self._load_from(probe)
 
     async def _fetch(
-        self, address: Address, versions: Mapping[str, int]
+        self, address: Address, versions: Mapping[str, StoreVersion]
     ) -> ChangesResponse | None:
         query = ChangesQuery(versions, is_first=True)
         try:
@@ -219,6 +222,7 @@
         return (
             probe.resp.reader is not None
             and probe.has_tables
+            and probe.resp.era >= self._state.eras.current
             and all(
                 ages_ms.get(name, stale_ms) < stale_ms
                 for name, stale_ms in self._stale_ms.items()
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -6,14 +6,18 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from rhubarbwell_core.direct import (
+    NO_VERSION,
     InstanceEntry,
     InstanceTable,
     LoadBalancer,
     ReplicaRow,
     ReplicaUpdate,
+    StoreVersion,
     TableReplica,
 )
+from rhubarbwell_platform.services import EraTracker
 
+from rhubarbwell_entry.direct.changes import ChangesResponse
 from rhubarbwell_entry.direct.registrations import decode_instance
 from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
 from rhubarbwell_entry.logs import log_event, log_exception
@@ -36,6 +40,7 @@
         self.balancer = balancer
         self._platform = platform
         self.instances = instances
+        self.eras = EraTracker()
         self.replicas = {
             names.operator_table: TableReplica(),
             names.backend_table: TableReplica(self._backend_content_key),
@@ -66,12 +71,16 @@
         """Apply an update of a table that was read from the store age_ms ago.
 
         A row that cannot be applied is logged and leaves the others applied. Tables
-        that this instance does not follow are ignored.
+        that this instance does not follow are ignored, as are late updates of an era
+        of the store before the current one.
         """
-        if table not in self.replicas:
+        replica = self.replicas.get(table)
+        if update.version.era > self.eras.current:
+            self.eras.observe(update.version.era)
+        if replica is None or not self._is_current(replica, update):
             return
-        is_first_listing = self.replicas[table].version == 0
-        changed = self._with_unapplied(table, self.replicas[table].apply(update))
+        is_first_listing = replica.version == NO_VERSION
+        changed = self._with_unapplied(table, replica.apply(update))
         self.synced_until_ms[table] = max(self.synced_until_ms[table], now_ms - age_ms)
         if is_first_listing and table == self._platform.names.instance_table:
             self._apply_first_instance_rows(changed, now_ms)
@@ -83,6 +92,17 @@
             self._urgent_change.set()
             self._urgent_change = asyncio.Event()
 
+    def apply_response(self, resp: ChangesResponse, now_ms: int) -> None:
+        """Apply the tables of another instance, unless they are of an earlier era."""
+        if resp.era < self.eras.current:
+            return
+        self.eras.observe(resp.era)
+        for name, update in resp.tables.items():
+            self.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
+
+    def _is_current(self, replica: TableReplica, update: ReplicaUpdate) -> bool:
+        return update.version.era == self.eras.current and replica.accepts(update)
+
     def _with_unapplied(
         self, table: str, changed: Sequence[ReplicaRow]
     ) -> list[ReplicaRow]:
@@ -110,10 +130,13 @@
                     exc,
                     table=table,
                     key=row.key,
-                    row_version=row.version,
+                    row_version=row.version.number,
+                    era=row.version.era,
                 )
 
-    def has_urgent_changes_after(self, known_versions: Mapping[str, int]) -> bool:
+    def has_urgent_changes_after(
+        self, known_versions: Mapping[str, StoreVersion]
+    ) -> bool:
         """Return True if an urgent table has changes after the known versions."""
         return any(
             self.replicas[name].has_changes_after(version)
@@ -180,7 +203,8 @@
                 "config_in_force",
                 "a configuration is in force",
                 version=config.version,
-                row_version=row.version,
+                row_version=row.version.number,
+                era=row.version.era,
                 routes=len(config.routes),
                 split_routes=sum(len(route.parts) > 1 for route in config.routes),
             )
@@ -219,8 +243,8 @@
             )
         backends.put(entry, now_ms)
 
-    def instance_row_version(self, instance_id: str) -> int:
-        """Return the version of an instance's row, 0 if it is unknown."""
+    def instance_row_version(self, instance_id: str) -> StoreVersion:
+        """Return the version of an instance's row, NO_VERSION if it is unknown."""
         replica = self.replicas[self._platform.names.instance_table]
         return replica.row_version(instance_id)
 
@@ -275,7 +299,8 @@
             "the registry changed the state of a backend server",
             backend_id=row.key,
             state=state,
-            row_version=row.version,
+            row_version=row.version.number,
+            era=row.version.era,
             **fields,
         )
 
@@ -297,6 +322,7 @@
         "row_unreadable",
         f"cannot decode a row of the store as {row_kind}",
         key=row.key,
-        row_version=row.version,
+        row_version=row.version.number,
+        era=row.version.era,
         error=str(exc),
     )
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -7,7 +7,7 @@
 import aiohttp
 from rhubarbwell_core.direct import BackendEntry, LoadReport, RoutingConfig
 from rhubarbwell_core.errors import RhubarbwellError
-from rhubarbwell_platform.services import MetadataStore
+from rhubarbwell_platform.services import EraTracker, MetadataStore
 
 from rhubarbwell_entry.direct.settings import DirectSettings
 
@@ -73,9 +73,12 @@
 
     @abstractmethod
     def open_store(
-        self, session: aiohttp.ClientSession, cfg: DirectSettings
+        self, session: aiohttp.ClientSession, cfg: DirectSettings, eras: EraTracker
     ) -> MetadataStore:
-        """Return a client of the metadata store that the settings name."""
+        """Return a client of the metadata store that the settings name.
+
+        It tells eras the era in each answer.
+        """
 
     @abstractmethod
     def decode_config(self, key: str, value: bytes) -> RoutingConfig | None:
--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/client.py
@@ -1,7 +1,7 @@
 """HTTP calls to the platform with time-outs, retries and rate limits."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 from random import Random
 from typing import Any, NamedTuple
@@ -30,6 +30,7 @@
 __all__ = [
     "CallKind",
     "ClientOptions",
+    "PlatformAnswer",
     "PlatformClient",
     "RateLimits",
 ]
@@ -61,6 +62,13 @@
     WRITE = "write"
 
 
+class PlatformAnswer(NamedTuple):
+    """Hold the headers and the decoded JSON body of an answer."""
+
+    headers: Mapping[str, str]
+    body: Any
+
+
 class RateLimits:
     """Limit the rates of reads and writes of the clients that share this object."""
 
@@ -101,7 +109,11 @@
 
 
 class PlatformClient:
-    """Send calls to one service of the platform."""
+    """Send calls to one service of the platform.
+
+    check_headers is called with the headers of every answer, also of one that reports
+    an error. A ValueError that it raises makes the answer count as malformed.
+    """
 
     def __init__(
         self,
@@ -111,11 +123,13 @@
         *,
         options: ClientOptions,
         limits: RateLimits,
+        check_headers: Callable[[Mapping[str, str]], None] | None = None,
     ) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
         self._options = options
         self._limits = limits
+        self._check_headers = check_headers
         self._wait = _JitteredBackoff(rng, options)
         self._breaker = CircuitBreaker(
             rng,
@@ -132,7 +146,19 @@
         *,
         wait_ms: int = 0,
     ) -> Any:
-        """Return the JSON answer of a call.
+        """Return the JSON body of a call's answer; raise as exchange does."""
+        return (await self.exchange(kind, method, path, body, wait_ms=wait_ms)).body
+
+    async def exchange(
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        *,
+        wait_ms: int = 0,
+    ) -> PlatformAnswer:
+        """Return the answer of a call.
 
         wait_ms is added to the time-out for a call that the platform may hold open.
         Raises UnavailableError, AnswerLostError (writes only), ConflictError,
@@ -156,7 +182,7 @@
         path: str,
         body: Mapping[str, Any] | None,
         wait_ms: int,
-    ) -> Any:
+    ) -> PlatformAnswer:
         await self._limits.acquire(kind)
         if not self._breaker.allow(_now_ms()):
             raise UnavailableError("the circuit breaker of the platform is open")
@@ -178,7 +204,7 @@
         path: str,
         body: Mapping[str, Any] | None,
         wait_ms: int,
-    ) -> Any:
+    ) -> PlatformAnswer:
         lost_error = UnavailableError if kind is CallKind.READ else AnswerLostError
         total_ms = self._options.timeout_ms + wait_ms
         connect_timeout = aiohttp.ClientTimeout(
@@ -192,7 +218,11 @@
                     method, url, json=body, timeout=connect_timeout
                 ) as resp,
             ):
-                return await _read_answer(resp, lost_error)
+                if self._check_headers is not None:
+                    self._check_headers(resp.headers)
+                return PlatformAnswer(
+                    resp.headers, await _read_answer(resp, lost_error)
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise UnavailableError(f"no connection to the platform: {exc}") from exc
         except TimeoutError as exc:
--- a/tests/entry/direct/test_follower.py
+++ b/tests/entry/direct/test_follower.py
@@ -19,6 +19,7 @@
 )
 from rhubarbwell_entry.direct.relay import PeerFollower
 from rhubarbwell_platform.errors import UnavailableError
+from support.versions import at
 
 HERE = Address("127.0.0.1", 1)
 # The times of the operators' table with this bound on a change of the configuration.
@@ -47,6 +48,10 @@
         self.applied_updates.append(update)
         self.synced_until_ms[table] = now_ms - age_ms
 
+    def apply_response(self, resp, now_ms):
+        for table, update in resp.tables.items():
+            self.apply(table, update, now_ms, age_ms=resp.ages_ms[table])
+
 
 def make_health():
     return StoreHealth(lambda: None, lambda since_ms: None, lambda: 50_000)
@@ -98,7 +103,7 @@
         self.calls += 1
         if self.calls == 1:
             raise UnavailableError("one call failed")
-        return ReplicaUpdate([], 1, complete=True)
+        return ReplicaUpdate([], at(1), complete=True)
 
 
 async def sync_gap_ms(rank, seed, monkeypatch):
@@ -146,7 +151,7 @@
 
 
 def make_response(*, reads_store, age_ms=0, reader=None):
-    tables = {"op": ReplicaUpdate([], 1)}
+    tables = {"op": ReplicaUpdate([], at(1))}
     return ChangesResponse(tables, {"op": age_ms}, reads_store, False, reader)
 
 
@@ -171,7 +176,7 @@
 
     peers._fetch_changes = fetch_changes
     followed = await peers._poll_reader(instance_entry("i-2"))
-    assert state.applied_updates == [ReplicaUpdate([], 1)]
+    assert state.applied_updates == [ReplicaUpdate([], at(1))]
     return followed and upstream.reader == "i-2"
 
 
--- a/tests/entry/direct/test_hostile_queries.py
+++ b/tests/entry/direct/test_hostile_queries.py
@@ -5,7 +5,10 @@
 from rhubarbwell_entry.direct.changes import ChangesQuery
 
 FUZZED = settings(max_examples=300, deadline=None, derandomize=True)
-NAMES = st.sampled_from(["op", "servers", "-follower", "-busy", "-first"]) | st.text()
+NAMES = (
+    st.sampled_from(["op", "servers", "-follower", "-busy", "-first", "-era.op"])
+    | st.text()
+)
 VALUES = st.text() | st.sampled_from(["9" * 5_000, "²", "-1", " 3 ", "1_0", "\ud800"])
 
 
@@ -16,4 +19,8 @@
         query = ChangesQuery.decode(fields)
     except ValueError:
         return
-    assert all(isinstance(v, int) for v in query.known_versions.values())
+    assert all(
+        isinstance(number, int)
+        for version in query.known_versions.values()
+        for number in version
+    )
--- a/tests/entry/direct/test_left_servers.py
+++ b/tests/entry/direct/test_left_servers.py
@@ -23,7 +23,7 @@
 
 def knows_last_row(instance, fleet, backend_id):
     version, _ = fleet.store.rows[TABLE, backend_id]
-    return instance.state.replicas[TABLE].row_version(backend_id) >= version
+    return instance.state.replicas[TABLE].row_version(backend_id).number >= version
 
 
 async def respond_unavailable(request):
--- a/tests/entry/direct/test_state.py
+++ b/tests/entry/direct/test_state.py
@@ -5,13 +5,14 @@
 import pytest
 from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
 from support.fleet_state import BACKEND_ENTRY, make_fleet_state
+from support.versions import at
 
 GOOD = json.dumps(BACKEND_ENTRY).encode()
 
 
 def listing(*keys):
-    rows = [ReplicaRow(key, number, GOOD) for number, key in enumerate(keys, 2)]
-    return ReplicaUpdate(rows, len(keys) + 1)
+    rows = [ReplicaRow(key, at(number), GOOD) for number, key in enumerate(keys, 2)]
+    return ReplicaUpdate(rows, at(len(keys) + 1))
 
 
 @pytest.fixture
@@ -42,7 +43,7 @@
     state, failing = failing_puts
     state.apply("servers", listing("b-0", "b-1"), 1_000)
     failing.clear()
-    state.apply("servers", ReplicaUpdate([], 5), 1_500)
+    state.apply("servers", ReplicaUpdate([], at(5)), 1_500)
     assert set(state.balancer.backends.rows) == {"b-0", "b-1"}
 
 
@@ -50,9 +51,9 @@
     state, failing = failing_puts
     state.apply("servers", listing("b-0", "b-1"), 1_000)
     failing.clear()
-    removal = ReplicaRow("b-1", 5, None)
-    state.apply("servers", ReplicaUpdate([removal], 5), 1_500)
-    state.apply("servers", ReplicaUpdate([], 6), 2_000)
+    removal = ReplicaRow("b-1", at(5), None)
+    state.apply("servers", ReplicaUpdate([removal], at(5)), 1_500)
+    state.apply("servers", ReplicaUpdate([], at(6)), 2_000)
     assert set(state.balancer.backends.rows) == {"b-0"}
 
 
--- a/tests/entry/direct/test_supervision.py
+++ b/tests/entry/direct/test_supervision.py
@@ -1,7 +1,7 @@
 """Tests that each background task of an instance goes on after an exception."""
 
 import pytest
-from rhubarbwell_core.direct import ReaderSelector
+from rhubarbwell_core.direct import NO_VERSION, ReaderSelector
 from rhubarbwell_core.model import Address
 from support.running_fleet import running_fleet, second_instance, wait_until
 
@@ -68,7 +68,7 @@
         await fleet.store.write(table, "lost-update", b"{}")
         await wait_until(lambda: raised)
         known = state.replicas[table]
-        await wait_until(lambda: known.row_version("lost-update") > 0)
+        await wait_until(lambda: known.row_version("lost-update") > NO_VERSION)
         assert failed_tasks(caplog) == {f"follower of {table}"}
 
 
@@ -96,7 +96,9 @@
 async def test_seeds_are_asked_after_an_exception(monkeypatch, caplog):
     seeds = (Address("127.0.0.1", 9),)
     async with running_fleet(0, config=False, seeds=seeds) as fleet:
-        await wait_until(lambda: fleet.instance.state.replicas["op"].version > 0)
+        await wait_until(
+            lambda: fleet.instance.state.replicas["op"].version > NO_VERSION
+        )
         call = Interception(monkeypatch, fleet.instance._rng, "uniform")
         await wait_until(lambda: call.raised and call.later_calls >= 2)
         assert failed_tasks(caplog) == {"seeds"}
--- a/tests/platform/http/test_hostile_answers.py
+++ b/tests/platform/http/test_hostile_answers.py
@@ -24,6 +24,7 @@
 class StubResponse:
     def __init__(self, status, data):
         self.status = status
+        self.headers = {}
         self._data = data
 
     async def json(self):
--- a/tests/support/fleet_state.py
+++ b/tests/support/fleet_state.py
@@ -16,6 +16,7 @@
 from rhubarbwell_entry.direct.state import FleetState
 from rhubarbwell_wire.adapter import UsersPlatform
 from support.users_platform import config_body
+from support.versions import at
 
 __all__ = ["BACKEND_ENTRY", "make_fleet_state"]
 
@@ -46,5 +47,7 @@
     instances = InstanceTable(own, liveness_timeout_ms=4_400)
     state = FleetState(UsersPlatform(), balancer, instances)
     config = json.dumps(config_body()).encode()
-    state.apply("op", ReplicaUpdate([ReplicaRow("config", 1, config)], 1), 1_000)
+    state.apply(
+        "op", ReplicaUpdate([ReplicaRow("config", at(1), config)], at(1)), 1_000
+    )
     return state
--- a/tests/wire/test_hostile_rows.py
+++ b/tests/wire/test_hostile_rows.py
@@ -22,6 +22,7 @@
 from support.fleet_state import BACKEND_ENTRY, make_fleet_state
 from support.hostile_bytes import hostile_documents
 from support.users_platform import config_body
+from support.versions import at
 
 HERE = Address("127.0.0.1", 80)
 INSTANCE = InstanceEntry("i-9", "inc", "a-2", "a", HERE, HERE, 3, False, 40.0)
@@ -76,11 +77,11 @@
     except RowDecodingError:
         expected = set()
     rows = [
-        ReplicaRow("s-0", 2, json.dumps({**BACKEND_ENTRY, "zone": "a-2"}).encode()),
-        ReplicaRow(key, 3, data),
-        ReplicaRow("s-2", 4, json.dumps(BACKEND_ENTRY).encode()),
+        ReplicaRow("s-0", at(2), json.dumps({**BACKEND_ENTRY, "zone": "a-2"}).encode()),
+        ReplicaRow(key, at(3), data),
+        ReplicaRow("s-2", at(4), json.dumps(BACKEND_ENTRY).encode()),
     ]
-    state.apply("servers", ReplicaUpdate(rows, 4), 1_000)
+    state.apply("servers", ReplicaUpdate(rows, at(4)), 1_000)
     assert set(state.balancer.backends.rows) == {"s-0", "s-2"} | expected
     assert_usable(state)
 
@@ -104,7 +105,9 @@
         known = ["i-1"]
     else:
         known = ["i-1", "i-9"]
-    state.apply("instances", ReplicaUpdate([ReplicaRow("i-9", 2, data)], 2), 1_000)
+    state.apply(
+        "instances", ReplicaUpdate([ReplicaRow("i-9", at(2), data)], at(2)), 1_000
+    )
     assert state.instances.live_ids() == known
     state.instances.offered_addresses("a-1", "a", True)
     assert_usable(state)
@@ -131,7 +134,7 @@
     except (ValueError, RecursionError):
         return
     try:
-        _decode_update(body)
+        _decode_update(body, 0)
     except UnavailableError:
         return
 
