Keep what a store that came back from a copy may have lost

A listing of a new era is older than what is known, and no proof of a deletion.

The first listing of an era is now held against what was known: - a server's row that is older than the known one (born, then sequence, then draining) does not act, until a row shows that the server lives on; the last heartbeat is taken from the replica, as heartbeats are no changes; - a server that is missing has the grace period of entries that expire in an outage, 2.2 s, from the moment at which the era is seen; - a zone whose evacuation is missing stays evacuated until the operators write it again, at most for 10 s; - an instance that is missing keeps its place in look-ups and budgets; it is removed as others are, after 60 s of silence. Rows of earlier incarnations and lower heartbeats are no news, a row of a removed instance no sign of life; - an older configuration is refused as before. One line store_era_changed tells of each era: what was missing or older, whether the instance registered again, how long it took.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/backends.py
@@ -263,6 +263,8 @@
         self._store_is_out = False
         # Time since which the store has been up after an outage, None without one.
         self._store_up_since_ms: int | None = None
+        # Time at which the store came back from a copy, None if it never did.
+        self._store_restored_ms: int | None = None
         # The last entries of servers that said that they leave, by id.
         self._leaving_entries = OrderedDict[str, BackendEntry]()
 
@@ -327,13 +329,16 @@
             self._rebuild()
 
     def remove(self, backend_id: str, now_ms: int) -> None:
-        """Remove a server, after a grace period if the store is or just was down."""
+        """Remove a server, after a grace period if the store is or just was down.
+
+        A store that just came back from a copy may have lost its entry.
+        """
         state = self.rows.get(backend_id)
         if state is None:
             return
         if self._store_is_out:
             state.removal_due_ms = now_ms + RETURN_GRACE_MS
-        elif self._store_up_since_ms is not None and now_ms < self._grace_end_ms():
+        elif now_ms < self._grace_end_ms():
             state.removal_due_ms = self._grace_end_ms()
         else:
             self.rows.remove(backend_id)
@@ -357,9 +362,15 @@
         """
         self._store_is_out = False
         self._store_up_since_ms = since_ms
-        for state in self.rows.rows():
-            if state.removal_due_ms is not None:
-                state.removal_due_ms = self._grace_end_ms()
+        self._postpone_removals()
+
+    def mark_store_restored(self, now_ms: int) -> None:
+        """Record that the store came back from a copy.
+
+        Entries that it has lost have a grace period from now on.
+        """
+        self._store_restored_ms = now_ms
+        self._postpone_removals()
 
     def remove_expired(self, now_ms: int) -> list[str]:
         """Remove the servers whose grace period has ended and return their ids."""
@@ -400,9 +411,16 @@
             return False
         return 0 < entry.born_ms <= known.born_ms
 
+    def _postpone_removals(self) -> None:
+        for state in self.rows.rows():
+            if state.removal_due_ms is not None:
+                state.removal_due_ms = self._grace_end_ms()
+
     def _grace_end_ms(self) -> int:
-        assert self._store_up_since_ms is not None
-        return self._store_up_since_ms + RETURN_GRACE_MS
+        """Return the end of the grace period, 0 if the store was always there."""
+        starts_ms = (self._store_up_since_ms, self._store_restored_ms)
+        known_ms = [start_ms for start_ms in starts_ms if start_ms is not None]
+        return max(known_ms) + RETURN_GRACE_MS if known_ms else 0
 
     def _rebuild(self) -> None:
         self.generation += 1
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -1,6 +1,6 @@
 """Track the live entry instances and choose those offered to callers."""
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Sequence
 
 from rhubarbwell_core.direct.model import InstanceEntry
@@ -20,16 +20,44 @@
 # Instances with at least this share of the maximum capacity are offered first: callers
 # spread evenly over the offered addresses, which would overload smaller instances.
 MIN_CAPACITY_SHARE = 0.5
+# A held instance that is silent for this time is removed, like the rows of others.
+HELD_SILENCE_MS = 60_000
+# Earlier incarnations of an instance, and removed instances, whose rows are recognized.
+MAX_EARLIER_INCARNATIONS = 8
+MAX_REMOVED = 1_024
 
 
 class _InstanceState:
-    __slots__ = ("confirmed_by", "entry", "is_busy", "last_seen_ms")
+    __slots__ = (
+        "confirmed_by",
+        "earlier_incarnations",
+        "entry",
+        "is_busy",
+        "is_held",
+        "last_seen_ms",
+    )
 
     def __init__(self, entry: InstanceEntry, last_seen_ms: int) -> None:
         self.entry = entry
         self.last_seen_ms = last_seen_ms
         self.is_busy = False
         self.confirmed_by = ""
+        self.earlier_incarnations: tuple[str, ...] = ()
+        # True if the store no longer lists the instance, and may have lost its row.
+        self.is_held = False
+
+    def is_newer(self, entry: InstanceEntry) -> bool:
+        """Return True if an entry was written after the one that is known."""
+        if entry.incarnation == self.entry.incarnation:
+            return entry.beat > self.entry.beat
+        return entry.incarnation not in self.earlier_incarnations
+
+    def add_earlier_incarnations(self, before: "_InstanceState") -> None:
+        """Take over the incarnations that preceded this one."""
+        earlier = before.earlier_incarnations
+        if before.entry.incarnation != self.entry.incarnation:
+            earlier = (*earlier, before.entry.incarnation)
+        self.earlier_incarnations = earlier[-MAX_EARLIER_INCARNATIONS:]
 
 
 class InstanceTable:
@@ -45,6 +73,7 @@
         self.own_is_busy = False
         self._liveness_timeout_ms = liveness_timeout_ms
         self._rows = Table[str, _InstanceState]("entry instances")
+        self._removed = OrderedDict[str, _InstanceState]()
         self._synced_ms = 0
         self._own_confirmed_ms = -liveness_timeout_ms
 
@@ -52,18 +81,26 @@
         """Add or update an instance from its registration or heartbeat.
 
         Ignores an entry that is older than the known one: the store may perform a
-        write that got no response after later writes.
+        write that got no response after later writes, or come back from a copy.
         """
         if entry.instance_id == self.own.instance_id:
             return
+        removed = self._removed.pop(entry.instance_id, None)
+        if removed is not None:
+            # Without a newer entry, it is as silent as before.
+            removed.is_held = False
+            self._rows.put(entry.instance_id, removed)
         known = self._rows.get(entry.instance_id)
-        if known is not None and not _is_newer(entry, known.entry):
+        if known is not None and not known.is_newer(entry):
+            known.is_held = False
             return
         self._synced_ms = now_ms
         if known is not None:
             self._expire_dropped_followers(entry, known.entry, now_ms)
         state = _InstanceState(entry, now_ms)
         state.is_busy = entry.instance_id in entry.busy
+        if known is not None:
+            state.add_earlier_incarnations(known)
         self._rows.put(entry.instance_id, state)
         self._confirm_followers(entry, now_ms)
 
@@ -83,7 +120,29 @@
 
     def remove(self, instance_id: str) -> None:
         """Remove an instance whose registration was deleted."""
+        state = self._rows.get(instance_id)
+        if state is None:
+            return
         self._rows.remove(instance_id)
+        self._removed[instance_id] = state
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
+
+    def hold(self, instance_id: str) -> None:
+        """Keep an instance whose registration the store may have lost.
+
+        It goes on as before until it is silent for HELD_SILENCE_MS.
+        """
+        state = self._rows.get(instance_id)
+        if state is not None:
+            state.is_held = True
+
+    def remove_held(self) -> None:
+        """Remove the held instances that are silent for HELD_SILENCE_MS."""
+        oldest_ms = self._synced_ms - HELD_SILENCE_MS
+        for key, state in list(self._rows.items()):
+            if state.is_held and state.last_seen_ms < oldest_ms:
+                self.remove(key)
 
     def mark_synced(self, now_ms: int) -> None:
         """Record that all registrations up to a time have been received."""
@@ -148,7 +207,9 @@
         """Return the ids of instances not heard of for over silent_ms milliseconds."""
         oldest_ms = self._synced_ms - silent_ms
         return [
-            key for key, state in self._rows.items() if state.last_seen_ms < oldest_ms
+            key
+            for key, state in self._rows.items()
+            if state.last_seen_ms < oldest_ms and not state.is_held
         ]
 
     def offered_addresses(
@@ -217,12 +278,6 @@
                 state.confirmed_by = entry.instance_id
 
 
-def _is_newer(entry: InstanceEntry, known: InstanceEntry) -> bool:
-    if entry.incarnation == known.incarnation:
-        return entry.beat > known.beat
-    return True
-
-
 def high_capacity_entries(entries: Sequence[InstanceEntry]) -> list[InstanceEntry]:
     """Return the entries with at least MIN_CAPACITY_SHARE of the maximum capacity."""
     max_capacity = max((entry.capacity for entry in entries), default=0.0)
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -91,6 +91,10 @@
             return update.version.era >= self.version.era
         return update.version.era == self.version.era
 
+    def rows(self) -> list[ReplicaRow]:
+        """Return the known rows, including deleted ones."""
+        return list(self._rows.values())
+
     def row(self, key: str) -> ReplicaRow | None:
         """Return a row, which may be deleted, or None if it is unknown."""
         return self._rows.get(key)
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -17,8 +17,11 @@
 )
 from rhubarbwell_platform.services import EraTracker
 
+from rhubarbwell_entry.direct.ages import OlderRowFilter
 from rhubarbwell_entry.direct.changes import ChangesResponse
+from rhubarbwell_entry.direct.evacuations import EvacuatedZones
 from rhubarbwell_entry.direct.registrations import decode_instance
+from rhubarbwell_entry.direct.restoration import StoreRestoration
 from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
 from rhubarbwell_entry.logs import log_event, log_exception
 
@@ -46,12 +49,15 @@
             names.backend_table: TableReplica(self._backend_content_key),
             names.instance_table: TableReplica(),
         }
+        self.restoration = StoreRestoration(self.replicas)
         # Time in ms up to which the copy of each table is known to match the store.
         self.synced_until_ms = dict.fromkeys(self.replicas, 0)
         # Without the instance table: heartbeats change it continuously and can wait.
         self._urgent_tables = frozenset({names.operator_table, names.backend_table})
         self._urgent_change = asyncio.Event()
-        self._evacuated_zones: set[str] = set()
+        self._older_rows = OlderRowFilter(platform.decode_backend_age)
+        self._evacuations = EvacuatedZones()
+        self._evacuated_zones: frozenset[str] = frozenset()
         # Rows of each table that could not be applied, by key; they are tried again
         # with the next update, as the replica does not list them again.
         self._unapplied_rows: dict[str, dict[str, ReplicaRow]] = {
@@ -79,9 +85,17 @@
             self.eras.observe(update.version.era)
         if replica is None or not self._is_current(replica, update):
             return
-        is_first_listing = replica.version == NO_VERSION
+        known_version = replica.version
+        older = 0
+        if table == self._platform.names.backend_table:
+            update, older = self._older_rows.filter(replica, update, now_ms)
         changed = self._with_unapplied(table, replica.apply(update))
+        if known_version > NO_VERSION and known_version.era < update.version.era:
+            missing = sum(row.value is None for row in changed)
+            self.restoration.record_table(table, missing, older)
+            changed = self._hold_missing_rows(table, changed, now_ms)
         self.synced_until_ms[table] = max(self.synced_until_ms[table], now_ms - age_ms)
+        is_first_listing = known_version == NO_VERSION
         if is_first_listing and table == self._platform.names.instance_table:
             self._apply_first_instance_rows(changed, now_ms)
         else:
@@ -100,6 +114,29 @@
         for name, update in resp.tables.items():
             self.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
 
+    def _hold_missing_rows(
+        self, table: str, changed: Sequence[ReplicaRow], now_ms: int
+    ) -> list[ReplicaRow]:
+        """Return the rows to apply of the first listing of a later era.
+
+        A row that is missing in it may have been lost: its writer then writes it again.
+        Servers have a grace period, see BackendTable.remove; what the missing rows of
+        operators and instances said is held.
+        """
+        names = self._platform.names
+        if table == names.backend_table:
+            return list(changed)
+        for row in changed:
+            if row.value is not None:
+                continue
+            if table == names.instance_table:
+                self.instances.hold(row.key)
+                continue
+            zone = self._platform.evacuated_zone(row.key)
+            if zone is not None:
+                self._evacuations.hold(zone, now_ms)
+        return [row for row in changed if row.value is not None]
+
     def _is_current(self, replica: TableReplica, update: ReplicaUpdate) -> bool:
         return update.version.era == self.eras.current and replica.accepts(update)
 
@@ -166,18 +203,15 @@
             return value
 
     def _apply_operator_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
-        zones = set(self._evacuated_zones)
-
         def apply_row(row: ReplicaRow) -> None:
             zone = self._platform.evacuated_zone(row.key)
             if zone is not None:
-                zones.discard(zone)
-                if row.value is not None:
-                    zones.add(zone)
+                self._evacuations.set(zone, row.value is not None)
             elif row.value is not None:
                 self._apply_config(row)
 
         self._apply_each(self._platform.names.operator_table, rows, apply_row)
+        zones = self._evacuations.current(now_ms)
         if zones != self._evacuated_zones:
             self._evacuated_zones = zones
             self.balancer.set_evacuated_zones(zones, now_ms)
@@ -243,6 +277,10 @@
             )
         backends.put(entry, now_ms)
 
+    def instance_row(self, instance_id: str) -> ReplicaRow | None:
+        """Return an instance's row, None if it is unknown."""
+        return self.replicas[self._platform.names.instance_table].row(instance_id)
+
     def instance_row_version(self, instance_id: str) -> StoreVersion:
         """Return the version of an instance's row, NO_VERSION if it is unknown."""
         replica = self.replicas[self._platform.names.instance_table]
@@ -261,6 +299,7 @@
             rows,
             lambda row: self._apply_instance_row(row, now_ms),
         )
+        self.instances.remove_held()
         self._share_limits()
 
     def _apply_instance_row(self, row: ReplicaRow, now_ms: int) -> None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/wire.py
@@ -11,7 +11,14 @@
 
 from rhubarbwell_entry.direct.settings import DirectSettings
 
-__all__ = ["BackendReport", "DirectPlatform", "LookUp", "RowDecodingError", "WireNames"]
+__all__ = [
+    "BackendAge",
+    "BackendReport",
+    "DirectPlatform",
+    "LookUp",
+    "RowDecodingError",
+    "WireNames",
+]
 
 
 class RowDecodingError(RhubarbwellError):
@@ -60,6 +67,17 @@
     pause_ms: int | None = None
 
 
+class BackendAge(NamedTuple):
+    """Order the rows of one backend server by when it wrote them.
+
+    born_ms is its start time, sequence grows with what it writes after that.
+    """
+
+    born_ms: int
+    sequence: int
+    is_draining: bool
+
+
 class DirectPlatform(ABC):
     """Translate the names, formats and calls of a platform."""
 
@@ -95,6 +113,10 @@
     def decode_backend(self, key: str, value: bytes) -> BackendEntry:
         """Return a backend server's entry; raise RowDecodingError."""
 
+    @abstractmethod
+    def decode_backend_age(self, value: bytes) -> BackendAge:
+        """Return the age of a backend server's row; raise RowDecodingError."""
+
     @abstractmethod
     def decode_backend_report(self, headers: Mapping[str, str]) -> BackendReport:
         """Return the backend server's state from the headers of an answer."""
