Write an instance's row again if the store has lost it

A store that comes back from a copy has lost what was written since, so that an instance could be missing in look-ups and budgets of those that start later, until its state changed. In a new era a reader writes its row at once. A follower waits until a reader has listed the rows, and writes only if its row was lost, at a random time that keeps all instances within half of the store's rate of writes; with 200 instances and 400 writes per second that takes 1 s. A write that took effect in an earlier era is repeated. The counter rhubarbwell.store.restored counts the eras.

Five tests; before, the registrar knew no era and wrote nothing.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -129,6 +129,7 @@
             self._rng,
         )
         self.state = FleetState(platform, self.balancer, self.instances)
+        self.state.eras.subscribe(self._on_store_restored)
         self._add_gauges()
 
     @property
@@ -201,6 +202,11 @@
             self.state.instance_row_version,
             lambda: self.is_ready,
             self.clock_ms,
+            eras=self.state.eras,
+            own_row=lambda: self.state.instance_row(self.settings.instance_id),
+            on_restored=self.state.restoration.record_registration,
+            max_writes_per_s=self.settings.store_options.writes_per_s,
+            rng=self._rng,
         )
         self._tasks.supervise("registrar", self.registrar.run)
         log_event(
@@ -383,6 +389,7 @@
 
     def _advance(self, now_ms: int) -> Sequence[Action]:
         self.instances.own_is_busy = self._loop_lag.is_busy
+        self.state.restoration.advance(now_ms)
         for backend_id in self.balancer.advance(now_ms):
             log_event(
                 _log,
@@ -444,6 +451,12 @@
         self.balancer.record_idle_connection_lost(address, self.clock_ms())
         self._losses.start(address, was_connected=True)
 
+    def _on_store_restored(self, old_era: int, new_era: int) -> None:
+        now_ms = self.clock_ms()
+        self.metrics.record_store_restored()
+        self.state.restoration.begin(old_era, new_era, now_ms)
+        self.balancer.backends.mark_store_restored(now_ms)
+
     def _on_store_lost(self) -> None:
         self.balancer.backends.mark_store_lost(self.clock_ms())
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/metrics.py
@@ -29,6 +29,16 @@
             "rhubarbwell.attempt.duration", "s", "Time from an attempt to its end."
         )
 
+        self._restored = meter.create_counter(
+            "rhubarbwell.store.restored",
+            "{era}",
+            "Times that the metadata store came back from a copy.",
+        )
+
+    def record_store_restored(self) -> None:
+        """Count a new era of the metadata store."""
+        self._restored.add(1)
+
     def record_request(
         self, req: ActiveRequest, status: int, outcome: str, latency_ms: int
     ) -> None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
@@ -3,15 +3,17 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from random import Random
 
 from rhubarbwell_core.direct import (
     FollowerTracker,
     InstanceEntry,
     InstanceTable,
+    ReplicaRow,
     StoreVersion,
 )
 from rhubarbwell_platform.errors import PlatformError
-from rhubarbwell_platform.services import MetadataStore, RowWrite
+from rhubarbwell_platform.services import EraTracker, MetadataStore, RowWrite
 
 from rhubarbwell_entry.direct.follower import Upstream
 from rhubarbwell_entry.direct.registrations import encode_instance
@@ -35,6 +37,13 @@
 # A follower that no reader has listed for this time writes its own heartbeat. The
 # reader's heartbeats, every 2 s, reach its followers within about 1 s.
 CONFIRMATION_TIMEOUT_MS = 3_300
+# After a loss of the store's rows, a follower looks whether its row was lost once a
+# reader has listed the rows, and writes it again at a random time of a period in which
+# all instances together stay within this share of the store's rate of writes.
+RESTORE_DELAY_MS = 1_000
+MIN_RESTORE_SPREAD_MS = 1_000
+MAX_RESTORE_SPREAD_MS = 2_500
+RESTORE_WRITES_SHARE = 0.5
 # Rows without a sign of life for this time, such as those of crashed instances, are
 # removed.
 EXPIRY_MS = 60_000
@@ -47,6 +56,9 @@
     Instances that read the store write heartbeats, which also list their live
     followers. A follower writes its row when its state changes, and writes heartbeats
     only while no reader lists it.
+
+    If the store comes back from a copy, a reader writes its row again at once; a
+    follower does so only if the store has lost the row.
     """
 
     def __init__(
@@ -60,6 +72,12 @@
         row_version: Callable[[str], StoreVersion],
         is_ready: Callable[[], bool],
         clock_ms: Callable[[], int],
+        *,
+        eras: EraTracker,
+        own_row: Callable[[], ReplicaRow | None],
+        on_restored: Callable[[bool], None],
+        max_writes_per_s: float,
+        rng: Random,
     ) -> None:
         self._own_entry = own
         self._table = table
@@ -70,6 +88,14 @@
         self._row_version = row_version
         self._is_ready = is_ready
         self._clock_ms = clock_ms
+        self._eras = eras
+        self._own_row = own_row
+        self._on_restored = on_restored
+        self._max_writes_per_s = max_writes_per_s
+        self._rng = rng
+        # Time from which the row is written again unless the store still has it.
+        self._restore_due_ms: int | None = None
+        eras.subscribe(self._schedule_restoration)
         self._written_entry: InstanceEntry | None = None
         self._last_attempt_ms = -HEARTBEAT_PERIOD_MS
         self._started_ms = clock_ms()
@@ -97,7 +123,7 @@
         entry = self._current_entry(self._last_attempt_ms)
         self._written_entry = None
         try:
-            await self._store.write(
+            era = await self._store.write(
                 RowWrite(self._table, entry.instance_id, encode_instance(entry))
             )
         except PlatformError as exc:
@@ -111,6 +137,9 @@
             )
             return
         self._written_entry = entry
+        if era == self._eras.current and self._restore_due_ms is not None:
+            self._restore_due_ms = None
+            self._on_restored(True)
 
     async def remove_expired(self) -> None:
         """Remove the rows of instances without a sign of life for EXPIRY_MS.
@@ -144,6 +173,8 @@
             return elapsed_ms >= WRITE_RETRY_MS
         if self._current_entry(now_ms) != self._written_entry:
             return True
+        if self._is_restoration_due(now_ms):
+            return True
         if elapsed_ms < HEARTBEAT_PERIOD_MS:
             return False
         confirmed_ms = max(self._instances.own_confirmed_ms, self._last_attempt_ms)
@@ -152,6 +183,34 @@
             or now_ms - confirmed_ms >= CONFIRMATION_TIMEOUT_MS
         )
 
+    def _schedule_restoration(self, old_era: int, new_era: int) -> None:
+        """Set the time at which the row is written again in a new era of the store."""
+        now_ms = self._clock_ms()
+        if self._upstream.reads_store:
+            self._restore_due_ms = now_ms
+            return
+        writers = len(self._instances.sender_ids())
+        spread_ms = MS_PER_S * writers / (RESTORE_WRITES_SHARE * self._max_writes_per_s)
+        spread_ms = min(max(spread_ms, MIN_RESTORE_SPREAD_MS), MAX_RESTORE_SPREAD_MS)
+        delay_ms = RESTORE_DELAY_MS + self._rng.uniform(0.0, spread_ms)
+        self._restore_due_ms = now_ms + round(delay_ms)
+
+    def _is_restoration_due(self, now_ms: int) -> bool:
+        """Return True if the store may have lost the row and it is time to write it."""
+        if self._restore_due_ms is None or now_ms < self._restore_due_ms:
+            return False
+        row = self._own_row()
+        is_kept = (
+            row is not None
+            and row.version.era == self._eras.current
+            and self._written_entry is not None
+            and row.value == encode_instance(self._written_entry)
+        )
+        if is_kept:
+            self._restore_due_ms = None
+            self._on_restored(False)
+        return not is_kept
+
     def _current_entry(self, now_ms: int) -> InstanceEntry:
         entry = self._own_entry._replace(leaving=not self._is_ready())
         if not self._upstream.reads_store:
--- a/tests/entry/direct/test_registrar.py
+++ b/tests/entry/direct/test_registrar.py
@@ -1,11 +1,20 @@
 """Tests of an instance's registration, heartbeats and list of followers."""
 
-from rhubarbwell_core.direct import FollowerTracker, InstanceEntry, InstanceTable
+from random import Random
+
+from rhubarbwell_core.direct import (
+    FollowerTracker,
+    InstanceEntry,
+    InstanceTable,
+    ReplicaRow,
+)
 from rhubarbwell_core.model import Address
 from rhubarbwell_entry.direct.follower import Upstream
 from rhubarbwell_entry.direct.registrar import Registrar
 from rhubarbwell_entry.direct.registrations import decode_instance
 from rhubarbwell_platform.errors import ConflictError, UnavailableError
+from rhubarbwell_platform.services import EraTracker
+from support.versions import at
 
 HERE = Address("127.0.0.1", 1)
 TABLE = "instances"
@@ -18,6 +27,8 @@
         self.is_out = False
         self.write_attempts = 0
         self.versions = {}
+        self.rows = {}
+        self.eras = EraTracker()
 
     async def write(self, row):
         self.write_attempts += 1
@@ -27,6 +38,8 @@
         if row.expected_version not in (None, version):
             raise ConflictError(row.key)
         self.written.append(decode_instance(row.key, row.value) if row.value else row)
+        self.rows[row.key] = ReplicaRow(row.key, at(1, self.eras.current), row.value)
+        return self.eras.current
 
 
 class RegistrarHarness:
@@ -36,9 +49,12 @@
         own = InstanceEntry("i-1", "x", "a-1", "a", HERE, HERE)
         self.now_ms = 0
         self.ready = True
+        self._reader_beat = 0
         self.store = RecordingStore()
         self.upstream = Upstream()
         self.known_versions = {}
+        # Whether the row was written again, for each era that the store began.
+        self.restored = []
         self.followers = FollowerTracker()
         self.instances = InstanceTable(own, liveness_timeout_ms=4_400)
         self.registrar = Registrar(
@@ -51,6 +67,11 @@
             lambda instance_id: self.known_versions.get(instance_id, 0),
             lambda: self.ready,
             lambda: self.now_ms,
+            eras=self.store.eras,
+            own_row=lambda: self.store.rows.get("i-1"),
+            on_restored=self.restored.append,
+            max_writes_per_s=400.0,
+            rng=Random(1),
         )
 
     async def advance(self, for_ms, before_check=lambda: None):
@@ -60,6 +81,11 @@
             await self.registrar.write_if_due()
             self.now_ms += TICK_MS
 
+    def confirm(self):
+        """Receive a heartbeat of the reader that lists this follower."""
+        self._reader_beat += 1
+        self.receive_reader_heartbeat(self._reader_beat)
+
     def receive_reader_heartbeat(self, beat):
         reader = InstanceEntry("i-2", "y", "a-1", "a", HERE, HERE, beat)
         self.instances.put(reader._replace(followers=("i-1",)), self.now_ms)
@@ -171,3 +197,75 @@
     harness.store.versions["i-2"] = 7
     await harness.registrar.remove_expired()
     assert [row.key for row in harness.store.written] == ["i-2"]
+
+
+def restore_store(harness, era, *, keeps_row):
+    """Let the store come back from a copy that has the row or has lost it."""
+    row = harness.store.rows.pop("i-1", None)
+    if keeps_row:
+        harness.store.rows["i-1"] = row._replace(version=at(1, era))
+    harness.store.written.clear()
+    harness.store.eras.observe(era)
+
+
+async def test_reader_writes_its_row_at_once_after_a_loss():
+    harness = RegistrarHarness()
+    harness.store.eras.observe(1)
+    await harness.advance(800)
+    restore_store(harness, 2, keeps_row=False)
+    await harness.advance(TICK_MS)
+    assert len(harness.store.written) == 1
+    assert harness.restored == [True]
+
+
+async def start_follower():
+    harness = RegistrarHarness()
+    harness.upstream.reader = "i-2"
+    harness.store.eras.observe(1)
+    await harness.advance(800)
+    return harness
+
+
+async def test_follower_writes_a_lost_row_once_within_the_spread():
+    harness = await start_follower()
+    restore_store(harness, 2, keeps_row=False)
+    await harness.advance(1_000, harness.confirm)
+    assert harness.store.written == []
+    await harness.advance(6_000, harness.confirm)
+    assert len(harness.store.written) == 1
+    assert harness.restored == [True]
+
+
+async def test_follower_writes_nothing_if_the_store_kept_its_row():
+    harness = await start_follower()
+    restore_store(harness, 2, keeps_row=True)
+    await harness.advance(6_000, harness.confirm)
+    assert harness.store.written == []
+    assert harness.restored == [False]
+
+
+async def test_row_that_was_lost_again_is_written_again():
+    harness = await start_follower()
+    restore_store(harness, 2, keeps_row=False)
+    await harness.advance(1_200, harness.confirm)
+    restore_store(harness, 3, keeps_row=False)
+    await harness.advance(6_000, harness.confirm)
+    assert len(harness.store.written) == 1
+    assert harness.store.rows["i-1"].version.era == 3
+
+
+async def test_write_that_took_effect_in_an_earlier_era_is_repeated():
+    harness = RegistrarHarness()
+    harness.store.eras.observe(1)
+    write = harness.store.write
+
+    async def write_before_the_loss(row):
+        era = await write(row)
+        if era == 1:
+            harness.store.eras.observe(2)
+        return era
+
+    harness.store.write = write_before_the_loss
+    await harness.advance(TICK_MS)
+    await harness.advance(TICK_MS)
+    assert harness.store.rows["i-1"].version.era == 2
