--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import sysconfig
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -110,6 +111,8 @@
         self.code_paths = [
             *(code / f"packages/rhubarbwell-{p}/src" for p in PACKAGES),
             code / "platform",
+            # Without the site module, nothing installed is on the path.
+            Path(sysconfig.get_path("purelib")),
         ]
 
     async def prepare(self, entry_script: Path) -> None:
@@ -260,7 +263,14 @@
     """
 
     def __init__(
-        self, seed: int, folder: Path, instances: int, script: Path, code: Path = ROOT
+        self,
+        seed: int,
+        folder: Path,
+        instances: int,
+        script: Path,
+        code: Path = ROOT,
+        *,
+        servers: int = 8,
     ) -> None:
         self.seed = seed
         self.rng = Random(seed)
@@ -289,7 +299,7 @@
             SoakServer(
                 SERVICES[n % 2], sorted(ZONES)[n % 3], self.request_log, self.rng
             )
-            for n in range(8)
+            for n in range(servers)
         ]
         # Servers whose heartbeats the store does not take.
         self.lapsed: set[SoakServer] = set()
