--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,8 +33,9 @@
 
     With `drills`, each plays that many drills of the store, or one of each of `kinds`.
 
-    The logs of seeds with findings stay in the directory `logs`, which is made if it is
-    missing, by default the system's temporary directory. Exits with status 1 if any
+    The logs of seeds with findings, and all findings of each, stay in the directory
+    `logs`, which is made if it is missing, by default the system's temporary
+    directory. Exits with status 1 if any
     seed has findings. `code` is another checkout whose instances to run.
     """
     # SIGTERM raises KeyboardInterrupt, so that the cleanup stops the processes.
@@ -72,6 +73,7 @@
             print(f"  {line}", flush=True)
         if report.findings:
             failed += 1
+            (log_dir / "findings.txt").write_text("\n".join(report.findings))
             print(f"  logs: {log_dir}", flush=True)
         else:
             shutil.rmtree(log_dir)
