Spread the listings of a new era, and pass it on between instances

An instance whose copies are stale after an outage reads the store itself; in a new era all of them would list all tables in the same second. One that follows a reader now waits for up to 0.5 s, in which the reader's listing mostly arrives; a reader lists at once.

Tests of what passes between instances: a reader of an earlier era is not applied, one of a later era passes it on, also before it has listed a table; nothing more is sent in the first era. explain shows the lines of an era among the context.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/follower.py
@@ -24,6 +24,9 @@
 # this one, up to this rank, so that the whole fleet does not call an unavailable store
 # at once. A single failed call must not make a stale copy older than its bound.
 MAX_RANK = 3
+# In a new era of the store, an instance that follows a reader lists a table itself only
+# after a random time up to this one, in which the reader passes its listing on.
+MAX_LISTING_DELAY_MS = 500
 UPSTREAM_CHECK_S = 0.1
 # Servers' entries expire after three missed heartbeats of 1.5 s, two of which a server
 # may have missed before the store failed.
@@ -178,6 +181,8 @@
                 self._health.record_failure(self._schedule.table, exc)
                 self._schedule_retry()
                 continue
+            if update is None:
+                continue
             self._failures = 0
             self._health.record_success()
             self._state.apply(self._schedule.table, update, self._clock_ms())
@@ -208,7 +213,8 @@
             )
         return is_stale
 
-    async def _read_update(self) -> ReplicaUpdate:
+    async def _read_update(self) -> ReplicaUpdate | None:
+        """Return an update, or None if the table is to be listed later."""
         table = self._schedule.table
         version = self._state.replicas[table].version
         if version > NO_VERSION and not self._needs_listing:
@@ -227,6 +233,11 @@
                     version=version.number,
                 )
                 self._needs_listing = True
+                is_new_era = self._state.eras.current > version.era
+                if is_new_era and not self._upstream.reads_store:
+                    delay_ms = self._rng.uniform(0.0, MAX_LISTING_DELAY_MS)
+                    self._next_read_ms = self._clock_ms() + round(delay_ms)
+                    return None
         update = await self._store.read_table(table)
         self._needs_listing = False
         return update
--- a/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
+++ b/packages/rhubarbwell-ops/src/rhubarbwell_ops/explanations.py
@@ -24,6 +24,8 @@
         "reader_chosen",
         "reader_is_stale",
         "reader_passed_over",
+        "store_era_changed",
+        "store_era_refused",
         "store_lost",
         "store_regained",
         "zones_evacuated",
--- a/tests/entry/direct/test_changes.py
+++ b/tests/entry/direct/test_changes.py
@@ -5,12 +5,14 @@
 
 import aiohttp
 import uvloop
+from rhubarbwell_core.direct import ReplicaRow, ReplicaUpdate
 from rhubarbwell_entry.direct.changes import (
     ChangesClient,
     ChangesQuery,
     ChangesResponse,
 )
 from support.late_loops import BlockingServer, Stall
+from support.versions import at
 
 RESPONSE = ChangesResponse({}, {}, reads_store=True, store_is_out=False)
 TIMEOUT_MS = 1_200
@@ -41,3 +43,29 @@
 def test_response_that_arrives_before_a_late_timeout_is_returned():
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(fetch_in_a_stall()) == RESPONSE
+
+
+def encoded_response(era):
+    rows = [ReplicaRow("a", at(7, era), b"x"), ReplicaRow("b", at(8, era), None)]
+    tables = {"op": ReplicaUpdate(rows, at(9, era), complete=True)}
+    resp = ChangesResponse(tables, {"op": 3}, True, False, era=era)
+    body = json.loads(json.dumps(resp.encode()))
+    assert ChangesResponse.decode(body) == resp
+    return body
+
+
+def test_versions_of_a_later_era_pass_between_instances():
+    assert encoded_response(2)["tables"]["op"]["era"] == 2
+    query = ChangesQuery({"op": at(9, era=2), "servers": at(4, era=1)}, "i-1")
+    assert ChangesQuery.decode(query.encode()) == query
+
+
+def test_first_era_is_not_sent():
+    body = encoded_response(0)
+    assert "era" not in body and "era" not in body["tables"]["op"]
+    assert set(ChangesQuery({"op": at(9)}).encode()) == {
+        "op",
+        "-follower",
+        "-busy",
+        "-first",
+    }
--- a/tests/entry/direct/test_follower.py
+++ b/tests/entry/direct/test_follower.py
@@ -18,7 +18,8 @@
     Upstream,
 )
 from rhubarbwell_entry.direct.relay import PeerFollower
-from rhubarbwell_platform.errors import UnavailableError
+from rhubarbwell_platform.errors import HistoryLostError, UnavailableError
+from rhubarbwell_platform.services import EraTracker
 from support.versions import at
 
 HERE = Address("127.0.0.1", 1)
@@ -43,6 +44,7 @@
         self.synced_until_ms = {"op": 0}
         self.replicas = {"op": TableReplica()}
         self.applied_updates = []
+        self.eras = EraTracker()
 
     def apply(self, table, update, now_ms, *, age_ms=0):
         self.applied_updates.append(update)
@@ -257,3 +259,63 @@
     harness.health.record_peer(300)
     assert harness.up_since == []
     assert harness.health.up_ms == 10_000
+
+
+class StoreOfANewEra:
+    """Refuse versions of the era before and count the listings."""
+
+    def __init__(self, eras):
+        self.listings = 0
+        self._eras = eras
+
+    async def read_changes(self, table, after, wait_ms):
+        self._eras.observe(1)
+        if after.era < 1:
+            raise HistoryLostError("a new era")
+        return ReplicaUpdate([], after)
+
+    async def read_table(self, table):
+        self.listings += 1
+        return ReplicaUpdate([], at(5, era=1), complete=True)
+
+
+async def listing_delay_ms(reader, seed, monkeypatch):
+    """Return the time until an instance lists a table in a new era of the store."""
+    state, upstream = StubFleetState(), Upstream()
+    state.replicas["op"].apply(ReplicaUpdate([], at(9), complete=True))
+    state.eras.observe(0)
+    upstream.reader = reader
+    store = StoreOfANewEra(state.eras)
+    clock = [10_000]
+
+    async def sleep(seconds):
+        clock[0] += round(seconds * 1_000)
+        if store.listings:
+            raise TimeoutError
+
+    monkeypatch.setattr("asyncio.sleep", sleep)
+    follower = TableFollower(
+        SCHEDULE,
+        store,
+        state,
+        make_health(),
+        upstream,
+        rng=Random(seed),
+        clock_ms=lambda: clock[0],
+    )
+    try:
+        await follower.run()
+    except TimeoutError:
+        return state.synced_until_ms["op"] - 10_000
+
+
+async def test_reader_lists_its_tables_at_once_in_a_new_era(monkeypatch):
+    assert await listing_delay_ms(None, 1, monkeypatch) == 0
+
+
+# All instances of a fleet, whose copies are stale after an outage, would list the store
+# in the same second.
+async def test_followers_spread_their_listings_in_a_new_era(monkeypatch):
+    delays = {await listing_delay_ms("i-2", seed, monkeypatch) for seed in range(30)}
+    assert len(delays) > 3
+    assert max(delays) <= 600
--- a/tests/entry/direct/test_restored_store.py
+++ b/tests/entry/direct/test_restored_store.py
@@ -6,6 +6,7 @@
 from rhubarbwell_core.direct import InstanceEntry, ReplicaRow, ReplicaUpdate
 from rhubarbwell_core.direct.backends import RETURN_GRACE_MS
 from rhubarbwell_core.model import Address
+from rhubarbwell_entry.direct.changes import ChangesResponse
 from rhubarbwell_entry.direct.evacuations import HOLD_MS
 from rhubarbwell_entry.direct.registrations import encode_instance
 from support.fleet_state import BACKEND_ENTRY, make_fleet_state
@@ -277,3 +278,42 @@
     assert (line.old_era, line.new_era, line.duration_ms) == (0, 1, 2_000)
     assert line.missing_rows == {"servers": 1, "op": 0, "instances": 1}
     assert (line.older_rows, line.registered_again, line.is_complete) == (1, True, True)
+
+
+def response(era, number, config_version, *, known_era=None):
+    """Return the response of an instance whose operators' table is of an era."""
+    row = ReplicaRow("config", at(number, era), config(config_version))
+    update = ReplicaUpdate([row], at(number, era), complete=True)
+    known_era = era if known_era is None else known_era
+    return ChangesResponse({"op": update}, {"op": 0}, True, False, era=known_era)
+
+
+def test_reader_of_an_earlier_era_is_not_applied(restored):
+    restored.restore("op", config=config(7))
+    restored.restore("op", config=config(7))
+    synced_ms = restored.state.synced_until_ms["op"]
+    restored.state.apply_response(response(1, 900, 9), 99_000)
+    assert restored.state.balancer.config.version == 7
+    assert restored.state.synced_until_ms["op"] == synced_ms
+
+
+def test_reader_of_a_later_era_passes_it_on(restored):
+    restored.apply("op", config=config(7))
+    restored.state.apply_response(response(2, 20, 8), 99_000)
+    assert restored.state.eras.current == 2
+    assert restored.state.balancer.config.version == 8
+
+
+# A reader sees the new era with any answer, and lists its tables one by one.
+def test_era_of_a_reader_that_has_not_listed_its_table_yet_is_known(restored):
+    restored.apply("op", config=config(7))
+    restored.state.apply_response(response(1, 900, 9, known_era=2), 99_000)
+    assert restored.state.eras.current == 2
+    assert restored.state.balancer.config.version == 7
+
+
+def test_follower_ahead_of_its_reader_gets_no_changes(restored):
+    restored.restore("op", config=config(7))
+    known_versions = {"op": at(3, era=2)}
+    assert not restored.state.has_urgent_changes_after(known_versions)
+    assert restored.state.has_urgent_changes_after({"op": at(900)})
