--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -6,15 +6,22 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from rhubarbwell_core.direct import (
+    NO_VERSION,
     InstanceEntry,
     InstanceTable,
     LoadBalancer,
     ReplicaRow,
     ReplicaUpdate,
+    StoreVersion,
     TableReplica,
 )
+from rhubarbwell_platform.services import EraTracker
 
+from rhubarbwell_entry.direct.ages import OlderRowFilter
+from rhubarbwell_entry.direct.changes import ChangesResponse
+from rhubarbwell_entry.direct.evacuations import EvacuatedZones
 from rhubarbwell_entry.direct.registrations import decode_instance
+from rhubarbwell_entry.direct.restoration import StoreRestoration
 from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
 from rhubarbwell_entry.logs import log_event, log_exception
 
@@ -36,17 +43,21 @@
         self.balancer = balancer
         self._platform = platform
         self.instances = instances
+        self.eras = EraTracker()
         self.replicas = {
             names.operator_table: TableReplica(),
             names.backend_table: TableReplica(self._backend_content_key),
             names.instance_table: TableReplica(),
         }
+        self.restoration = StoreRestoration(self.replicas)
         # Time in ms up to which the copy of each table is known to match the store.
         self.synced_until_ms = dict.fromkeys(self.replicas, 0)
         # Without the instance table: heartbeats change it continuously and can wait.
         self._urgent_tables = frozenset({names.operator_table, names.backend_table})
         self._urgent_change = asyncio.Event()
-        self._evacuated_zones: set[str] = set()
+        self._older_rows = OlderRowFilter(platform.decode_backend_age)
+        self._evacuations = EvacuatedZones()
+        self._evacuated_zones: frozenset[str] = frozenset()
         # Rows of each table that could not be applied, by key; they are tried again
         # with the next update, as the replica does not list them again.
         self._unapplied_rows: dict[str, dict[str, ReplicaRow]] = {
@@ -66,13 +77,25 @@
         """Apply an update of a table that was read from the store age_ms ago.
 
         A row that cannot be applied is logged and leaves the others applied. Tables
-        that this instance does not follow are ignored.
+        that this instance does not follow are ignored, as are late updates of an era
+        of the store before the current one.
         """
-        if table not in self.replicas:
+        replica = self.replicas.get(table)
+        if update.version.era > self.eras.current:
+            self.eras.observe(update.version.era)
+        if replica is None or not self._is_current(replica, update):
             return
-        is_first_listing = self.replicas[table].version == 0
-        changed = self._with_unapplied(table, self.replicas[table].apply(update))
+        known_version = replica.version
+        older = 0
+        if table == self._platform.names.backend_table:
+            update, older = self._older_rows.filter(replica, update, now_ms)
+        changed = self._with_unapplied(table, replica.apply(update))
+        if known_version > NO_VERSION and known_version.era < update.version.era:
+            missing = sum(row.value is None for row in changed)
+            self.restoration.record_table(table, missing, older)
+            changed = self._hold_missing_rows(table, changed, now_ms)
         self.synced_until_ms[table] = max(self.synced_until_ms[table], now_ms - age_ms)
+        is_first_listing = known_version == NO_VERSION
         if is_first_listing and table == self._platform.names.instance_table:
             self._apply_first_instance_rows(changed, now_ms)
         else:
@@ -83,6 +106,40 @@
             self._urgent_change.set()
             self._urgent_change = asyncio.Event()
 
+    def apply_response(self, resp: ChangesResponse, now_ms: int) -> None:
+        """Apply the tables of another instance, unless they are of an earlier era."""
+        if resp.era < self.eras.current:
+            return
+        self.eras.observe(resp.era)
+        for name, update in resp.tables.items():
+            self.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
+
+    def _hold_missing_rows(
+        self, table: str, changed: Sequence[ReplicaRow], now_ms: int
+    ) -> list[ReplicaRow]:
+        """Return the rows to apply of the first listing of a later era.
+
+        A row that is missing in it may have been lost: its writer then writes it again.
+        Servers have a grace period, see BackendTable.remove; what the missing rows of
+        operators and instances said is held.
+        """
+        names = self._platform.names
+        if table == names.backend_table:
+            return list(changed)
+        for row in changed:
+            if row.value is not None:
+                continue
+            if table == names.instance_table:
+                self.instances.hold(row.key)
+                continue
+            zone = self._platform.evacuated_zone(row.key)
+            if zone is not None:
+                self._evacuations.hold(zone, now_ms)
+        return [row for row in changed if row.value is not None]
+
+    def _is_current(self, replica: TableReplica, update: ReplicaUpdate) -> bool:
+        return update.version.era == self.eras.current and replica.accepts(update)
+
     def _with_unapplied(
         self, table: str, changed: Sequence[ReplicaRow]
     ) -> list[ReplicaRow]:
@@ -110,10 +167,13 @@
                     exc,
                     table=table,
                     key=row.key,
-                    row_version=row.version,
+                    row_version=row.version.number,
+                    era=row.version.era,
                 )
 
-    def has_urgent_changes_after(self, known_versions: Mapping[str, int]) -> bool:
+    def has_urgent_changes_after(
+        self, known_versions: Mapping[str, StoreVersion]
+    ) -> bool:
         """Return True if an urgent table has changes after the known versions."""
         return any(
             self.replicas[name].has_changes_after(version)
@@ -143,18 +203,15 @@
             return value
 
     def _apply_operator_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
-        zones = set(self._evacuated_zones)
-
         def apply_row(row: ReplicaRow) -> None:
             zone = self._platform.evacuated_zone(row.key)
             if zone is not None:
-                zones.discard(zone)
-                if row.value is not None:
-                    zones.add(zone)
+                self._evacuations.set(zone, row.value is not None)
             elif row.value is not None:
                 self._apply_config(row)
 
         self._apply_each(self._platform.names.operator_table, rows, apply_row)
+        zones = self._evacuations.current(now_ms)
         if zones != self._evacuated_zones:
             self._evacuated_zones = zones
             self.balancer.set_evacuated_zones(zones, now_ms)
@@ -180,7 +237,8 @@
                 "config_in_force",
                 "a configuration is in force",
                 version=config.version,
-                row_version=row.version,
+                row_version=row.version.number,
+                era=row.version.era,
                 routes=len(config.routes),
                 split_routes=sum(len(route.parts) > 1 for route in config.routes),
             )
@@ -219,8 +277,12 @@
             )
         backends.put(entry, now_ms)
 
-    def instance_row_version(self, instance_id: str) -> int:
-        """Return the version of an instance's row, 0 if it is unknown."""
+    def instance_row(self, instance_id: str) -> ReplicaRow | None:
+        """Return an instance's row, None if it is unknown."""
+        return self.replicas[self._platform.names.instance_table].row(instance_id)
+
+    def instance_row_version(self, instance_id: str) -> StoreVersion:
+        """Return the version of an instance's row, NO_VERSION if it is unknown."""
         replica = self.replicas[self._platform.names.instance_table]
         return replica.row_version(instance_id)
 
@@ -237,6 +299,7 @@
             rows,
             lambda row: self._apply_instance_row(row, now_ms),
         )
+        self.instances.remove_held()
         self._share_limits()
 
     def _apply_instance_row(self, row: ReplicaRow, now_ms: int) -> None:
@@ -275,7 +338,8 @@
             "the registry changed the state of a backend server",
             backend_id=row.key,
             state=state,
-            row_version=row.version,
+            row_version=row.version.number,
+            era=row.version.era,
             **fields,
         )
 
@@ -297,6 +361,7 @@
         "row_unreadable",
         f"cannot decode a row of the store as {row_kind}",
         key=row.key,
-        row_version=row.version,
+        row_version=row.version.number,
+        era=row.version.era,
         error=str(exc),
     )
