Signal a start in its test once it waits

Cause: the test signalled 2 s after the start of the process. A start that has not run its first line by then is killed by the signal, which no program can prevent. Change: the test waits until the process logs that it waits, then signals. It asserts the same end, exit code 0, and now also that the start did wait.

--- a/tests/entry/test_starts.py
+++ b/tests/entry/test_starts.py
@@ -62,9 +62,13 @@
 
 
 async def wait_until_started(process):
+    await wait_until_logged(process, b'"instance_started"')
+
+
+async def wait_until_logged(process, event):
     async with asyncio.timeout(WAIT_S):
         async for line in process.stdout:
-            if b'"instance_started"' in line:
+            if event in line:
                 return
     pytest.fail(f"the process ended with {await process.wait()}")
 
@@ -112,7 +116,8 @@
     (tmp_path / "settings.jsonc").write_text(json.dumps(make_settings(tmp_path)))
     (tmp_path / name).unlink()
     async with started_process(tmp_path) as process:
-        await asyncio.sleep(MISSING_S)
+        # Before its first line, a signal would kill the interpreter.
+        await wait_until_logged(process, b'"start_waits"')
         process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(WAIT_S):
             assert await process.wait() == 0
