Let the grace periods of an era end at all instances together

The instance had heard of the era 0.35 s after the others and kept the missing servers for 2.2 s from then on. Instances now pass on for how long the era is known, and count from there. In the first era nothing more is sent.

Two tests; the first fails without the age (the server is still used).

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -90,7 +90,8 @@
     ages_ms maps each table to the time since the instance's copy matched the store.
     reader is the id of the instance that reads the store for it, its own if it does so
     itself, None if it has not chosen one. store_up_ms is the time for which it knows
-    the store to be up, era the newest era of the store that it knows.
+    the store to be up, era the newest era of the store that it knows, era_age_ms the
+    time since that was first seen.
     """
 
     tables: Mapping[str, ReplicaUpdate]
@@ -100,19 +101,25 @@
     reader: str | None = None
     store_up_ms: int = 0
     era: int = 0
+    era_age_ms: int = 0
 
     def encode(self) -> dict[str, Any]:
         """Return the response's JSON body."""
-        return _encode_era(self.era) | {
-            "store_is_out": self.store_is_out,
-            "store_up_ms": self.store_up_ms,
-            "reads_store": self.reads_store,
-            "reader": self.reader,
-            "tables": {
-                name: _encode_update(update) | {"age_ms": self.ages_ms[name]}
-                for name, update in self.tables.items()
-            },
-        }
+        era_age = {"era_age_ms": self.era_age_ms} if self.era else {}
+        return (
+            _encode_era(self.era)
+            | era_age
+            | {
+                "store_is_out": self.store_is_out,
+                "store_up_ms": self.store_up_ms,
+                "reads_store": self.reads_store,
+                "reader": self.reader,
+                "tables": {
+                    name: _encode_update(update) | {"age_ms": self.ages_ms[name]}
+                    for name, update in self.tables.items()
+                },
+            }
+        )
 
     @classmethod
     def decode(cls, body: Mapping[str, Any]) -> "ChangesResponse":
@@ -129,6 +136,7 @@
                 # Missing in responses of earlier versions.
                 store_up_ms=max(int(body.get("store_up_ms", 0)), 0),
                 era=_decode_era(body),
+                era_age_ms=max(int(body.get("era_age_ms", 0)), 0),
             )
         except DECODING_ERRORS as exc:
             raise ChangesError(f"invalid table changes: {exc!r}") from exc
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -480,10 +480,8 @@
         self._losses.start(address, was_connected=True)
 
     def _on_store_restored(self, old_era: int, new_era: int) -> None:
-        now_ms = self.clock_ms()
         self.metrics.record_store_restored()
-        self.state.restoration.begin(old_era, new_era, now_ms)
-        self.balancer.backends.mark_store_restored(now_ms)
+        self.state.begin_era(old_era, new_era, self.clock_ms())
 
     def _on_store_lost(self) -> None:
         self.balancer.backends.mark_store_lost(self.clock_ms())
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -101,6 +101,7 @@
             store_is_out=self._health.is_out,
             store_up_ms=self._health.up_ms,
             era=self._state.eras.current,
+            era_age_ms=self._state.era_age_ms(now_ms),
             reader=self._own_id if reads_store else self._upstream.reader,
         )
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -44,6 +44,7 @@
         self._platform = platform
         self.instances = instances
         self.eras = EraTracker()
+        self._era_start_ms = 0
         self.replicas = {
             names.operator_table: TableReplica(),
             names.backend_table: TableReplica(self._backend_content_key),
@@ -106,11 +107,27 @@
             self._urgent_change.set()
             self._urgent_change = asyncio.Event()
 
+    def begin_era(self, old_era: int, new_era: int, now_ms: int) -> None:
+        """Record that the store has begun a new era, whose rows may lack some."""
+        self.restoration.begin(old_era, new_era, now_ms)
+        self._set_era_start(now_ms)
+
+    def era_age_ms(self, now_ms: int) -> int:
+        """Return the time in ms since the store's current era was first seen."""
+        return now_ms - self._era_start_ms
+
+    def _set_era_start(self, start_ms: int) -> None:
+        self._era_start_ms = start_ms
+        self.balancer.backends.mark_store_restored(start_ms)
+
     def apply_response(self, resp: ChangesResponse, now_ms: int) -> None:
         """Apply the tables of another instance, unless they are of an earlier era."""
         if resp.era < self.eras.current:
             return
-        self.eras.observe(resp.era)
+        if resp.era > self.eras.current:
+            self.eras.observe(resp.era)
+            # The grace periods of all instances end at the same time.
+            self._set_era_start(now_ms - resp.era_age_ms)
         for name, update in resp.tables.items():
             self.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
 
--- a/tests/entry/direct/test_changes.py
+++ b/tests/entry/direct/test_changes.py
@@ -48,7 +48,8 @@
 def encoded_response(era):
     rows = [ReplicaRow("a", at(7, era), b"x"), ReplicaRow("b", at(8, era), None)]
     tables = {"op": ReplicaUpdate(rows, at(9, era), complete=True)}
-    resp = ChangesResponse(tables, {"op": 3}, True, False, era=era)
+    age_ms = 70 if era else 0
+    resp = ChangesResponse(tables, {"op": 3}, True, False, era=era, era_age_ms=age_ms)
     body = json.loads(json.dumps(resp.encode()))
     assert ChangesResponse.decode(body) == resp
     return body
@@ -62,7 +63,7 @@
 
 def test_first_era_is_not_sent():
     body = encoded_response(0)
-    assert "era" not in body and "era" not in body["tables"]["op"]
+    assert not {"era", "era_age_ms"} & (body.keys() | body["tables"]["op"].keys())
     assert set(ChangesQuery({"op": at(9)}).encode()) == {
         "op",
         "-follower",
--- a/tests/entry/direct/test_restored_store.py
+++ b/tests/entry/direct/test_restored_store.py
@@ -39,9 +39,8 @@
         self.era = 0
         self._number = 100
         self.state.eras.observe(0)
-        backends = self.state.balancer.backends
         self.state.eras.subscribe(
-            lambda old, new: backends.mark_store_restored(self.now_ms)
+            lambda old, new: self.state.begin_era(old, new, self.now_ms)
         )
 
     def apply(self, table, complete=False, **rows):
@@ -265,7 +264,6 @@
     restoration = restored.state.restoration
     restored.apply("servers", b1=server(), b2=server("draining", 5))
     restored.apply("instances", **{"i-2": instance("i-2")})
-    restoration.begin(0, 1, 10_000)
     restored.restore("servers", b2=server("ready", 4))
     for table in ("op", "instances"):
         restored.era -= 1
@@ -285,7 +283,9 @@
     row = ReplicaRow("config", at(number, era), config(config_version))
     update = ReplicaUpdate([row], at(number, era), complete=True)
     known_era = era if known_era is None else known_era
-    return ChangesResponse({"op": update}, {"op": 0}, True, False, era=known_era)
+    return ChangesResponse(
+        {"op": update}, {"op": 0}, True, False, era=known_era, era_age_ms=900
+    )
 
 
 def test_reader_of_an_earlier_era_is_not_applied(restored):
@@ -317,3 +317,20 @@
     known_versions = {"op": at(3, era=2)}
     assert not restored.state.has_urgent_changes_after(known_versions)
     assert restored.state.has_urgent_changes_after({"op": at(900)})
+
+
+# An instance that heard of the era 0.4 s later used a server that had left for longer
+# (python -m soak --drills 11 --seeds 1).
+def test_grace_period_of_a_follower_ends_with_that_of_its_reader(restored):
+    restored.apply("servers", b1=server())
+    restored.state.apply_response(response(1, 20, 8), restored.now_ms)
+    restored.era = 1
+    restored.apply("servers", complete=True)
+    restored.now_ms += RETURN_GRACE_MS - 900
+    restored.state.balancer.advance(restored.now_ms)
+    assert restored.used_servers() == set()
+
+
+def test_age_of_an_era_is_passed_on(restored):
+    restored.state.apply_response(response(1, 20, 8), 20_000)
+    assert restored.state.era_age_ms(20_300) == 1_200
