--- a/tests/entry/direct/test_store_drills.py
+++ b/tests/entry/direct/test_store_drills.py
@@ -39,7 +39,6 @@
     return row is not None and row.removal_due_ms is None
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("age_s", AGES_S)
 async def test_configuration_after_a_drill_is_in_force(age_s):
     async with drilled_fleet(age_s) as (fleet, instances):
@@ -47,7 +46,6 @@
         await wait_until(lambda: all(in_force(i) == 4 for i in instances))
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("age_s", AGES_S)
 async def test_servers_that_leave_and_come_after_a_drill_are_known(age_s):
     async with drilled_fleet(age_s) as (fleet, instances):
@@ -77,7 +75,6 @@
         assert versions <= {3}
 
 
-@pytest.mark.known_red
 async def test_two_drills_within_a_second_leave_nothing_behind():
     async with drilled_fleet(1.0) as (fleet, instances):
         await fleet.store.restore(3.0, AWAY_S)
--- a/tests/soak/test_drills.py
+++ b/tests/soak/test_drills.py
@@ -11,7 +11,6 @@
 }
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("seed", DRILLS)
 async def test_drill_keeps_the_promises(seed, tmp_path):
     report = await run_drills(seed, tmp_path, kinds=DRILLS[seed], played=(True,))
