--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/sending.py
@@ -221,7 +221,8 @@
         headers = resp.headers
         latency_ms = self._clock_ms() - started_ms
         backend_report = self._platform.decode_backend_report(headers)
-        result, detail = self._classify(resp)
+        answer_headers = end_to_end_headers(headers)
+        result, detail = self._classify(resp, answer_headers)
         connection = attempt.connection
         connect_ms = (
             connection.connect_ms
@@ -241,7 +242,6 @@
         )
         if result not in (AttemptResult.ANSWERED, AttemptResult.SERVER_ERROR):
             return AttemptOutcome(report, detail)
-        answer_headers = end_to_end_headers(headers)
         answer_headers.popall(hdrs.CONTENT_LENGTH, None)
         return AttemptOutcome(
             report, detail, Answer(resp.status, answer_headers, payload)
@@ -266,7 +266,9 @@
         report = outcome.report._replace(pause_ms=self._max_pause_ms)
         return outcome._replace(report=report)
 
-    def _classify(self, resp: aiohttp.ClientResponse) -> tuple[AttemptResult, str]:
+    def _classify(
+        self, resp: aiohttp.ClientResponse, answer_headers: CIMultiDict[str]
+    ) -> tuple[AttemptResult, str]:
         names, headers = self._names, resp.headers
         status = resp.status
         if status == MISDIRECTED_REQUEST:
@@ -275,7 +277,7 @@
             return AttemptResult.NOT_RUN, f"backend server refused with {status}"
         if hdrs.CONTENT_ENCODING in headers:
             return AttemptResult.BROKEN, "answer has an encoding"
-        if names.signature not in headers:
+        if names.signature not in answer_headers:
             return AttemptResult.BROKEN, f"answer {status} without a signature"
         if status in NOT_RUN_STATUSES:
             return AttemptResult.BROKEN, f"answer {status} without proof"
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/headers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/headers.py
@@ -1,5 +1,6 @@
 """Read and filter the headers of forwarded requests and answers."""
 
+import re
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -39,11 +40,14 @@
     }
 )
 
+# aiohttp reads these in an answer but raises ValueError instead of writing them.
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 Headers = CIMultiDict[str] | CIMultiDictProxy[str]
 
 
 def end_to_end_headers(headers: Headers) -> CIMultiDict[str]:
-    """Return a copy without hop-by-hop headers and without Rhubarbwell-* headers.
+    """Return a copy without hop-by-hop, Rhubarbwell-* and unwritable headers.
 
     >>> kept = end_to_end_headers(CIMultiDict({"Connection": "X-A", "X-A": "1"}))
     >>> list(kept)
@@ -53,7 +57,8 @@
     kept = CIMultiDict[str]()
     for name, value in headers.items():
         lower = name.lower()
-        if lower not in dropped and not lower.startswith(RHUBARBWELL_PREFIX):
+        is_dropped = lower in dropped or lower.startswith(RHUBARBWELL_PREFIX)
+        if not is_dropped and _CONTROL_CHARACTERS.search(value) is None:
             kept.add(name, value)
     return kept
 
