--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from rhubarbwell_core.direct import (
     NO_VERSION,
@@ -22,8 +22,9 @@
 from rhubarbwell_entry.direct.evacuations import EvacuatedZones
 from rhubarbwell_entry.direct.registrations import decode_instance
 from rhubarbwell_entry.direct.restoration import StoreRestoration
+from rhubarbwell_entry.direct.unapplied import UnappliedRows
 from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
-from rhubarbwell_entry.logs import log_event, log_exception
+from rhubarbwell_entry.logs import log_event
 
 __all__ = ["FleetState"]
 
@@ -59,11 +60,7 @@
         self._older_rows = OlderRowFilter(platform.decode_backend_age)
         self._evacuations = EvacuatedZones()
         self._evacuated_zones: frozenset[str] = frozenset()
-        # Rows of each table that could not be applied, by key; they are tried again
-        # with the next update, as the replica does not list them again.
-        self._unapplied_rows: dict[str, dict[str, ReplicaRow]] = {
-            name: {} for name in self.replicas
-        }
+        self._unapplied = {name: UnappliedRows(name) for name in self.replicas}
         # Numbers of live and of sharing instances that were logged last.
         self._shared_among = (0, 0)
         self._row_appliers = {
@@ -90,7 +87,7 @@
         older = 0
         if table == self._platform.names.backend_table:
             update, older = self._older_rows.filter(replica, update, now_ms)
-        changed = self._with_unapplied(table, replica.apply(update))
+        changed = self._unapplied[table].take_with(replica.apply(update))
         if known_version > NO_VERSION and known_version.era < update.version.era:
             missing = sum(row.value is None for row in changed)
             self.restoration.record_table(table, missing, older)
@@ -157,37 +154,6 @@
     def _is_current(self, replica: TableReplica, update: ReplicaUpdate) -> bool:
         return update.version.era == self.eras.current and replica.accepts(update)
 
-    def _with_unapplied(
-        self, table: str, changed: Sequence[ReplicaRow]
-    ) -> list[ReplicaRow]:
-        """Return the rows to apply: those of earlier updates first, if not replaced."""
-        earlier, self._unapplied_rows[table] = self._unapplied_rows[table], {}
-        changed_keys = {row.key for row in changed}
-        return [*(r for r in earlier.values() if r.key not in changed_keys), *changed]
-
-    def _apply_each(
-        self,
-        table: str,
-        rows: Iterable[ReplicaRow],
-        apply_row: Callable[[ReplicaRow], None],
-    ) -> None:
-        """Apply rows one by one; keep and log those that raise an exception."""
-        for row in rows:
-            try:
-                apply_row(row)
-            except Exception as exc:
-                self._unapplied_rows[table][row.key] = row
-                log_exception(
-                    _log,
-                    "row_not_applied",
-                    "a row of the store could not be applied; trying again later",
-                    exc,
-                    table=table,
-                    key=row.key,
-                    row_version=row.version.number,
-                    era=row.version.era,
-                )
-
     def has_urgent_changes_after(
         self, known_versions: Mapping[str, StoreVersion]
     ) -> bool:
@@ -227,7 +193,7 @@
             elif row.value is not None:
                 self._apply_config(row)
 
-        self._apply_each(self._platform.names.operator_table, rows, apply_row)
+        self._unapplied[self._platform.names.operator_table].apply_each(rows, apply_row)
         zones = self._evacuations.current(now_ms)
         if zones != self._evacuated_zones:
             self._evacuated_zones = zones
@@ -261,10 +227,9 @@
             )
 
     def _apply_backend_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
-        self._apply_each(
-            self._platform.names.backend_table,
-            rows,
-            lambda row: self._apply_backend_row(row, now_ms),
+        table = self._platform.names.backend_table
+        self._unapplied[table].apply_each(
+            rows, lambda row: self._apply_backend_row(row, now_ms)
         )
 
     def _apply_backend_row(self, row: ReplicaRow, now_ms: int) -> None:
@@ -311,10 +276,9 @@
         self._share_limits()
 
     def _apply_instance_rows(self, rows: Sequence[ReplicaRow], now_ms: int) -> None:
-        self._apply_each(
-            self._platform.names.instance_table,
-            rows,
-            lambda row: self._apply_instance_row(row, now_ms),
+        table = self._platform.names.instance_table
+        self._unapplied[table].apply_each(
+            rows, lambda row: self._apply_instance_row(row, now_ms)
         )
         self.instances.remove_held()
         self._share_limits()
