Read a connection again after an answer that waited for memory

What callers saw: the next request on the connection is sent, its answer is never read, and it ends as timed out (504).

Cause: a chunked answer of many small chunks arrives in one read. aiohttp's parser holds the rest back, so the answer is not complete when memory is asked for; the transport is paused for memory. The parser then completes the answer from what it holds, the connection goes back to the pool, and nothing resumes it: complete() drops the control, and so does release() of an answer that is not delivered.

Change: a connection that becomes idle withdraws the wait of its last answer and reads on.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/memory.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/memory.py
@@ -313,6 +313,13 @@
         if control is not None:
             control.resume_answer()
 
+    def stop_waiting(self) -> None:
+        """Ask for no further memory; nothing else of the answer is due."""
+        self._memory.withdraw_answer(self)
+        control, self._control = self._control, None
+        if control is not None:
+            control.resume_answer()
+
     def leave_reserve(self) -> None:
         """Hold what came from the reserve as shared memory."""
         self._shared_bytes += self.reserve_bytes
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/proxy/protocols.py
@@ -129,6 +129,10 @@
         """Close the connection if bytes arrive before the next request."""
         self._is_idle = True
         self._idle_since_s = self._loop.time()
+        # The parser may have held the rest of an answer that waited for memory.
+        lease = None if self._expected is None else self._expected.lease
+        if lease is not None and self._has_answer():
+            lease.stop_waiting()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report an idle connection that ended before the server's idle timeout."""
