Refuse heads of requests larger than 256 KiB in sum

Cause: aiohttp limits each header field (64 KiB here) and their number (128), not their sum, so the head of one connection takes up to 8 MB, which RequestMemory does not count. Found by review.

Resident memory of many such connections was not measured.

Change: a head that is read in part is counted; beyond 256 KiB, as of answers, it is refused with 431. A head behind an open request ends the connection after that request's response.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -25,6 +25,8 @@
 # Closing the connection with unread bytes would reset it, and the caller would lose the
 # answer. The limit is for callers that go on sending.
 LINGER_S = 1.0
+# aiohttp limits the size and the number of the header fields, together to 8 MB.
+MAX_HEAD_BYTES = 256 << 10
 LINE_ENDS = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 MS_PER_S = 1_000
@@ -53,6 +55,8 @@
     # When the first byte of an incomplete head was read, None without one.
     _head_since_s: float | None = None
     _head_timer: asyncio.TimerHandle | None = None
+    # What was read since that byte.
+    _head_bytes = 0
 
     def __init__(
         self,
@@ -95,6 +99,19 @@
                 self._set_head_since(None)
         else:
             self._set_head_since(self._parse_in_pieces(data))
+        self._head_bytes += len(data)
+        if self._head_since_s is None:
+            self._head_bytes = 0
+        elif self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse_large_head()
+
+    def _refuse_large_head(self) -> None:
+        """Refuse a head that is too large; it is read no further."""
+        if self._is_waiting:
+            self.refuse_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        else:
+            # An earlier request is open; its response is the last.
+            super().close()
 
     def _parse_in_pieces(self, data: bytes) -> float | None:
         """Pass on data; return when the head began that is incomplete after it.
@@ -204,7 +221,7 @@
             _log,
             logging.WARNING,
             "request_head_refused",
-            "the head of a request did not arrive in time",
+            "the head of a request did not arrive in time or is too large",
             status=status.value,
             elapsed_ms=round((self._loop.time() - self._head_since_s) * MS_PER_S),
         )
