--- a/tests/entry/direct/test_given_up_answers.py
+++ b/tests/entry/direct/test_given_up_answers.py
@@ -1,8 +1,9 @@
 """Test that answers which are given up leave nothing in memory."""
 
+import asyncio
 import gc
 import tracemalloc
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import pytest
 from support.raw_servers import RawServer, fleet_with_server, read_request
@@ -70,3 +71,49 @@
             finally:
                 tracemalloc.stop()
         assert held_bytes < MIB
+
+
+class HangingServer(UnfinishedServer):
+    """Send a part of an answer and keep the connection open."""
+
+    async def handle(self, reader, writer):
+        await super().handle(reader, writer)
+        await reader.read()
+
+
+# Guards against answers that stay in memory after their time or their callers have
+# gone.
+@pytest.mark.parametrize("is_left", [False, True], ids=["timed out", "caller left"])
+@pytest.mark.parametrize(
+    "framing",
+    [
+        "\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 8000000\r\n\r\n",
+    ],
+)
+async def test_answer_that_does_not_end_is_freed_at_once(framing, is_left):
+    server = HangingServer(framing, 3 * MIB)
+    limit = {"X-Rhubarbwell-Request-Deadline": "5000" if is_left else "500"}
+    async with fleet_with_server(server, max_answer_bytes=MAX_ANSWER_BYTES) as fleet:
+
+        async def give_up():
+            if is_left:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(0.5):
+                        await fleet.send_request("/pay/x", "POST", **limit)
+            else:
+                resp, _ = await fleet.send_request("/pay/x", "POST", **limit)
+                assert resp.status in (502, 503, 504)
+
+        await give_up()
+        with no_collections():
+            tracemalloc.start()
+            try:
+                for _ in range(GIVEN_UP):
+                    await give_up()
+                await asyncio.sleep(0.2)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+        assert held_bytes < MIB
