Kill a start in its test once it has told why it waits

Cause: the test killed the process 2 s after its start, whether it had run its first line or not; that the interpreter had not is inferred from the empty output, as in test_sigterm_ends_a_start_that_waits. Change: the first line is read, and the process must still wait then. Before, a line of its end would not have counted either.

--- a/tests/entry/test_start_logs.py
+++ b/tests/entry/test_start_logs.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from entry.test_starts import make_settings
+from entry.test_starts import WAIT_S, make_settings
 
 
 # Logging is set up after the settings are read.
@@ -17,10 +17,12 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
-    await asyncio.sleep(2.0)
+    async with asyncio.timeout(WAIT_S):
+        line = (await process.stdout.readline()).decode()
+    assert process.returncode is None
     process.kill()
-    output = (await process.communicate())[0].decode()
-    assert "settings.jsonc" in output, output
+    await process.communicate()
+    assert "settings.jsonc" in line, line
 
 
 # Each try loads the certificate authorities anew, on the event loop.
