--- a/tests/entry/proxy/test_answer_ends.py
+++ b/tests/entry/proxy/test_answer_ends.py
@@ -51,7 +51,14 @@
 
     async def accept(self):
         """Accept the connection once the kernel takes no more of the upload."""
+        async with asyncio.timeout(5):
+            while self.attempt.connection is None:
+                await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)
+        # A loop that comes late runs its timers before the tasks that write.
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self._listener.settimeout(5)
         conn = self._listener.accept()[0]
         self._listener.close()
         return conn
