--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -7,13 +7,15 @@
 from typing import Any, cast
 
 from aiohttp import hdrs, web
+from aiohttp.helpers import set_exception
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
+from rhubarbwell_core.errors import RhubarbwellError
 
 from rhubarbwell_entry.listeners import end_connection, has_unread_bytes
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["CallerConnection"]
+__all__ = ["CallerConnection", "MalformedBodyError"]
 
 _log = logging.getLogger(__name__)
 
@@ -30,6 +32,10 @@
 MS_PER_S = 1_000
 
 
+class MalformedBodyError(RhubarbwellError):
+    """Report a body in chunks that cannot be read any further."""
+
+
 class CallerConnection(web.RequestHandler):
     """Serve HTTP on a connection and tell whether it is idle and who ended it.
 
@@ -118,7 +124,11 @@
         if self._request_count == self._heads_read:
             return not was_in_body
         self._heads_read = self._request_count
-        message, self._body = self._messages[-1]
+        message, next_body = self._messages[-1]
+        if not isinstance(message, RawRequestMessage) and not self._body.is_eof():
+            # aiohttp keeps the error for later and lets the reader of the body wait.
+            set_exception(self._body, MalformedBodyError("the body is malformed"))
+        self._body = next_body
         self._body_bytes = 0
         if isinstance(message, RawRequestMessage):
             self._body_bytes = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/handler.py
@@ -13,7 +13,7 @@
 )
 from rhubarbwell_platform.http import SocketTimeout
 
-from rhubarbwell_entry.caller_connections import CallerConnection
+from rhubarbwell_entry.caller_connections import CallerConnection, MalformedBodyError
 from rhubarbwell_entry.direct.bodies import BodyLease, BodyTooLargeError
 from rhubarbwell_entry.direct.forwarding import Forwarder, RequestOutcome, RequestResult
 from rhubarbwell_entry.direct.metrics import DirectMetrics
@@ -114,6 +114,8 @@
             except TimeoutError:
                 detail = "body came too slowly"
                 return RequestResult(RequestOutcome.REFUSED, 408, detail)
+            except MalformedBodyError as exc:
+                return RequestResult(RequestOutcome.REJECTED, 400, str(exc))
             except BodyTooLargeError:
                 detail = "body exceeds the limit"
                 return RequestResult(RequestOutcome.REJECTED, 413, detail)
