Let a live incarnation displace an earlier one that a copy shows

Cause: an instance that has just started knows another one's new incarnation alone. The copy then shows the other's row of before its restart; an unknown incarnation counts as a later one, and every heartbeat of the live one counted as that of an earlier incarnation, for good. Now the last beat of each earlier incarnation is kept: one that beats on is the later one. A known row of the copy acts no more.

The test failed before: the live instance was not offered.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -30,7 +30,7 @@
 class _InstanceState:
     __slots__ = (
         "confirmed_by",
-        "earlier_incarnations",
+        "earlier_beats",
         "entry",
         "is_busy",
         "is_held",
@@ -42,22 +42,30 @@
         self.last_seen_ms = last_seen_ms
         self.is_busy = False
         self.confirmed_by = ""
-        self.earlier_incarnations: tuple[str, ...] = ()
+        # Last beat of each earlier incarnation, the newest incarnation last.
+        self.earlier_beats: dict[str, int] = {}
         # True if the store no longer lists the instance, and may have lost its row.
         self.is_held = False
 
     def is_newer(self, entry: InstanceEntry) -> bool:
-        """Return True if an entry was written after the one that is known."""
+        """Return True if an entry was written after the one that is known.
+
+        An incarnation that beats on after another one was seen is the later one: the
+        other's row came late, or from a copy of the store.
+        """
         if entry.incarnation == self.entry.incarnation:
             return entry.beat > self.entry.beat
-        return entry.incarnation not in self.earlier_incarnations
+        known_beat = self.earlier_beats.get(entry.incarnation)
+        return known_beat is None or entry.beat > known_beat
 
     def add_earlier_incarnations(self, before: "_InstanceState") -> None:
         """Take over the incarnations that preceded this one."""
-        earlier = before.earlier_incarnations
+        beats = dict(before.earlier_beats)
+        beats.pop(self.entry.incarnation, None)
         if before.entry.incarnation != self.entry.incarnation:
-            earlier = (*earlier, before.entry.incarnation)
-        self.earlier_incarnations = earlier[-MAX_EARLIER_INCARNATIONS:]
+            beats[before.entry.incarnation] = before.entry.beat
+        newest = list(beats.items())[-MAX_EARLIER_INCARNATIONS:]
+        self.earlier_beats = dict(newest)
 
 
 class InstanceTable:
--- a/tests/core/direct/test_instances.py
+++ b/tests/core/direct/test_instances.py
@@ -147,6 +147,19 @@
     assert offered_hosts(table) == ["10.0.0.2", "10.0.0.1"]
 
 
+def test_copy_with_an_unknown_earlier_incarnation_does_not_silence_a_later_one():
+    """A store that comes back from a copy may show the row of before a restart."""
+    table = make_table(entry("i-2", beat=3, incarnation="y"))
+    table.put(entry("i-2", beat=40, incarnation="x", leaving=True), 1_000)
+    table.put(entry("i-2", beat=4, incarnation="y"), 2_000)
+    assert offered_hosts(table) == ["10.0.0.2", "10.0.0.1"]
+    # The row of before the restart, once known, does not act again.
+    table.put(entry("i-2", beat=40, incarnation="x", leaving=True), 3_000)
+    assert offered_hosts(table) == ["10.0.0.2", "10.0.0.1"]
+    table.put(entry("i-2", beat=5, incarnation="y"), 70_000)
+    assert table.expired_ids(60_000) == []
+
+
 def test_row_of_a_crashed_instance_expires_soon_after_it_was_listed():
     """A listing does not tell how old its rows are; live instances are confirmed."""
     table = InstanceTable(entry("i-1"), liveness_timeout_ms=4_400)
