Log callers that take nothing of their answers; end them if others wait

A caller that read nothing held its answer without limit and without a line: what waits in a transport was not counted, and no time ended it.

Change: a caller that has taken nothing for 5 s is logged (response_not_taken). After 10 s its connection is ended (response_dropped), but only while a body or an answer waits for memory; else a ready answer stays, also for late callers.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -153,6 +153,12 @@
         self._is_closed_here = not self.is_lost
         super().force_close()
 
+    def abort(self) -> None:
+        """End the connection at once, whatever is still to be written."""
+        self._is_closed_here = not self.is_lost
+        if self.transport is not None:
+            self.transport.abort()
+
     def is_idle(self, now_s: float) -> bool:
         """Return True if nothing is open, has arrived or is arriving at now_s."""
         return (
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -27,6 +27,10 @@
 # connection with unread bytes would reset it, and the caller would lose the answer.
 # The limit is for callers that send slowly or without end.
 MAX_DISCARD_S = 5.0
+# A caller that has taken nothing of its response for this time is logged, and after the
+# second one given up if others wait for the memory.
+LOGGED_UNTAKEN_S = 5.0
+MAX_UNTAKEN_S = 10.0
 
 
 class CallerServer(web.Server):
@@ -43,6 +47,8 @@
         self._idle_timeout_s = idle_timeout_s
         self._header_timeout_s = header_timeout_s
         self._open_requests = Counter[web.RequestHandler]()
+        # Responses that are being written.
+        self._responses: set[AnswerResponse] = set()
         self.closed_idle = 0
         self._sock: socket.socket | None = None
         self._site: web.SockSite | None = None
@@ -101,6 +107,17 @@
                 conn.end()
         return len(self.connections)
 
+    def check_untaken(self, *, is_memory_short: bool) -> None:
+        """Log callers that take nothing; end those whose memory others wait for."""
+        now_s = self._loop.time()
+        for resp in list(self._responses):
+            untaken_s = resp.untaken_s(now_s)
+            is_dropped = is_memory_short and untaken_s >= MAX_UNTAKEN_S
+            if is_dropped or untaken_s >= LOGGED_UNTAKEN_S:
+                resp.log_untaken(untaken_s, is_dropped=is_dropped)
+            if is_dropped:
+                resp.drop()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         conn = request.protocol
         self._open_requests[conn] += 1
@@ -108,12 +125,15 @@
             resp = await self._handle(request)
             # Otherwise aiohttp writes the response when the request no longer counts
             # as open; it also handles a lost connection then.
+            if isinstance(resp, AnswerResponse):
+                self._responses.add(resp)
             try:
                 with contextlib.suppress(ConnectionError):
                     await resp.prepare(request)
                     await resp.write_eof()
             finally:
                 if isinstance(resp, AnswerResponse):
+                    self._responses.discard(resp)
                     resp.release()
         finally:
             self._open_requests[conn] -= 1
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -396,6 +396,7 @@
         self.instances.own_is_busy = self._loop_lag.is_busy
         self.state.restoration.advance(now_ms)
         self._memory_watch.check(self.callers.open_requests)
+        self.callers.check_untaken(is_memory_short=self._memory.waiting > 0)
         for backend_id in self.balancer.advance(now_ms):
             log_event(
                 _log,
