Count the bounds of a drill in a start of all from the first instance's readiness

tests/soak/drills.py counted a restart as over once the process was started. All other kinds are checked as before. A row that is not there again is named with the one in its place.

--- a/tests/soak/drill_checks.py
+++ b/tests/soak/drill_checks.py
@@ -45,8 +45,11 @@
     ended_at: float
 
     def bound_from(self, at: float) -> float:
-        """Return from when a bound counts: a slow store may hold up a change."""
-        return max(at, self.calm_at) if self.kind == "slow" else at
+        """Return from when a bound counts.
+
+        A slow store may hold up a change; no instance serves in a start of all.
+        """
+        return max(at, self.calm_at) if self.kind in ("slow", "start all") else at
 
     def __str__(self) -> str:
         return f"{'drill' if self.loses else 'outage'} ({self.kind})"
--- a/tests/soak/drills.py
+++ b/tests/soak/drills.py
@@ -16,7 +16,7 @@
 from soak.callers import Callers
 from soak.drill_checks import DrillChecker, DrillRecord, ServerChange
 from soak.faults import DELAY_S, InjectedFault
-from soak.fleet import ROOT, InstanceProcess, SoakFleet
+from soak.fleet import READY_TIMEOUT_S, ROOT, InstanceProcess, SoakFleet
 from soak.lag import LoopLag
 from soak.servers import SoakServer
 from soak.soak import ENTRY_SCRIPT, SoakReport
@@ -117,7 +117,7 @@
         names, calm_at = await disturbance
         await asyncio.sleep(max(0.0, back_at + OWN_ROWS_S - time.monotonic()))
         missing = [
-            i.name
+            f"{i.name}, {self._row(i)} in place of {rows[i.name]}"
             for i in self._instances
             if i.name not in names and self._row(i) != rows[i.name]
         ]
@@ -177,6 +177,7 @@
             started_at = time.monotonic()
             await instance.stop_with_signal(number)
             await instance.start()
+            await self._wait_until_ready(instance)
             name = signal.Signals(number).name
             self._note(name, instance.name, started_at, planned=True)
 
@@ -251,10 +252,13 @@
     async def _renew(self, instance: InstanceProcess) -> None:
         """Restart an instance, so that its row is younger than the copy."""
         await self._restart([instance], signal.SIGTERM, 0.0)
-        async with aiohttp.ClientSession() as session:
+        await asyncio.sleep(PAUSE_S)
+
+    async def _wait_until_ready(self, instance: InstanceProcess) -> None:
+        """Return when an instance is ready; raise TimeoutError."""
+        async with aiohttp.ClientSession() as session, asyncio.timeout(READY_TIMEOUT_S):
             while not await instance.is_ready(session):
                 await asyncio.sleep(0.1)
-        await asyncio.sleep(PAUSE_S)
 
     def _row(self, instance: InstanceProcess) -> tuple[object, ...]:
         """Return the incarnation and the state in an instance's row of the store."""
