Limit responses of the store and of other instances

A response of the store or of an instance that has no end was read into memory for as long as its call may last.

Change: the session of these calls gives a response up beyond 8 MiB, as an incomplete answer.

--- a/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/connections.py
+++ b/packages/rhubarbwell-platform/src/rhubarbwell_platform/http/connections.py
@@ -8,9 +8,11 @@
 
 from rhubarbwell_platform.http.timeouts import SocketTimeout
 
-__all__ = ["PolledConnector", "open_session"]
+__all__ = ["LimitedResponse", "PolledConnector", "open_session"]
 
 UNLIMITED = aiohttp.ClientTimeout()
+# Far above the tables of the largest deployments.
+MAX_RESPONSE_BYTES = 8 << 20
 
 
 class PolledConnector(aiohttp.TCPConnector):
@@ -29,6 +31,31 @@
             )
 
 
+class LimitedResponse(aiohttp.ClientResponse):
+    """Read a body only up to MAX_RESPONSE_BYTES."""
+
+    async def read(self) -> bytes:
+        """Return the body; raise ClientPayloadError if it exceeds the limit."""
+        if self._body is None:
+            body = bytearray()
+            try:
+                async for block in self.content.iter_any():
+                    if len(body) + len(block) > MAX_RESPONSE_BYTES:
+                        raise aiohttp.ClientPayloadError(
+                            f"response exceeds {MAX_RESPONSE_BYTES} bytes"
+                        )
+                    body += block
+                self._body = bytes(body)
+            except BaseException:
+                self.close()
+                raise
+            finally:
+                body.clear()
+        return await super().read()
+
+
 def open_session() -> aiohttp.ClientSession:
-    """Return a session whose timeouts for connecting poll the sockets first."""
-    return aiohttp.ClientSession(connector=PolledConnector())
+    """Return a session that polls the sockets at timeouts and limits responses."""
+    return aiohttp.ClientSession(
+        connector=PolledConnector(), response_class=LimitedResponse
+    )
