--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -27,6 +27,8 @@
 # Closing the connection with unread bytes would reset it, and the caller would lose the
 # answer. The limit is for callers that go on sending.
 LINGER_S = 1.0
+# aiohttp limits the size and the number of the header fields, together to 8 MB.
+MAX_HEAD_BYTES = 256 << 10
 LINE_ENDS = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 MS_PER_S = 1_000
@@ -59,6 +61,8 @@
     # When the first byte of an incomplete head was read, None without one.
     _head_since_s: float | None = None
     _head_timer: asyncio.TimerHandle | None = None
+    # What was read after the read that brought that byte.
+    _head_bytes = 0
 
     def __init__(
         self,
@@ -91,6 +95,7 @@
         if is_first and self._requests_before != self._request_count:
             self._requests_before = self._request_count
             self.request_began_s = self.last_data_s
+        had_head = self._head_since_s is not None
         # aiohttp discards data on a connection that closes.
         if self._close or self._force_close or not self._is_parser_known:
             super().data_received(data)
@@ -101,6 +106,24 @@
                 self._set_head_since(None)
         else:
             self._set_head_since(self._parse_in_pieces(data))
+        self._count_head(len(data), had_head=had_head)
+
+    def _count_head(self, size: int, *, had_head: bool) -> None:
+        """Count what is read of an incomplete head; refuse one that is too large."""
+        # The first read may have brought the body before the head as well.
+        self._head_bytes = self._head_bytes + size if had_head else 0
+        if self._head_since_s is None:
+            self._head_bytes = 0
+        elif self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse_large_head()
+
+    def _refuse_large_head(self) -> None:
+        """Refuse a head that is too large; it is read no further."""
+        if self._is_waiting:
+            self.refuse_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        else:
+            # An earlier request is open; its response is the last.
+            super().close()
 
     def _parse_in_pieces(self, data: bytes) -> float | None:
         """Pass on data; return when the head began that is incomplete after it.
@@ -220,7 +243,7 @@
             _log,
             logging.WARNING,
             "request_head_refused",
-            "the head of a request did not arrive in time",
+            "the head of a request did not arrive in time or is too large",
             status=status.value,
             elapsed_ms=round((self._loop.time() - self._head_since_s) * MS_PER_S),
         )
