--- a/tests/entry/test_caller_heads.py
+++ b/tests/entry/test_caller_heads.py
@@ -3,11 +3,12 @@
 import asyncio
 from contextlib import suppress
 
+from rhubarbwell_entry import caller_connections
 from support.running_fleet import raw_request, running_fleet, wait_until
 
-MIB = 1 << 20
 FIELD_BYTES = 60_000
 FIELDS = 120
+BODY_BYTES = 32 << 10
 
 
 # Guards against heads of requests that together fill the memory of the process.
@@ -29,15 +30,16 @@
 
 
 # Guards against a count that takes the body before a head for a part of it.
-async def test_head_in_pieces_behind_a_large_body_is_read():
+async def test_head_in_pieces_behind_a_large_body_is_read(monkeypatch):
+    monkeypatch.setattr(caller_connections, "MAX_HEAD_BYTES", 4 << 10)
     async with running_fleet(1) as fleet:
         _, writer = await raw_request(
             fleet,
             "POST /pay/x HTTP/1.1\r\nHost: h.example\r\n"
-            f"X-Rhubarbwell-Request-Id: a\r\nContent-Length: {MIB}\r\n\r\n",
+            f"X-Rhubarbwell-Request-Id: a\r\nContent-Length: {BODY_BYTES}\r\n\r\n",
         )
         pieces = (b"GET /read/x HTTP/1.1\r\n", b"Host: h.example\r\n")
-        writer.write(bytes(MIB) + pieces[0])
+        writer.write(bytes(BODY_BYTES) + pieces[0])
         await wait_until(lambda: len(fleet.backends[0].received) == 1)
         for piece in (pieces[1], b"X-Rhubarbwell-Request-Id: b\r\n", b"\r\n"):
             writer.write(piece)
