--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/caller_connections.py
@@ -7,13 +7,15 @@
 from typing import Any, cast
 
 from aiohttp import hdrs, web
+from aiohttp.helpers import set_exception
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
+from rhubarbwell_core.errors import RhubarbwellError
 
 from rhubarbwell_entry.listeners import end_connection, has_unread_bytes
 from rhubarbwell_entry.logs import log_event
 
-__all__ = ["CallerConnection"]
+__all__ = ["CallerConnection", "MalformedBodyError"]
 
 _log = logging.getLogger(__name__)
 
@@ -32,6 +34,10 @@
 MS_PER_S = 1_000
 
 
+class MalformedBodyError(RhubarbwellError):
+    """Report a body in chunks that cannot be read any further."""
+
+
 class CallerConnection(web.RequestHandler):
     """Serve HTTP on a connection and tell whether it is idle and who ended it.
 
@@ -55,7 +61,7 @@
     # When the first byte of an incomplete head was read, None without one.
     _head_since_s: float | None = None
     _head_timer: asyncio.TimerHandle | None = None
-    # What was read since that byte.
+    # What was read after the read that brought that byte.
     _head_bytes = 0
 
     def __init__(
@@ -89,6 +95,7 @@
         if is_first and self._requests_before != self._request_count:
             self._requests_before = self._request_count
             self.request_began_s = self.last_data_s
+        had_head = self._head_since_s is not None
         # aiohttp discards data on a connection that closes.
         if self._close or self._force_close or not self._is_parser_known:
             super().data_received(data)
@@ -99,7 +106,12 @@
                 self._set_head_since(None)
         else:
             self._set_head_since(self._parse_in_pieces(data))
-        self._head_bytes += len(data)
+        self._count_head(len(data), had_head=had_head)
+
+    def _count_head(self, size: int, *, had_head: bool) -> None:
+        """Count what is read of an incomplete head; refuse one that is too large."""
+        # The first read may have brought the body before the head as well.
+        self._head_bytes = self._head_bytes + size if had_head else 0
         if self._head_since_s is None:
             self._head_bytes = 0
         elif self._head_bytes > MAX_HEAD_BYTES:
@@ -135,7 +147,11 @@
         if self._request_count == self._heads_read:
             return not was_in_body
         self._heads_read = self._request_count
-        message, self._body = self._messages[-1]
+        message, next_body = self._messages[-1]
+        if not isinstance(message, RawRequestMessage) and not self._body.is_eof():
+            # aiohttp keeps the error for later and lets the reader of the body wait.
+            set_exception(self._body, MalformedBodyError("the body is malformed"))
+        self._body = next_body
         self._body_bytes = 0
         if isinstance(message, RawRequestMessage):
             self._body_bytes = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
@@ -170,6 +186,12 @@
         self._is_closed_here = not self.is_lost
         super().force_close()
 
+    def abort(self) -> None:
+        """End the connection at once, whatever is still to be written."""
+        self._is_closed_here = not self.is_lost
+        if self.transport is not None:
+            self.transport.abort()
+
     def is_idle(self, now_s: float) -> bool:
         """Return True if nothing is open, has arrived or is arriving at now_s."""
         return (
