Read less of bodies that wait for memory

Cause: while a body waits for memory, its connection reads on until aiohttp's buffer is full: up to 512 KiB and one read, which nothing counts. Found by review.

Change: callers' connections read 64 KiB in place of 256 KiB ahead (aiohttp doubles both). What remains uncounted is the first read. The cost for large bodies was not measured.

--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/callers.py
@@ -23,6 +23,9 @@
 
 # Limits the request line and each header field.
 MAX_HEADER_BYTES = 64 << 10
+# A connection reads up to twice as much of a body, and what arrives with it, before
+# the body has memory; none of this is counted.
+UNREAD_BODY_BYTES = 64 << 10
 # Time to discard the rest of a body that was answered before it was read. Closing the
 # connection with unread bytes would reset it, and the caller would lose the answer.
 # The limit is for callers that send slowly or without end.
@@ -62,6 +65,7 @@
             "lingering_time": 0.0,
             # The body is the backend server's to decode.
             "auto_decompress": False,
+            "read_bufsize": UNREAD_BODY_BYTES,
         }
         return CallerConnection(
             self,
