Let a test fail whose query ends before it is received

Cause: the query may end by its 1.2 s before it has a connection; the accept that the test awaits then never returns. Change: the test awaits the accept or the end of the query, and fails on the latter; what it asserts is the same.

--- a/tests/entry/direct/test_changes.py
+++ b/tests/entry/direct/test_changes.py
@@ -30,7 +30,10 @@
         fetch = asyncio.create_task(
             ChangesClient(session).fetch(server.address, ChangesQuery({}), TIMEOUT_MS)
         )
-        await server.receive()
+        receive = asyncio.create_task(server.receive())
+        # A query that has ended before it is received would be awaited for ever.
+        await asyncio.wait({fetch, receive}, return_when=asyncio.FIRST_COMPLETED)
+        assert receive.done(), fetch
         await asyncio.sleep(0.1)
         stall.start(1.4, lambda: server.send(head.encode() + body))
         try:
