Count an instance's heartbeat from when it was sent

Seen by callers: look-ups named a removed instance again for 4.4 s and longer after the store had performed its last heartbeat 6 s late, until 11 s after its end (7 s are allowed, DRAIN). A connection to it hangs or is refused.

Cause: InstanceTable.put took the arrival of a row for the sign of life. That is the moment of the store's work; a row told nothing of when it was sent.

Change: the number of a heartbeat is the writer's steady clock in ms, which began at the Unix time of the process's start and counts the time of a suspension. A reader keeps, for each incarnation, the smallest recent difference between arrival and that clock; what a row exceeds it by is its delay, and the row counts from its sending plus 1 s, in which rows usually come. No clocks need to agree, and no field is new: earlier builds read a number that grows, and their own numbers, which are small, count from the arrival as before. While the store performs the rows of all instances late (none came on time for 3 s, or not yet for 2.6 s after the last late one was sent) arrival counts too, so that no live instance is taken for gone.

The same cause: followers that a late row lists, and the confirmation of an instance by its reader, count from the row's sending. A late row of an earlier incarnation keeps the clock of that one. The shares of budgets count registered instances and do not change with a late row.

The store's clock in the row needs answers that instances which follow a reader do not have. A clock without the time of a suspension would keep an instance that was suspended out of look-ups for good.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
+from rhubarbwell_core.direct.heartbeats import HeartbeatClock, HeartbeatDelays
 from rhubarbwell_core.direct.model import InstanceEntry
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.model import Address
@@ -27,23 +29,35 @@
 MAX_REMOVED = 1_024
 
 
+class _EarlierIncarnation(NamedTuple):
+    """Hold the last beat of an incarnation and the clock of its heartbeats."""
+
+    beat: int
+    clock: HeartbeatClock
+
+
 class _InstanceState:
     __slots__ = (
+        "clock",
         "confirmed_by",
-        "earlier_beats",
+        "earlier",
         "entry",
         "is_busy",
         "is_held",
         "last_seen_ms",
+        "last_sent_ms",
     )
 
     def __init__(self, entry: InstanceEntry, last_seen_ms: int) -> None:
         self.entry = entry
+        # When the last sign of life arrived, and when it was sent.
         self.last_seen_ms = last_seen_ms
+        self.last_sent_ms = last_seen_ms
         self.is_busy = False
         self.confirmed_by = ""
-        # Last beat of each earlier incarnation, the newest incarnation last.
-        self.earlier_beats: dict[str, int] = {}
+        self.clock = HeartbeatClock()
+        # The earlier incarnations by name, the newest one last.
+        self.earlier: dict[str, _EarlierIncarnation] = {}
         # True if the store no longer lists the instance, and may have lost its row.
         self.is_held = False
 
@@ -55,17 +69,25 @@
         """
         if entry.incarnation == self.entry.incarnation:
             return entry.beat > self.entry.beat
-        known_beat = self.earlier_beats.get(entry.incarnation)
-        return known_beat is None or entry.beat > known_beat
-
-    def add_earlier_incarnations(self, before: "_InstanceState") -> None:
-        """Take over the incarnations that preceded this one."""
-        beats = dict(before.earlier_beats)
-        beats.pop(self.entry.incarnation, None)
-        if before.entry.incarnation != self.entry.incarnation:
-            beats[before.entry.incarnation] = before.entry.beat
-        newest = list(beats.items())[-MAX_EARLIER_INCARNATIONS:]
-        self.earlier_beats = dict(newest)
+        earlier = self.earlier.get(entry.incarnation)
+        return earlier is None or entry.beat > earlier.beat
+
+    def take_over(self, before: "_InstanceState") -> None:
+        """Take over what was known before this entry: clocks and signs of life."""
+        incarnations = dict(before.earlier)
+        last = _EarlierIncarnation(before.entry.beat, before.clock)
+        incarnations[before.entry.incarnation] = last
+        same = incarnations.pop(self.entry.incarnation, None)
+        if same is not None:
+            self.clock = same.clock
+            self.last_sent_ms = before.last_sent_ms
+        newest = list(incarnations.items())[-MAX_EARLIER_INCARNATIONS:]
+        self.earlier = dict(newest)
+
+    def confirm(self, now_ms: int, sent_ms: int) -> None:
+        """Record a sign of life that was sent at sent_ms and arrives now."""
+        self.last_seen_ms = now_ms
+        self.last_sent_ms = max(self.last_sent_ms, sent_ms)
 
 
 class InstanceTable:
@@ -74,6 +96,10 @@
     An instance is live while its own heartbeats continue, a reader lists it as a
     follower in its heartbeats, or it polls this instance as a follower. While no
     registrations arrive at all, the state of the other instances does not change.
+
+    The store may perform the last heartbeat of an instance seconds after its end. So
+    heartbeats count from when they were sent, unless the store performs those of all
+    instances late.
     """
 
     def __init__(self, own: InstanceEntry, *, liveness_timeout_ms: int) -> None:
@@ -84,6 +110,8 @@
         self._removed = OrderedDict[str, _InstanceState]()
         self._synced_ms = 0
         self._own_confirmed_ms = -liveness_timeout_ms
+        self._own_clock = HeartbeatClock()
+        self._delays = HeartbeatDelays()
 
     def put(self, entry: InstanceEntry, now_ms: int) -> None:
         """Add or update an instance from its registration or heartbeat.
@@ -92,6 +120,8 @@
         write that got no response after later writes, or come back from a copy.
         """
         if entry.instance_id == self.own.instance_id:
+            if entry.incarnation == self.own.incarnation:
+                self._sent_ms(self._own_clock, entry, now_ms)
             return
         removed = self._removed.pop(entry.instance_id, None)
         if removed is not None:
@@ -108,9 +138,11 @@
         state = _InstanceState(entry, now_ms)
         state.is_busy = entry.instance_id in entry.busy
         if known is not None:
-            state.add_earlier_incarnations(known)
+            state.take_over(known)
+        sent_ms = self._sent_ms(state.clock, entry, now_ms)
+        state.confirm(now_ms, sent_ms)
         self._rows.put(entry.instance_id, state)
-        self._confirm_followers(entry, now_ms)
+        self._confirm_followers(entry, now_ms, sent_ms)
 
     def put_listed(self, entries: Iterable[InstanceEntry], now_ms: int) -> None:
         """Add the instances of the first listing, whose ages are unknown.
@@ -160,7 +192,7 @@
         """Record a poll by a follower of this instance as a sign of life."""
         state = self._rows.get(instance_id)
         if state is not None:
-            state.last_seen_ms = now_ms
+            state.confirm(now_ms, now_ms)
             state.is_busy = is_busy
             state.confirmed_by = self.own.instance_id
 
@@ -259,7 +291,19 @@
         return [state for state in self._rows.rows() if self._is_live(state)]
 
     def _is_live(self, state: _InstanceState) -> bool:
-        return state.last_seen_ms >= self._synced_ms - self._liveness_timeout_ms
+        counted_ms = self._delays.counted_ms(
+            state.last_seen_ms, state.last_sent_ms, self._synced_ms
+        )
+        return counted_ms >= self._synced_ms - self._liveness_timeout_ms
+
+    def _sent_ms(self, clock: HeartbeatClock, entry: InstanceEntry, now_ms: int) -> int:
+        """Return when a heartbeat that arrives now was sent; now if it is unknown."""
+        delay_ms = clock.delay_ms(entry.beat, now_ms)
+        if delay_ms is None:
+            return now_ms
+        sent_ms = now_ms - delay_ms
+        self._delays.record(sent_ms, now_ms)
+        return sent_ms
 
     def _sender_entries(self) -> list[InstanceEntry]:
         others = [
@@ -279,14 +323,17 @@
                 grace_end_ms = now_ms - self._liveness_timeout_ms + DROPPED_GRACE_MS
                 state.last_seen_ms = min(state.last_seen_ms, grace_end_ms)
 
-    def _confirm_followers(self, entry: InstanceEntry, now_ms: int) -> None:
+    def _confirm_followers(
+        self, entry: InstanceEntry, now_ms: int, sent_ms: int
+    ) -> None:
         for name in entry.followers:
             if name == self.own.instance_id:
-                self._own_confirmed_ms = now_ms
+                confirmed_ms = self._delays.counted_ms(now_ms, sent_ms, now_ms)
+                self._own_confirmed_ms = max(self._own_confirmed_ms, confirmed_ms)
                 continue
             state = self._rows.get(name)
             if state is not None:
-                state.last_seen_ms = now_ms
+                state.confirm(now_ms, sent_ms)
                 state.is_busy = name in entry.busy
                 state.confirmed_by = entry.instance_id
 
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/model.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/model.py
@@ -125,7 +125,9 @@
 class InstanceEntry(NamedTuple):
     """Describe an entry instance as it registered itself.
 
-    beat grows with every heartbeat of the incarnation; capacity is the number of
+    beat grows with every heartbeat of the incarnation: it is the time in ms of its
+    sending, by a steady clock that began at the Unix time of the process's start.
+    Earlier builds count their heartbeats instead. capacity is the number of
     requests per second that its processor and link can handle. followers lists the
     instances that polled it recently and are therefore live; busy lists those of
     them, and possibly itself, whose event loops lag.
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/instance.py
@@ -25,7 +25,7 @@
 from rhubarbwell_platform.http import open_session
 from tenacity import AsyncRetrying
 
-from rhubarbwell_entry.clocks import monotonic_ms
+from rhubarbwell_entry.clocks import monotonic_ms, unix_ms
 from rhubarbwell_entry.direct.accounts import AccountCheck
 from rhubarbwell_entry.direct.callers import CallerServer, EarlyHandler, Handler
 from rhubarbwell_entry.direct.changes import ChangesClient
@@ -118,6 +118,7 @@
             settings.region,
             settings.callers,
             settings.control,
+            beat=unix_ms(),
             capacity=request_capacity(
                 settings.processor_cores, settings.link_mbit_per_s
             ),
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/registrar.py
@@ -15,6 +15,7 @@
 from rhubarbwell_platform.errors import ConflictError, PlatformError
 from rhubarbwell_platform.services import EraTracker, MetadataStore, RowWrite
 
+from rhubarbwell_entry.clocks import suspended_ms
 from rhubarbwell_entry.direct.follower import Upstream
 from rhubarbwell_entry.direct.registrations import encode_instance
 from rhubarbwell_entry.logs import log_event
@@ -80,6 +81,7 @@
         divides_quotas: bool,
         max_writes_per_s: float,
         rng: Random,
+        suspended_ms: Callable[[], int] = suspended_ms,
     ) -> None:
         self._own_entry = own
         self._table = table
@@ -99,6 +101,9 @@
         self._divides_quotas = divides_quotas
         self._max_writes_per_s = max_writes_per_s
         self._rng = rng
+        self._suspended_ms = suspended_ms
+        # The beats of the entry go on from its first one like a clock.
+        self._beat_offset_ms = own.beat - clock_ms() - suspended_ms()
         # Time from which the row is written again unless the store still has it.
         self._restore_due_ms: int | None = None
         eras.subscribe(self._schedule_restoration)
@@ -140,7 +145,7 @@
             await self.remove_expired()
 
     async def write_heartbeat(self) -> None:
-        """Write the row with an incremented heartbeat; log a failed write."""
+        """Write the row with the next heartbeat; log a failed write."""
         self._last_attempt_ms = self._clock_ms()
         expected_version = None
         listed = None if self._has_registered else self._own_row()
@@ -150,7 +155,7 @@
                 self.listed_ms = self._synced_until_ms()
                 expected_version = listed.version
         self._has_registered = True
-        self._own_entry = self._own_entry._replace(beat=self._own_entry.beat + 1)
+        self._own_entry = self._own_entry._replace(beat=self._next_beat())
         entry = self._current_entry(self._last_attempt_ms)
         self._written_entry = None
         try:
@@ -225,6 +230,12 @@
             or now_ms - confirmed_ms >= CONFIRMATION_TIMEOUT_MS
         )
 
+    def _next_beat(self) -> int:
+        """Return the time in ms by a steady clock, which no other beat has."""
+        # Others tell from it how late the row is, also after a suspension.
+        elapsed_ms = self._clock_ms() + self._suspended_ms()
+        return max(self._beat_offset_ms + elapsed_ms, self._own_entry.beat + 1)
+
     def _schedule_restoration(self, old_era: int, new_era: int) -> None:
         """Set the time at which the row is written again in a new era of the store."""
         now_ms = self._clock_ms()
--- a/tests/entry/direct/test_registrar.py
+++ b/tests/entry/direct/test_registrar.py
@@ -297,3 +297,24 @@
     assert harness.store.write_attempts == 1
     assert harness.registrar.was_listed
     assert harness.registrar.listed_ms is None
+
+
+# Guards against heartbeats that do not tell when they were sent.
+async def test_heartbeats_are_times_of_a_steady_clock():
+    harness = RegistrarHarness()
+    suspended_ms = [500]
+    harness.registrar._suspended_ms = lambda: suspended_ms[0]
+    first_ms = harness.registrar._next_beat()
+    harness.now_ms += 2_000
+    assert harness.registrar._next_beat() - first_ms == 2_000
+    # The time for which the machine was suspended counts too.
+    suspended_ms[0] += 60_000
+    assert harness.registrar._next_beat() - first_ms == 62_000
+
+
+async def test_each_heartbeat_has_a_later_time_than_those_before():
+    harness = RegistrarHarness()
+    await harness.registrar.write_heartbeat()
+    await harness.registrar.write_heartbeat()
+    beats = [row.beat for row in harness.store.written]
+    assert beats[0] < beats[1]
