Keep the reader and the followers that it lists live while it answers

Seen by callers: while the store performed all writes 6 s late, or 1 to 6 s late at random, look-ups of an instance that follows a reader lost live instances, at times all but itself.

Cause: a follower knew of its reader, and of the other followers, from the reader's rows alone, although it talks to the reader twice a second. Rows that come up to 6 s late leave gaps of more than the 4.4 s for which a sign of life counts.

Change: the answer of its reader is a sign of life of the reader, and of the followers that the reader has listed last, for 10 s from that list on: the next one comes within 8 s. A follower that a later list leaves out is confirmed no more.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -22,6 +22,9 @@
 # Instances with at least this share of the maximum capacity are offered first: callers
 # spread evenly over the offered addresses, which would overload smaller instances.
 MIN_CAPACITY_SHARE = 0.5
+# The followers that a live reader lists are live. It sends the next list within this
+# time even if the store performs its writes late.
+MAX_LIST_AGE_MS = 10_000
 # A held instance that is silent for this time is removed, like the rows of others.
 HELD_SILENCE_MS = 60_000
 # Earlier incarnations of an instance, and removed instances, whose rows are recognized.
@@ -46,6 +49,7 @@
         "is_held",
         "last_seen_ms",
         "last_sent_ms",
+        "row_seen_ms",
     )
 
     def __init__(self, entry: InstanceEntry, last_seen_ms: int) -> None:
@@ -53,6 +57,8 @@
         # When the last sign of life arrived, and when it was sent.
         self.last_seen_ms = last_seen_ms
         self.last_sent_ms = last_seen_ms
+        # When the row of this entry arrived.
+        self.row_seen_ms = last_seen_ms
         self.is_busy = False
         self.confirmed_by = ""
         self.clock = HeartbeatClock()
@@ -196,6 +202,23 @@
             state.is_busy = is_busy
             state.confirmed_by = self.own.instance_id
 
+    def confirm_reader(self, instance_id: str, now_ms: int) -> None:
+        """Record an answer of this instance's reader as a sign of life.
+
+        It is one of the followers too that the reader has listed last: their heartbeats
+        are those of the reader, which the store may perform late.
+        """
+        reader = self._rows.get(instance_id)
+        if reader is None:
+            return
+        reader.confirm(now_ms, now_ms)
+        if now_ms - reader.row_seen_ms > MAX_LIST_AGE_MS:
+            return
+        for name in reader.entry.followers:
+            state = self._rows.get(name)
+            if state is not None and state.confirmed_by == instance_id:
+                state.confirm(now_ms, now_ms)
+
     @property
     def own_confirmed_ms(self) -> int:
         """Return the time in ms at which a reader last listed this instance.
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -188,6 +188,7 @@
             self._exclude_reader(reader, "the tables of the instance are stale")
             return False
         self._set_reader(reader.instance_id)
+        self._instances.confirm_reader(reader.instance_id, now_ms)
         return True
 
     async def _fetch_changes(self, reader: InstanceEntry) -> ChangesResponse:
--- a/tests/core/direct/test_instances.py
+++ b/tests/core/direct/test_instances.py
@@ -428,3 +428,35 @@
         table.put(entry("i-3", beat=beat_of(now_ms)), now_ms)
         table.mark_synced(now_ms)
         assert len(table.live()) == 2
+
+
+# Guards against live instances that vanish as their reader's heartbeats come late.
+def test_followers_of_a_reader_that_answers_stay_offered_without_its_heartbeats():
+    table = make_table(entry("i-3"), entry("i-2", followers=("i-3",)))
+    for now_ms in range(500, 9_500, 500):
+        table.confirm_reader("i-2", now_ms)
+        table.mark_synced(now_ms)
+        assert len(table.live()) == 2
+    table.mark_synced(13_000)
+    assert table.live() == []
+
+
+# Guards against a dead follower that an answer of its reader keeps in look-ups.
+def test_follower_that_its_reader_no_longer_lists_is_not_confirmed():
+    table = make_table(entry("i-3"), entry("i-2", followers=("i-3",)))
+    table.put(entry("i-2", beat=1), 1_000)
+    for now_ms in range(1_500, 9_500, 500):
+        table.confirm_reader("i-2", now_ms)
+        table.mark_synced(now_ms)
+        names = [e.instance_id for e in table.live()]
+        assert names == (["i-3", "i-2"] if now_ms <= 3_000 else ["i-2"])
+
+
+# Guards against a dead follower in a list that its reader cannot replace.
+def test_list_of_a_reader_that_cannot_write_counts_for_a_limited_time():
+    table = make_table(entry("i-3"), entry("i-2", followers=("i-3",)))
+    for now_ms in range(500, 20_000, 500):
+        table.confirm_reader("i-2", now_ms)
+        table.mark_synced(now_ms)
+        names = [e.instance_id for e in table.live()]
+        assert names == (["i-3", "i-2"] if now_ms <= 13_000 else ["i-2"])
