Tell older rows of servers by start and sequence in every era

Cause: within an era of the store the version of a row alone told which is newer. It tells when the store performed the write, not when the server sent it.

Change: rows are compared by start and sequence in every era, and the last age of a removed server is kept.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/replica.py
@@ -69,7 +69,7 @@
             return []
         if update.version.era > self.version.era:
             self._forget_deleted_rows()
-        newer = [row for row in update.rows if self._is_newer(row)]
+        newer = [row for row in update.rows if self.is_newer(row)]
         if update.complete and update.version >= self.version:
             newer += self._deletions_of_unlisted_rows(update)
         changed: list[ReplicaRow] = []
@@ -108,6 +108,13 @@
         row = self._rows.get(key)
         return row.version if row is not None else NO_VERSION
 
+    def is_newer(self, row: ReplicaRow) -> bool:
+        """Return True if a row has a later version than the known one."""
+        known = self._rows.get(row.key)
+        # A listing without the row proves that it was deleted.
+        known_version = self._listed_version if known is None else known.version
+        return row.version > known_version
+
     def has_changes_after(self, version: StoreVersion) -> bool:
         """Return True if a row has changed after a version."""
         return self._last_changed_version > version
@@ -146,12 +153,6 @@
             del self._rows[key]
             del self._changed_versions[key]
 
-    def _is_newer(self, row: ReplicaRow) -> bool:
-        known = self._rows.get(row.key)
-        # A listing without the row proves that it was deleted.
-        known_version = self._listed_version if known is None else known.version
-        return row.version > known_version
-
     def _has_same_content(self, row: ReplicaRow) -> bool:
         known = self._rows.get(row.key)
         if self._content_key is None or known is None:
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/changes.py
@@ -13,6 +13,8 @@
 from rhubarbwell_core.model import Address, host_port
 from rhubarbwell_platform.http import SocketTimeout
 
+from rhubarbwell_entry.direct.wire import BackendAge
+
 __all__ = [
     "CHANGES_PATH",
     "ChangesClient",
@@ -121,7 +123,8 @@
     itself, None if it has not chosen one. store_up_ms is the time for which it knows
     the store to be up, era the newest era of the store that it knows, era_age_ms the
     time since that was first seen. config is the configuration in force there, if it
-    is newer than that of the query.
+    is newer than that of the query. gone holds the last ages of the servers whose rows
+    the tables delete.
     """
 
     tables: Mapping[str, ReplicaUpdate]
@@ -133,6 +136,7 @@
     era: int = 0
     era_age_ms: int = 0
     config: ConfigCopy | None = None
+    gone: Mapping[str, BackendAge] = {}
 
     def encode(self) -> dict[str, Any]:
         """Return the response's JSON body."""
@@ -141,6 +145,7 @@
             _encode_era(self.era)
             | era_age
             | _encode_config(self.config)
+            | _encode_gone(self.gone)
             | {
                 "store_is_out": self.store_is_out,
                 "store_up_ms": self.store_up_ms,
@@ -170,6 +175,7 @@
                 era=_decode_era(body),
                 era_age_ms=max(int(body.get("era_age_ms", 0)), 0),
                 config=_decode_config(body.get("config")),
+                gone=_decode_gone(body.get("gone", {})),
             )
         except DECODING_ERRORS as exc:
             raise ChangesError(f"invalid table changes: {exc!r}") from exc
@@ -261,6 +267,20 @@
     return ConfigCopy(int(version), str(key), _base64_bytes(text))
 
 
+def _encode_gone(gone: Mapping[str, BackendAge]) -> dict[str, Any]:
+    """Return the field of the last ages of deleted servers, none without any."""
+    if not gone:
+        return {}
+    return {"gone": {name: [age.born_ms, age.sequence] for name, age in gone.items()}}
+
+
+def _decode_gone(field: Any) -> dict[str, BackendAge]:
+    return {
+        str(name): BackendAge(int(born_ms), int(sequence), is_draining=False)
+        for name, (born_ms, sequence) in field.items()
+    }
+
+
 def _encode_era(era: int) -> dict[str, Any]:
     """Return the field of an era, none for the first one."""
     return {"era": era} if era else {}
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/relay.py
@@ -94,11 +94,12 @@
         known_versions = query.known_versions
         now_ms = self._clock_ms()
         reads_store = self._upstream.reads_store
+        tables = {
+            name: replica.changes_after(known_versions.get(name, NO_VERSION))
+            for name, replica in self._state.replicas.items()
+        }
         return ChangesResponse(
-            tables={
-                name: replica.changes_after(known_versions.get(name, NO_VERSION))
-                for name, replica in self._state.replicas.items()
-            },
+            tables=tables,
             ages_ms={
                 name: now_ms - synced_ms
                 for name, synced_ms in self._state.synced_until_ms.items()
@@ -110,6 +111,7 @@
             era_age_ms=self._state.era_age_ms(now_ms),
             reader=self._own_id if reads_store else self._upstream.reader,
             config=self._state.config_copy_after(query.config_version),
+            gone=self._state.gone_ages(tables, now_ms),
         )
 
 
--- a/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
+++ b/packages/rhubarbwell-entry/src/rhubarbwell_entry/direct/state.py
@@ -24,7 +24,11 @@
 from rhubarbwell_entry.direct.registrations import decode_instance
 from rhubarbwell_entry.direct.restoration import StoreRestoration
 from rhubarbwell_entry.direct.unapplied import UnappliedRows
-from rhubarbwell_entry.direct.wire import DirectPlatform, RowDecodingError
+from rhubarbwell_entry.direct.wire import (
+    BackendAge,
+    DirectPlatform,
+    RowDecodingError,
+)
 from rhubarbwell_entry.logs import log_event
 
 __all__ = ["FleetState"]
@@ -150,9 +154,17 @@
             # The grace periods of all instances end at the same time.
             self._set_era_start(now_ms - resp.era_age_ms)
         self.apply_config_copy(resp.config)
+        self._older_rows.add_gone_ages(resp.gone, now_ms)
         for name, update in resp.tables.items():
             self.apply(name, update, now_ms, age_ms=resp.ages_ms[name])
 
+    def gone_ages(
+        self, tables: Mapping[str, ReplicaUpdate], now_ms: int
+    ) -> dict[str, BackendAge]:
+        """Return the last ages of the servers that updates of the tables delete."""
+        update = tables[self._platform.names.backend_table]
+        return self._older_rows.gone_ages(update, now_ms)
+
     def _hold_missing_rows(
         self, table: str, changed: Sequence[ReplicaRow], now_ms: int
     ) -> list[ReplicaRow]:
