Decide once for all instances which signs of life count

The table asked for each instance whether heartbeats come on time; a look-up asks for all of them. Now the oldest sign of life that counts is worked out once. No change of behaviour: the same tests pass.

--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/heartbeats.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/heartbeats.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-__all__ = ["HeartbeatClock", "HeartbeatDelays"]
+__all__ = ["HeartbeatClock", "HeartbeatDelays", "SignOfLife"]
 
 # Heartbeats of earlier builds are numbered from 1; later ones hold a time in ms that
 # began at the Unix time of the process's start.
@@ -23,6 +23,8 @@
 SETTLING_MS = 2_600
 # Longer than the store delays a write.
 MEMORY_MS = 10_000
+# Before any time of a clock.
+NEVER = -(10**15)
 
 
 class HeartbeatClock:
@@ -71,9 +73,11 @@
         self._period_end_ms = now_ms + PERIOD_MS
 
 
-class _OnTimeHeartbeat(NamedTuple):
-    sent_ms: int
+class SignOfLife(NamedTuple):
+    """Hold when a sign of life arrived and when it was sent."""
+
     seen_ms: int
+    sent_ms: int
 
 
 class HeartbeatDelays:
@@ -89,7 +93,7 @@
     """
 
     def __init__(self) -> None:
-        self._on_time = deque[_OnTimeHeartbeat]()
+        self._on_time = deque[SignOfLife]()
         # Time at which the first one on time after the last late one was sent.
         self._on_time_since_ms: int | None = None
         self._late_sent_ms: int | None = None
@@ -99,7 +103,7 @@
         if now_ms - sent_ms > MAX_USUAL_DELAY_MS:
             self._record_late(sent_ms)
             return
-        self._on_time.append(_OnTimeHeartbeat(sent_ms, now_ms))
+        self._on_time.append(SignOfLife(now_ms, sent_ms))
         while now_ms - self._on_time[0].seen_ms > MEMORY_MS:
             self._on_time.popleft()
         is_after = self._late_sent_ms is None or sent_ms > self._late_sent_ms
@@ -116,11 +120,16 @@
         is_recent = now_ms - self._on_time[-1].seen_ms <= MAX_SILENCE_MS
         return is_recent and now_ms - self._on_time_since_ms >= SETTLING_MS
 
-    def counted_ms(self, seen_ms: int, sent_ms: int, now_ms: int) -> int:
-        """Return the time in ms from which a sign of life counts."""
+    def counted_ms(self, sent_ms: int, now_ms: int) -> int:
+        """Return the time in ms from which a heartbeat that arrives now counts."""
         if self.are_usual(now_ms):
-            return min(seen_ms, sent_ms + MAX_USUAL_DELAY_MS)
-        return seen_ms
+            return min(now_ms, sent_ms + MAX_USUAL_DELAY_MS)
+        return now_ms
+
+    def oldest_live(self, seen_ms: int, now_ms: int) -> SignOfLife:
+        """Return the oldest sign of life that counts if it arrived at seen_ms."""
+        is_usual = self.are_usual(now_ms)
+        return SignOfLife(seen_ms, seen_ms - MAX_USUAL_DELAY_MS if is_usual else NEVER)
 
     def _record_late(self, sent_ms: int) -> None:
         if self._late_sent_ms is not None and sent_ms <= self._late_sent_ms:
--- a/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
+++ b/packages/rhubarbwell-core/src/rhubarbwell_core/direct/instances.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from rhubarbwell_core.direct.heartbeats import HeartbeatClock, HeartbeatDelays
+from rhubarbwell_core.direct.heartbeats import (
+    HeartbeatClock,
+    HeartbeatDelays,
+    SignOfLife,
+)
 from rhubarbwell_core.direct.model import InstanceEntry
 from rhubarbwell_core.engine import Table
 from rhubarbwell_core.model import Address
@@ -54,7 +58,7 @@
 
     def __init__(self, entry: InstanceEntry, last_seen_ms: int) -> None:
         self.entry = entry
-        # When the last sign of life arrived, and when it was sent.
+        # When a sign of life last arrived, and when the newest one was sent.
         self.last_seen_ms = last_seen_ms
         self.last_sent_ms = last_seen_ms
         # When the row of this entry arrived.
@@ -90,6 +94,12 @@
         newest = list(incarnations.items())[-MAX_EARLIER_INCARNATIONS:]
         self.earlier = dict(newest)
 
+    def is_live(self, oldest: SignOfLife) -> bool:
+        """Return True if there was a sign of life after the oldest one that counts."""
+        return (
+            self.last_seen_ms >= oldest.seen_ms and self.last_sent_ms >= oldest.sent_ms
+        )
+
     def confirm(self, now_ms: int, sent_ms: int) -> None:
         """Record a sign of life that was sent at sent_ms and arrives now."""
         self.last_seen_ms = now_ms
@@ -311,13 +321,13 @@
         return [state.entry.callers for state in chosen[:MAX_OFFERED]]
 
     def _live_states(self) -> list[_InstanceState]:
-        return [state for state in self._rows.rows() if self._is_live(state)]
+        oldest = self._oldest_live()
+        return [state for state in self._rows.rows() if state.is_live(oldest)]
 
-    def _is_live(self, state: _InstanceState) -> bool:
-        counted_ms = self._delays.counted_ms(
-            state.last_seen_ms, state.last_sent_ms, self._synced_ms
-        )
-        return counted_ms >= self._synced_ms - self._liveness_timeout_ms
+    def _oldest_live(self) -> SignOfLife:
+        """Return the oldest sign of life with which an instance is live."""
+        seen_ms = self._synced_ms - self._liveness_timeout_ms
+        return self._delays.oldest_live(seen_ms, self._synced_ms)
 
     def _sent_ms(self, clock: HeartbeatClock, entry: InstanceEntry, now_ms: int) -> int:
         """Return when a heartbeat that arrives now was sent; now if it is unknown."""
@@ -329,10 +339,11 @@
         return sent_ms
 
     def _sender_entries(self) -> list[InstanceEntry]:
+        oldest = self._oldest_live()
         others = [
             state.entry
             for state in self._rows.rows()
-            if self._is_live(state) or not state.entry.leaving
+            if state.is_live(oldest) or not state.entry.leaving
         ]
         return [self.own, *others]
 
@@ -351,8 +362,8 @@
     ) -> None:
         for name in entry.followers:
             if name == self.own.instance_id:
-                confirmed_ms = self._delays.counted_ms(now_ms, sent_ms, now_ms)
-                self._own_confirmed_ms = max(self._own_confirmed_ms, confirmed_ms)
+                counted_ms = self._delays.counted_ms(sent_ms, now_ms)
+                self._own_confirmed_ms = max(self._own_confirmed_ms, counted_ms)
                 continue
             state = self._rows.get(name)
             if state is not None:
