Set the arrival in the test of starting instances

Cause: the test held the clock of the handler still, but the time until the configuration is expected counts from when the head of the request was read, which the handler derives from the age of the head by the clock of the event loop. From 0.5 ms on, the age is rounded to 1 ms or more.

Change: the test sets the arrival itself.

Not changed: for a request that waits behind others of its connection, the time that it waited is added to Retry-After in this way.

--- a/tests/entry/direct/test_instance.py
+++ b/tests/entry/direct/test_instance.py
@@ -53,7 +53,8 @@
     """Callers retry once: after the end of all instances none is ready earlier."""
     async with running_fleet(config=False) as fleet:
         handler = fleet.instance.handler
-        handler._clock_ms = lambda: handler._started_ms + uptime_ms
+        # The time counts from when the head was read, up to some ms before.
+        handler._arrived_ms = lambda _: handler._started_ms + uptime_ms
         resp, _ = await fleet.send_request()
         assert resp.status == 503
         assert float(resp.headers["Retry-After"]) == retry_s
